Serve requests end to end through separate processes

Entry hosts, tool and stand-ins are separate processes on loopback. Decisions are pure functions in src/core; memory is reserved in a ledger by compare-and-swap before any order, together with a slot of the weight store.

Ruled out while bringing it up: a slot conflict dropped the cached ledger, so that seven hosts starting together took the ledgers from each other and 28 of 40 models were not ready after 40 s; transactions now read back what stands, and only what conflicts is read again. Hosts heard only from those who dialled them (5 to 7 of 7 seen); a dialled host now answers heartbeats.

--- /dev/null
+++ b/src/cmd/status.rs
@@ -0,0 +1,96 @@
+//! `currantcove status`: the entry hosts.
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+
+use currantcove::services::operators::HostStatus;
+
+use crate::util::{self, CliError, CliResult, Common, Deployment};
+
+const USAGE: &str = "\
+Shows the entry hosts: ready or not, what they see, what they refuse.
+
+Usage:
+    currantcove status [options]
+
+Options:
+    -d, --deployment <file>   Where the fleet is reached.
+    --json                    Print JSON.
+    -h, --help                Show this text.
+
+Exit code 4 if no entry host answers.
+";
+
+pub fn run(argv: Vec<OsString>) -> CliResult<()> {
+    let common = Common::parse_only(argv, USAGE)?;
+    let deployment = Deployment::load(common.deployment.clone())?;
+    util::block_on(async {
+        let statuses = deployment.statuses().await;
+        if statuses.iter().all(|(_, s)| s.is_none()) {
+            let text = "no entry host answers; check operator_addrs in the deployment file";
+            return Err(CliError::Unreachable(text.to_owned()));
+        }
+        if common.json {
+            let hosts: Vec<&HostStatus> = statuses.iter().filter_map(|(_, s)| s.as_ref()).collect();
+            return util::print_json(&hosts);
+        }
+        print_hosts(&statuses);
+        print_refused(&statuses);
+        Ok(())
+    })
+}
+
+fn print_hosts(statuses: &[(SocketAddr, Option<HostStatus>)]) {
+    let head = [
+        "HOST",
+        "ZONE",
+        "READY",
+        "PLATFORM",
+        "SEES",
+        "IN FLIGHT",
+        "KV CALLS",
+        "TEAMS",
+    ];
+    let mut rows = vec![head.iter().map(|s| (*s).to_owned()).collect::<Vec<_>>()];
+    for (addr, status) in statuses {
+        rows.push(match status {
+            None => vec![addr.to_string(), "-".to_owned(), "no answer".to_owned()],
+            Some(s) => vec![
+                s.host.to_string(),
+                s.zone.to_string(),
+                yes(s.is_ready),
+                if s.is_platform_up {
+                    "up".to_owned()
+                } else {
+                    "down".to_owned()
+                },
+                format!("{} hosts", s.hosts_up.len()),
+                s.in_flight.to_string(),
+                s.kv_calls.to_string(),
+                s.revisions.len().to_string(),
+            ],
+        });
+    }
+    util::print(&util::table(&rows));
+}
+
+fn print_refused(statuses: &[(SocketAddr, Option<HostStatus>)]) {
+    for status in statuses.iter().filter_map(|(_, s)| s.as_ref()) {
+        for (team, findings) in &status.refused {
+            for finding in findings {
+                util::print(&format!(
+                    "{}: refused teams/{team}: {finding}\n",
+                    status.host
+                ));
+            }
+        }
+    }
+}
+
+fn yes(is: bool) -> String {
+    if is {
+        "yes".to_owned()
+    } else {
+        "no".to_owned()
+    }
+}
--- /dev/null
+++ b/src/cmd/upstreams.rs
@@ -0,0 +1,59 @@
+//! `currantcove upstreams`: upstreams and their load.
+
+use std::ffi::OsString;
+
+use currantcove::core::fleet::ListedState;
+use currantcove::services::operators::UpstreamStatus;
+
+use crate::util::{self, CliResult, Common, Deployment};
+
+const USAGE: &str = "\
+Shows upstreams as the first entry host that answers sees them.
+
+Usage:
+    currantcove upstreams [options]
+
+Options:
+    -d, --deployment <file>   Where the fleet is reached.
+    --json                    Print JSON.
+    -h, --help                Show this text.
+";
+
+pub fn run(argv: Vec<OsString>) -> CliResult<()> {
+    let common = Common::parse_only(argv, USAGE)?;
+    let deployment = Deployment::load(common.deployment.clone())?;
+    util::block_on(async {
+        let statuses = deployment.answering().await?;
+        let upstreams = &statuses[0].upstreams;
+        if common.json {
+            return util::print_json(upstreams);
+        }
+        let head = [
+            "UPSTREAM", "ZONE", "STATE", "ACTING", "LOAD", "READY", "FREE MIB",
+        ];
+        let mut rows = vec![head.iter().map(|s| (*s).to_owned()).collect::<Vec<_>>()];
+        rows.extend(upstreams.iter().map(row));
+        util::print(&util::table(&rows));
+        Ok(())
+    })
+}
+
+fn row(u: &UpstreamStatus) -> Vec<String> {
+    let state = match (u.is_listed, u.state, u.seen.accepts_work, u.is_ejected) {
+        (false, ..) => "gone",
+        (_, ListedState::Leaving, ..) | (_, _, false, _) => "leaving",
+        (_, _, _, true) => "ejected",
+        _ => "live",
+    };
+    vec![
+        u.id.to_string(),
+        u.zone.to_string(),
+        state.to_owned(),
+        u.acting_host
+            .as_ref()
+            .map_or_else(|| "-".to_owned(), ToString::to_string),
+        format!("{}%", u.load_permille / 10),
+        u.seen.ready.len().to_string(),
+        u.seen.free_mib.to_string(),
+    ]
+}
--- /dev/null
+++ b/src/core/fleet.rs
@@ -0,0 +1,329 @@
+//! What one entry host knows of the upstreams.
+//!
+//! Load is estimated from this host's own requests in flight, corrected by
+//! the upstream's lagging report: the report's total less what this host had
+//! in flight when it was made, plus what this host has in flight now.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use super::ids::{ArtifactId, UpstreamId, ZoneId};
+
+/// Position of an upstream in the fleet's table.
+pub type UpstreamIx = usize;
+
+/// Kind of upstream.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum UpstreamKind {
+    /// Model engine.
+    Engine,
+    /// Plain service.
+    Service,
+}
+
+/// What the platform's list says of a machine.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ListedState {
+    /// In service.
+    Live,
+    /// Takes no new work.
+    Leaving,
+}
+
+/// Upstream as the platform lists it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ListedUpstream {
+    /// Name.
+    pub id: UpstreamId,
+    /// Address for requests and orders.
+    pub addr: SocketAddr,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Kind.
+    pub kind: UpstreamKind,
+    /// Whether it takes new work.
+    pub state: ListedState,
+    /// Accelerators.
+    #[serde(default)]
+    pub accelerators: u32,
+    /// Memory for models in MiB.
+    #[serde(default)]
+    pub memory_mib: u64,
+    /// Requests that meet the targets when run together.
+    pub max_batch: u32,
+    /// True if the engine refuses an order with an old fencing number.
+    #[serde(default)]
+    pub checks_fencing: bool,
+}
+
+/// Lagging load report of an upstream.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct LoadReport {
+    /// Requests running and waiting.
+    pub in_flight: u32,
+    /// Mean time of a request, in milliseconds.
+    pub mean_request_ms: u32,
+}
+
+/// Consecutive failures after which an upstream is ejected.
+pub const EJECT_AFTER_FAILURES: u32 = 5;
+/// First time an ejected upstream is left out, in milliseconds; doubles.
+pub const FIRST_EJECTION_MS: u64 = 2_000;
+/// Longest time an ejected upstream is left out, in milliseconds.
+pub const MAX_EJECTION_MS: u64 = 60_000;
+/// Largest share of a model's copies that may be ejected, in percent.
+pub const MAX_EJECTED_PERCENT: usize = 34;
+/// Time to first byte, as a multiple of the median, that counts as slow.
+pub const SLOW_FACTOR: u64 = 4;
+/// Samples before an upstream can count as slow.
+const MIN_SAMPLES: u32 = 16;
+
+/// Recent outcomes of one upstream.
+#[derive(Clone, Debug, Default)]
+pub struct Health {
+    consecutive_failures: u32,
+    ejections: u32,
+    ejected_until_ms: u64,
+    samples: u32,
+    first_byte_us: u64,
+}
+
+impl Health {
+    /// Smoothed time to the first byte in microseconds.
+    pub fn first_byte_us(&self) -> u64 {
+        self.first_byte_us
+    }
+
+    /// True while the upstream is left out.
+    pub fn is_ejected(&self, now_ms: u64) -> bool {
+        now_ms < self.ejected_until_ms
+    }
+
+    fn on_success(&mut self, first_byte_us: u64) {
+        self.consecutive_failures = 0;
+        self.samples = self.samples.saturating_add(1);
+        let smoothed_us = (self.first_byte_us * 7 + first_byte_us) / 8;
+        self.first_byte_us = if self.samples == 1 {
+            first_byte_us
+        } else {
+            smoothed_us
+        };
+        if self.samples >= MIN_SAMPLES
+            && self.ejections > 0
+            && self.samples.is_multiple_of(MIN_SAMPLES)
+        {
+            self.ejections -= 1;
+        }
+    }
+
+    fn eject(&mut self, now_ms: u64) {
+        let backoff_ms = FIRST_EJECTION_MS << self.ejections.min(5);
+        self.ejected_until_ms = now_ms + backoff_ms.min(MAX_EJECTION_MS);
+        self.ejections += 1;
+        self.consecutive_failures = 0;
+        self.samples = 0;
+    }
+}
+
+/// What the acting host of an upstream last saw, as it tells its peers.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Observation {
+    /// When, in milliseconds of the acting host's wall time.
+    pub observed_ms: u64,
+    /// Models ready for new requests.
+    pub ready: BTreeSet<ArtifactId>,
+    /// Models charged and not being unloaded.
+    pub holds: BTreeSet<ArtifactId>,
+    /// Memory that is not charged, in MiB.
+    pub free_mib: u64,
+    /// Load.
+    pub load: LoadReport,
+    /// Requests in flight per model, smoothed.
+    pub demand: BTreeMap<ArtifactId, u32>,
+    /// False once the upstream takes no new work.
+    pub accepts_work: bool,
+}
+
+/// One upstream and its estimated load.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    /// What the platform lists.
+    pub listed: ListedUpstream,
+    /// False once the platform's list has dropped it.
+    pub is_listed: bool,
+    /// This host's requests in flight.
+    pub local_in_flight: u32,
+    local_at_report: u32,
+    /// Newest observation of its acting host.
+    pub seen: Observation,
+    /// Recent outcomes.
+    pub health: Health,
+}
+
+impl Upstream {
+    /// Estimated requests in flight from all hosts.
+    pub fn estimated_in_flight(&self) -> u32 {
+        self.seen
+            .load
+            .in_flight
+            .saturating_sub(self.local_at_report)
+            + self.local_in_flight
+    }
+
+    /// Estimated load in per mille of the batch that meets the targets.
+    pub fn load_permille(&self) -> u32 {
+        self.estimated_in_flight() * 1000 / self.listed.max_batch.max(1)
+    }
+
+    /// True if new work may be sent here.
+    pub fn takes_work(&self) -> bool {
+        self.is_listed && self.seen.accepts_work && self.listed.state == ListedState::Live
+    }
+}
+
+/// All upstreams and where models are ready.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    upstreams: Vec<Upstream>,
+    by_id: BTreeMap<UpstreamId, UpstreamIx>,
+    ready: HashMap<ArtifactId, Vec<UpstreamIx>>,
+}
+
+impl Fleet {
+    /// Takes in the platform's list.
+    pub fn set_listed(&mut self, listed: &[ListedUpstream]) {
+        for upstream in &mut self.upstreams {
+            upstream.is_listed = false;
+        }
+        for entry in listed {
+            let ix = self.ensure(entry);
+            let upstream = &mut self.upstreams[ix];
+            upstream.is_listed = true;
+            upstream.listed.clone_from(entry);
+        }
+    }
+
+    fn ensure(&mut self, entry: &ListedUpstream) -> UpstreamIx {
+        if let Some(&ix) = self.by_id.get(&entry.id) {
+            return ix;
+        }
+        let ix = self.upstreams.len();
+        self.by_id.insert(entry.id.clone(), ix);
+        self.upstreams.push(Upstream {
+            listed: entry.clone(),
+            is_listed: true,
+            local_in_flight: 0,
+            local_at_report: 0,
+            seen: Observation {
+                accepts_work: true,
+                ..Observation::default()
+            },
+            health: Health::default(),
+        });
+        ix
+    }
+
+    /// All upstreams, by position.
+    pub fn upstreams(&self) -> &[Upstream] {
+        &self.upstreams
+    }
+
+    /// Upstream at a position.
+    pub fn get(&self, ix: UpstreamIx) -> &Upstream {
+        &self.upstreams[ix]
+    }
+
+    /// Position of an upstream.
+    pub fn position(&self, id: &str) -> Option<UpstreamIx> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Upstreams where a model is ready.
+    pub fn copies(&self, artifact: &ArtifactId) -> &[UpstreamIx] {
+        self.ready.get(artifact).map_or(&[], Vec::as_slice)
+    }
+
+    /// Takes in an observation; false if a newer one is known.
+    pub fn observe(&mut self, ix: UpstreamIx, seen: Observation) -> bool {
+        let upstream = &mut self.upstreams[ix];
+        if seen.observed_ms <= upstream.seen.observed_ms {
+            return false;
+        }
+        let is_moved = seen.ready != upstream.seen.ready;
+        upstream.local_at_report = upstream.local_in_flight;
+        upstream.seen = seen;
+        if is_moved {
+            self.index_ready(ix);
+        }
+        true
+    }
+
+    fn index_ready(&mut self, ix: UpstreamIx) {
+        for copies in self.ready.values_mut() {
+            copies.retain(|&c| c != ix);
+        }
+        for artifact in &self.upstreams[ix].seen.ready {
+            self.ready.entry(artifact.clone()).or_default().push(ix);
+        }
+        self.ready.retain(|_, copies| !copies.is_empty());
+    }
+
+    /// Another version of the same model that is ready somewhere.
+    pub fn other_version(&self, artifact: &ArtifactId) -> Option<&ArtifactId> {
+        let same_model = |a: &&ArtifactId| a.model() == artifact.model();
+        self.ready.keys().filter(same_model).max()
+    }
+
+    /// Counts a request sent to an upstream.
+    pub fn on_sent(&mut self, ix: UpstreamIx) {
+        self.upstreams[ix].local_in_flight += 1;
+    }
+
+    /// Counts the end of a request.
+    pub fn on_done(&mut self, ix: UpstreamIx) {
+        let upstream = &mut self.upstreams[ix];
+        upstream.local_in_flight = upstream.local_in_flight.saturating_sub(1);
+    }
+
+    /// Records the first byte of an answer.
+    pub fn on_first_byte(&mut self, now_ms: u64, ix: UpstreamIx, first_byte_us: u64) {
+        self.upstreams[ix].health.on_success(first_byte_us);
+        if self.is_slow(ix) {
+            self.upstreams[ix].health.eject(now_ms);
+        }
+    }
+
+    /// Records a failure; ejects the upstream after several in a row.
+    pub fn on_failure(&mut self, now_ms: u64, ix: UpstreamIx) {
+        let health = &mut self.upstreams[ix].health;
+        health.consecutive_failures += 1;
+        if health.consecutive_failures >= EJECT_AFTER_FAILURES {
+            health.eject(now_ms);
+        }
+    }
+
+    fn is_slow(&self, ix: UpstreamIx) -> bool {
+        let upstream = &self.upstreams[ix];
+        if upstream.health.samples < MIN_SAMPLES
+            || !upstream.health.samples.is_multiple_of(MIN_SAMPLES)
+        {
+            return false;
+        }
+        let mut peers_us: Vec<u64> = self
+            .upstreams
+            .iter()
+            .filter(|u| u.listed.kind == upstream.listed.kind && u.health.samples >= MIN_SAMPLES)
+            .map(|u| u.health.first_byte_us)
+            .collect();
+        if peers_us.len() < 3 {
+            return false;
+        }
+        let middle = peers_us.len() / 2;
+        let (_, median_us, _) = peers_us.select_nth_unstable(middle);
+        upstream.health.first_byte_us > *median_us * SLOW_FACTOR
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,21 @@
+//! The decisions of the system, without input, output or clock.
+//!
+//! Every decision is a function of the time, the state and one input. The
+//! daemon, the tests and the model checker drive the same code. Randomness
+//! comes from a seeded generator that the caller passes in.
+
+pub mod admission;
+pub mod claim;
+pub mod config;
+pub mod fleet;
+pub mod ids;
+pub mod ledger;
+pub mod membership;
+pub mod outcome;
+pub mod placement;
+pub mod rendezvous;
+pub mod retry;
+pub mod routing;
+pub mod slots;
+pub mod timeline;
+pub mod view;
--- /dev/null
+++ b/src/core/retry.rs
@@ -0,0 +1,63 @@
+//! Retry budgets.
+//!
+//! First attempts fill a bucket slowly and retries empty it, so that retries
+//! stay a small share of the traffic when an upstream fails. Only idempotent
+//! requests are retried after a byte may have left.
+
+/// Share of first attempts that may be retried, per mille.
+pub const RETRY_SHARE_PERMILLE: u32 = 100;
+/// Most retries that can be saved up.
+pub const MAX_SAVED_RETRIES: u32 = 10;
+/// Cost of one retry in the unit of the bucket.
+const RETRY_COST_PERMILLE: u32 = 1000;
+
+/// Token bucket of one team.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    tokens_permille: u32,
+}
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self {
+            tokens_permille: MAX_SAVED_RETRIES * RETRY_COST_PERMILLE,
+        }
+    }
+}
+
+impl RetryBudget {
+    /// Counts a first attempt.
+    pub fn on_first_attempt(&mut self) {
+        let max = MAX_SAVED_RETRIES * RETRY_COST_PERMILLE;
+        self.tokens_permille = (self.tokens_permille + RETRY_SHARE_PERMILLE).min(max);
+    }
+
+    /// Takes the cost of one retry; false if the budget is spent.
+    pub fn try_retry(&mut self) -> bool {
+        let Some(rest) = self.tokens_permille.checked_sub(RETRY_COST_PERMILLE) else {
+            return false;
+        };
+        self.tokens_permille = rest;
+        true
+    }
+}
+
+/// How far an attempt got.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Progress {
+    /// No byte can have reached the upstream.
+    NotSent,
+    /// Bytes may have reached the upstream; nothing was given to the caller.
+    Sent,
+    /// The caller has part of the answer.
+    Answering,
+}
+
+/// True if another attempt is allowed after `progress`.
+pub fn may_retry(progress: Progress, is_idempotent: bool, can_resume: bool) -> bool {
+    match progress {
+        Progress::NotSent => true,
+        Progress::Sent => is_idempotent,
+        Progress::Answering => is_idempotent && can_resume,
+    }
+}
--- /dev/null
+++ b/src/core/view.rs
@@ -0,0 +1,167 @@
+//! The configuration in force, indexed for the request path.
+//!
+//! Only a greater revision of a subtree is ever adopted, and only if it is
+//! valid. A bad subtree leaves the last good one in force and touches no
+//! other team.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::config::{Finding, FleetConfig, TeamConfig, parse_fleet, parse_team};
+use super::ids::{ArtifactId, TeamId};
+
+/// One team's subtree and the revision it came with.
+#[derive(Clone, Debug)]
+pub struct TeamEntry {
+    /// Revision of the value in the platform's service.
+    pub revision: u64,
+    /// Bytes of the value, as adopted; peers exchange these.
+    pub json: Vec<u8>,
+    /// Parsed settings.
+    pub config: TeamConfig,
+}
+
+/// What became of an offered subtree.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Adoption {
+    /// In force now.
+    Adopted,
+    /// Not newer than the one in force.
+    Stale,
+    /// Refused; the last good one stays in force.
+    Invalid(Vec<Finding>),
+}
+
+/// All subtrees in force.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    teams: BTreeMap<TeamId, TeamEntry>,
+    removed: BTreeMap<TeamId, u64>,
+    by_credential: HashMap<[u8; 32], TeamId>,
+    fleet: FleetConfig,
+    fleet_revision: u64,
+    refused: BTreeMap<TeamId, (u64, Vec<Finding>)>,
+}
+
+impl View {
+    /// Offers a team's subtree read at `revision`.
+    pub fn offer_team(&mut self, team: &TeamId, revision: u64, json: &[u8]) -> Adoption {
+        if revision <= self.revision(team) {
+            return Adoption::Stale;
+        }
+        let config = match parse_team(team.as_str(), json) {
+            Ok(config) => config,
+            Err(findings) => {
+                self.refused
+                    .insert(team.clone(), (revision, findings.clone()));
+                return Adoption::Invalid(findings);
+            }
+        };
+        self.refused.remove(team);
+        self.removed.remove(team);
+        let entry = TeamEntry {
+            revision,
+            json: json.to_vec(),
+            config,
+        };
+        self.teams.insert(team.clone(), entry);
+        self.index_credentials();
+        Adoption::Adopted
+    }
+
+    /// Removes a team whose value was deleted at `revision`.
+    pub fn remove_team(&mut self, team: &TeamId, revision: u64) -> Adoption {
+        if revision <= self.revision(team) {
+            return Adoption::Stale;
+        }
+        self.teams.remove(team);
+        self.removed.insert(team.clone(), revision);
+        self.index_credentials();
+        Adoption::Adopted
+    }
+
+    /// Offers the fleet's subtree read at `revision`.
+    pub fn offer_fleet(&mut self, revision: u64, json: &[u8]) -> Adoption {
+        if revision <= self.fleet_revision {
+            return Adoption::Stale;
+        }
+        match parse_fleet(json) {
+            Ok(fleet) => {
+                self.fleet = fleet;
+                self.fleet_revision = revision;
+                Adoption::Adopted
+            }
+            Err(findings) => Adoption::Invalid(findings),
+        }
+    }
+
+    /// Revision in force for a team; of its removal if it was removed.
+    pub fn revision(&self, team: &TeamId) -> u64 {
+        let live = self.teams.get(team).map(|t| t.revision);
+        live.or_else(|| self.removed.get(team).copied())
+            .unwrap_or(0)
+    }
+
+    /// Subtrees in force.
+    pub fn teams(&self) -> &BTreeMap<TeamId, TeamEntry> {
+        &self.teams
+    }
+
+    /// Newest refused subtree of each team, with its findings.
+    pub fn refused(&self) -> &BTreeMap<TeamId, (u64, Vec<Finding>)> {
+        &self.refused
+    }
+
+    /// Fleet settings in force.
+    pub fn fleet(&self) -> &FleetConfig {
+        &self.fleet
+    }
+
+    /// Team with this credential.
+    pub fn team_of(&self, credential_sha256: &[u8; 32]) -> Option<(&TeamId, &TeamConfig)> {
+        let id = self.by_credential.get(credential_sha256)?;
+        self.teams.get(id).map(|entry| (id, &entry.config))
+    }
+
+    /// Models that teams rely on or declare, with the artifact to serve.
+    pub fn artifacts(&self) -> impl Iterator<Item = DeclaredArtifact<'_>> {
+        self.teams.iter().flat_map(|(team, entry)| {
+            entry
+                .config
+                .models
+                .iter()
+                .map(move |(name, model)| DeclaredArtifact {
+                    artifact: ArtifactId::from_parts(team.as_str(), name, &model.version),
+                    copy_mib: model.copy_mib(),
+                    min_copies: model.min_copies,
+                    is_relied_upon: entry.config.relies_on.contains(name),
+                    adapters: model.adapters.keys(),
+                })
+        })
+    }
+
+    fn index_credentials(&mut self) {
+        self.by_credential.clear();
+        for (id, entry) in &self.teams {
+            for credential in &entry.config.credentials_sha256 {
+                self.by_credential
+                    .entry(*credential)
+                    .or_insert_with(|| id.clone());
+            }
+        }
+    }
+}
+
+/// Model as declared by its team.
+#[derive(Clone, Debug)]
+pub struct DeclaredArtifact<'a> {
+    /// Version to serve.
+    pub artifact: ArtifactId,
+    /// Memory of one copy in MiB.
+    pub copy_mib: u64,
+    /// Least number of copies.
+    pub min_copies: u32,
+    /// True if the team relies on it.
+    pub is_relied_upon: bool,
+    /// Names of its adapters.
+    pub adapters: std::collections::btree_map::Keys<'a, String, super::config::AdapterConfig>,
+}
--- /dev/null
+++ b/src/edge/body.rs
@@ -0,0 +1,76 @@
+//! Bodies of requests and answers.
+
+use std::fmt;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Channel, Either, Full, LengthLimitError, Limited};
+use hyper::Response;
+use hyper::body::Body;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use serde::Serialize;
+
+/// Why a streamed answer was broken off; ends the connection without a
+/// proper end of the body, so that no caller takes it for whole.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Truncated;
+
+impl fmt::Display for Truncated {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the answer was broken off")
+    }
+}
+
+impl std::error::Error for Truncated {}
+
+/// Body of an answer: whole, or streamed.
+pub type AnswerBody = Either<Full<Bytes>, Channel<Bytes, Truncated>>;
+/// Answer of one of our servers.
+pub type Answer = Response<AnswerBody>;
+
+/// Why a body could not be read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReadError {
+    /// Larger than the limit.
+    TooLarge,
+    /// Not whole within the time limit.
+    Timeout,
+    /// The sender broke off.
+    Broken,
+}
+
+/// Reads a body whole, within a size and a time.
+pub async fn read<B>(body: B, max_bytes: usize, within: Duration) -> Result<Bytes, ReadError>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let whole = Limited::new(body, max_bytes).collect();
+    match compio::time::timeout(within, whole).await {
+        Err(_) => Err(ReadError::Timeout),
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(ReadError::TooLarge),
+        Ok(Err(_)) => Err(ReadError::Broken),
+    }
+}
+
+/// Answer with a whole body.
+pub fn whole(status: u16, content_type: &'static str, body: impl Into<Bytes>) -> Answer {
+    let mut answer = Response::new(Either::Left(Full::new(body.into())));
+    *answer.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
+    answer
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    answer
+}
+
+/// Answer with a JSON body.
+pub fn json<T: Serialize>(status: u16, value: &T) -> Answer {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    whole(status, "application/json", body)
+}
+
+/// Answer with a text body.
+pub fn text(status: u16, body: impl Into<Bytes>) -> Answer {
+    whole(status, "text/plain; charset=utf-8", body)
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,11 @@
+//! Serves many models on fewer accelerators.
+//!
+//! `core` decides, `kernel` runs services on one loop, `services` connect the
+//! two, and `edge` speaks HTTP and websockets to everything outside.
+
+pub mod core;
+pub mod daemon;
+pub mod edge;
+pub mod kernel;
+pub mod services;
+pub mod settings;
--- /dev/null
+++ b/src/services/mod.rs
@@ -0,0 +1,17 @@
+//! Services of one entry host.
+//!
+//! Each owns one duty and one task. They share [`host::Host`], the state of
+//! the process, and leave every decision to `core`.
+
+pub mod callers;
+pub mod claims;
+pub mod clock;
+pub mod config;
+pub mod dispatch;
+pub mod host;
+pub mod host_list;
+pub mod metrics;
+pub mod operators;
+pub mod peers;
+pub mod placer;
+pub mod stream;
--- /dev/null
+++ b/standins/src/deployment.rs
@@ -0,0 +1,316 @@
+//! A small deployment on loopback: stand-ins, entry hosts and the tool, each
+//! a process of its own. Every process ends with the deployment.
+
+use std::fs;
+use std::io::{self, BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use currantcove::core::ids::{HostId, ZoneId};
+use currantcove::core::membership::ListedHost;
+use currantcove::daemon::Listening;
+use currantcove::edge::body;
+use currantcove::edge::pool::Pool;
+use currantcove::services::operators::HostStatus;
+use serde::de::DeserializeOwned;
+use serde_json::json;
+
+use super::control::{Control, ControlClient};
+use super::http::call;
+use super::serve::StandInAddrs;
+use super::shapes::Shape;
+
+static NUMBER: AtomicU64 = AtomicU64::new(0);
+
+/// Paths of the binaries.
+#[derive(Clone, Debug)]
+pub struct Binaries {
+    /// The daemon.
+    pub daemon: PathBuf,
+    /// The command-line tool.
+    pub tool: PathBuf,
+    /// The stand-ins.
+    pub standins: PathBuf,
+}
+
+impl Binaries {
+    /// Binaries beside the running one, or one folder above it.
+    pub fn find() -> io::Result<Self> {
+        let exe = std::env::current_exe()?;
+        let beside = exe.parent().unwrap_or(Path::new("."));
+        let above = beside.parent().unwrap_or(beside);
+        let dir = if beside.join("currantcoved").exists() {
+            beside
+        } else {
+            above
+        };
+        Ok(Self {
+            daemon: dir.join("currantcoved"),
+            tool: dir.join("currantcove"),
+            standins: dir.join("currantcove-standins"),
+        })
+    }
+}
+
+/// Process that is killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    fn start(command: &mut Command) -> io::Result<(Self, String)> {
+        let mut child = command
+            .stdout(Stdio::piped())
+            .stdin(Stdio::null())
+            .spawn()?;
+        let stdout = child.stdout.take();
+        let process = Self { child };
+        let mut line = String::new();
+        if let Some(stdout) = stdout {
+            BufReader::new(stdout).read_line(&mut line)?;
+        }
+        if line.is_empty() {
+            return Err(io::Error::other(format!(
+                "{command:?} ended before it listened"
+            )));
+        }
+        Ok((process, line))
+    }
+
+    /// Process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal by its name, as in `TERM` or `STOP`.
+    pub fn signal(&self, name: &str) -> io::Result<()> {
+        let id = self.id().to_string();
+        Command::new("kill")
+            .args([&format!("-{name}"), &id])
+            .status()
+            .map(|_| ())
+    }
+
+    /// Kills at once.
+    pub fn kill(&mut self) {
+        // The process may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for the end; `None` if it takes longer than allowed.
+    pub fn wait(&mut self, at_most: Duration) -> Option<i32> {
+        let until = Instant::now() + at_most;
+        while Instant::now() < until {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.code();
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        None
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Entry host of a deployment.
+#[derive(Debug)]
+pub struct EntryHost {
+    /// Name.
+    pub id: HostId,
+    /// Availability zone.
+    pub zone: String,
+    /// Addresses.
+    pub listening: Listening,
+    /// Process.
+    pub process: Process,
+}
+
+/// The deployment.
+#[derive(Debug)]
+pub struct Deployment {
+    binaries: Binaries,
+    dir: PathBuf,
+    /// Entry hosts.
+    pub hosts: Vec<EntryHost>,
+    /// Addresses of the stand-ins.
+    pub addrs: StandInAddrs,
+    /// Control of the stand-ins.
+    pub control: ControlClient,
+    standins: Process,
+    pool: Pool,
+}
+
+impl Deployment {
+    /// Starts the stand-ins of a shape; entry hosts follow.
+    pub fn start(shape: &Shape) -> io::Result<Self> {
+        let binaries = Binaries::find()?;
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let name = format!("currantcove-{}-{number}", std::process::id());
+        let dir = std::env::temp_dir().join(name);
+        fs::create_dir_all(&dir)?;
+        let plan_file = dir.join("plan.json");
+        fs::write(&plan_file, serde_json::to_vec(&shape.plan)?)?;
+        fs::write(
+            dir.join("config.json"),
+            serde_json::to_vec_pretty(&shape.config())?,
+        )?;
+        let mut command = Command::new(&binaries.standins);
+        let (standins, line) = Process::start(command.arg("serve").arg(&plan_file))?;
+        let addrs: StandInAddrs = serde_json::from_str(&line)?;
+        let control = ControlClient::new(addrs.control);
+        let pool = Pool::default();
+        Ok(Self {
+            binaries,
+            dir,
+            hosts: Vec::new(),
+            addrs,
+            control,
+            standins,
+            pool,
+        })
+    }
+
+    /// Starts the stand-ins, all entry hosts and applies the configuration.
+    pub async fn start_whole(shape: &Shape) -> io::Result<Self> {
+        let mut deployment = Self::start(shape)?;
+        for (i, zone) in shape.host_zones.iter().enumerate() {
+            deployment.add_host(&format!("{zone}-{i}"), zone).await?;
+        }
+        let output = deployment.tool(&["config", "apply", "config.json", "--who", "harness"])?;
+        if !output.status.success() {
+            let text = String::from_utf8_lossy(&output.stderr).into_owned();
+            return Err(io::Error::other(text));
+        }
+        Ok(deployment)
+    }
+
+    /// Starts one entry host and puts it on the list.
+    pub async fn add_host(&mut self, id: &str, zone: &str) -> io::Result<()> {
+        let settings = json!({
+            "host": id,
+            "zone": zone,
+            "caller_addr": "127.0.0.1:0",
+            "operator_addr": "127.0.0.1:0",
+            "peer_addr": "127.0.0.1:0",
+            "kv_addr": self.addrs.kv,
+            "host_list_addr": self.addrs.host_list,
+            "seed": 7,
+        });
+        let file = self.dir.join(format!("{id}.json"));
+        fs::write(&file, settings.to_string())?;
+        let log = fs::File::create(self.dir.join(format!("{id}.log")))?;
+        let mut command = Command::new(&self.binaries.daemon);
+        command.arg("--settings").arg(&file).stderr(log);
+        let (process, line) = Process::start(&mut command)?;
+        let listening: Listening = serde_json::from_str(&line)?;
+        let listed = ListedHost {
+            id: HostId::new(id),
+            zone: ZoneId::new(zone),
+            peer_addr: listening.peer_addr,
+        };
+        self.control.apply(&Control::EntryHost(listed)).await;
+        let id = HostId::new(id);
+        self.hosts.push(EntryHost {
+            id,
+            zone: zone.to_owned(),
+            listening,
+            process,
+        });
+        self.write_deployment_file()
+    }
+
+    fn write_deployment_file(&self) -> io::Result<()> {
+        let operators: Vec<SocketAddr> = self
+            .hosts
+            .iter()
+            .map(|h| h.listening.operator_addr)
+            .collect();
+        let file = json!({ "kv_addr": self.addrs.kv, "operator_addrs": operators });
+        fs::write(self.dir.join("currantcove.json"), file.to_string())
+    }
+
+    /// Runs the command-line tool in the deployment's folder.
+    pub fn tool(&self, args: &[&str]) -> io::Result<Output> {
+        Command::new(&self.binaries.tool)
+            .args(args)
+            .current_dir(&self.dir)
+            .output()
+    }
+
+    /// Folder with settings, logs and the deployment file.
+    pub fn dir(&self) -> &Path {
+        &self.dir
+    }
+
+    /// Process that hosts the stand-ins.
+    pub fn standins(&self) -> &Process {
+        &self.standins
+    }
+
+    /// Addresses for callers.
+    pub fn caller_addrs(&self) -> Vec<SocketAddr> {
+        self.hosts.iter().map(|h| h.listening.caller_addr).collect()
+    }
+
+    /// Asks an operator path of an entry host for JSON.
+    pub async fn operator_json<T: DeserializeOwned>(&self, host: usize, path: &str) -> Option<T> {
+        let addr = self.hosts[host].listening.operator_addr;
+        let response = call(&self.pool, addr, "GET", path, bytes::Bytes::new()).await?;
+        let read = body::read(response.into_body(), 64 << 20, Duration::from_secs(5)).await;
+        serde_json::from_slice(&read.ok()?).ok()
+    }
+
+    /// Status of an entry host.
+    pub async fn status(&self, host: usize) -> Option<HostStatus> {
+        self.operator_json(host, "/status").await
+    }
+
+    /// Waits until a condition holds at every entry host.
+    pub async fn wait_all(
+        &self,
+        at_most: Duration,
+        condition: impl Fn(&HostStatus) -> bool,
+    ) -> bool {
+        let until = Instant::now() + at_most;
+        loop {
+            let statuses = (0..self.hosts.len()).map(|i| self.status(i));
+            let statuses = futures_util::future::join_all(statuses).await;
+            if statuses.iter().all(|s| s.as_ref().is_some_and(&condition)) {
+                return true;
+            }
+            if Instant::now() >= until {
+                return false;
+            }
+            compio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Waits until every entry host knows this many models to be ready.
+    pub async fn wait_models(&self, count: usize, at_most: Duration) -> bool {
+        self.wait_all(at_most, |s| ready_models(s) >= count).await
+    }
+}
+
+/// Models that an entry host knows to be ready somewhere.
+pub fn ready_models(status: &HostStatus) -> usize {
+    let ready = status.upstreams.iter().flat_map(|u| u.seen.ready.iter());
+    ready.collect::<std::collections::BTreeSet<_>>().len()
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        self.hosts.clear();
+        self.standins.kill();
+        // A folder that is in use stays for the platform's own cleaning.
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,20 @@
+//! Stand-ins for the systems around currantcove, a load generator, and a
+//! harness that starts a small deployment on loopback.
+//!
+//! One process hosts many stand-ins of each kind. Faults are switched while
+//! it runs, through its control address.
+
+pub mod control;
+pub mod deployment;
+pub mod engine;
+pub mod host_list;
+pub mod http;
+pub mod kv;
+pub mod kv_store;
+pub mod load;
+pub mod plan;
+pub mod report;
+pub mod serve;
+pub mod service;
+pub mod shapes;
+pub mod store;
--- /dev/null
+++ b/standins/src/serve.rs
@@ -0,0 +1,132 @@
+//! Runs the stand-ins of one plan.
+
+use std::collections::BTreeMap;
+use std::io::{self, Write as _};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::net::TcpListener;
+use currantcove::core::fleet::{ListedState, ListedUpstream, UpstreamKind};
+use currantcove::core::ids::UpstreamId;
+use currantcove::edge::server::{Handler, serve};
+use currantcove::services::host_list::HostList;
+use serde::{Deserialize, Serialize};
+use tokio_util::sync::CancellationToken;
+
+use super::control::{ControlHandler, Controlled};
+use super::engine::{Engine, EngineHandler};
+use super::host_list::{Hosts, HostsHandler};
+use super::kv::{Kv, KvHandler};
+use super::plan::Plan;
+use super::service::{Bookings, PlainService, ServiceHandler};
+use super::store::Store;
+
+const MAX_CONNECTIONS: usize = 65_536;
+
+/// Addresses of the stand-ins, printed once they listen.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct StandInAddrs {
+    /// Control.
+    pub control: SocketAddr,
+    /// Key-value service.
+    pub kv: SocketAddr,
+    /// List of hosts.
+    pub host_list: SocketAddr,
+    /// Engines and services.
+    pub upstreams: BTreeMap<UpstreamId, SocketAddr>,
+}
+
+async fn open<H: Handler>(handler: H) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let addr = listener.local_addr()?;
+    let task = serve(
+        listener,
+        MAX_CONNECTIONS,
+        Rc::new(handler),
+        CancellationToken::new(),
+    );
+    compio::runtime::spawn(task).detach();
+    Ok(addr)
+}
+
+/// Starts all stand-ins of a plan.
+pub async fn start(plan: Plan) -> io::Result<StandInAddrs> {
+    let store = Rc::new(Store::new(plan.store.clone()));
+    let bookings = Rc::new(Bookings::default());
+    let kv = Rc::new(Kv::new(plan.kv.clone()));
+    let mut upstreams = BTreeMap::new();
+    let mut list = HostList::default();
+    let mut engines = Vec::new();
+    for engine_plan in plan.engines {
+        let engine = Rc::new(Engine::new(engine_plan.clone(), Rc::clone(&store)));
+        let addr = open(EngineHandler(Rc::clone(&engine))).await?;
+        compio::runtime::spawn(Rc::clone(&engine).report_load()).detach();
+        upstreams.insert(engine_plan.id.clone(), addr);
+        list.upstreams.push(ListedUpstream {
+            id: engine_plan.id,
+            addr,
+            zone: engine_plan.zone,
+            kind: UpstreamKind::Engine,
+            state: ListedState::Live,
+            accelerators: engine_plan.accelerators,
+            memory_mib: engine_plan.memory_mib,
+            max_batch: engine_plan.max_batch,
+            checks_fencing: engine_plan.checks_fencing,
+        });
+        engines.push(engine);
+    }
+    let mut services = Vec::new();
+    for service_plan in plan.services {
+        let service = Rc::new(PlainService::new(
+            service_plan.clone(),
+            Rc::clone(&bookings),
+        ));
+        let addr = open(ServiceHandler(Rc::clone(&service))).await?;
+        upstreams.insert(service_plan.id.clone(), addr);
+        list.upstreams.push(ListedUpstream {
+            id: service_plan.id,
+            addr,
+            zone: service_plan.zone,
+            kind: UpstreamKind::Service,
+            state: ListedState::Live,
+            accelerators: 0,
+            memory_mib: 0,
+            max_batch: service_plan.max_batch,
+            checks_fencing: false,
+        });
+        services.push(service);
+    }
+    let hosts = Rc::new(Hosts::new(
+        list,
+        Duration::from_millis(plan.host_list_lag_ms),
+    ));
+    let kv_addr = open(KvHandler(Rc::clone(&kv))).await?;
+    let host_list_addr = open(HostsHandler(Rc::clone(&hosts))).await?;
+    let controlled = Controlled {
+        kv,
+        hosts,
+        store,
+        engines,
+        services,
+        bookings,
+    };
+    let control = open(ControlHandler(Rc::new(controlled))).await?;
+    Ok(StandInAddrs {
+        control,
+        kv: kv_addr,
+        host_list: host_list_addr,
+        upstreams,
+    })
+}
+
+/// Serves a plan until the process is ended.
+pub fn run(plan: Plan) -> io::Result<()> {
+    let runtime = compio::runtime::Runtime::new()?;
+    runtime.block_on(async {
+        let addrs = start(plan).await?;
+        println!("{}", serde_json::to_string(&addrs)?);
+        io::stdout().flush()?;
+        std::future::pending().await
+    })
+}
--- /dev/null
+++ b/standins/src/shapes.rs
@@ -0,0 +1,228 @@
+//! The shapes of two deployments, for tests and measurements.
+
+use currantcove::core::config::{
+    AdapterConfig, FleetConfig, ModelConfig, ServiceConfig, TeamConfig,
+};
+use currantcove::core::ids::{UpstreamId, ZoneId};
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+
+use super::plan::{EnginePlan, KvPlan, Plan, ServicePlan, StorePlan};
+
+/// A deployment: its stand-ins, zones and configuration.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    /// Availability zones of the entry hosts, one entry each.
+    pub host_zones: Vec<String>,
+    /// Stand-ins.
+    pub plan: Plan,
+    /// Fleet settings.
+    pub fleet: FleetConfig,
+    /// Teams by name.
+    pub teams: Vec<(String, TeamConfig)>,
+}
+
+impl Shape {
+    /// Configuration file for `currantcove config apply`.
+    pub fn config(&self) -> Value {
+        let teams: serde_json::Map<String, Value> = self
+            .teams
+            .iter()
+            .map(|(name, team)| (name.clone(), serde_json::to_value(team).unwrap_or_default()))
+            .collect();
+        json!({ "fleet": self.fleet, "teams": teams })
+    }
+
+    /// Accelerators of all engines.
+    pub fn accelerators(&self) -> u32 {
+        self.plan.engines.iter().map(|e| e.accelerators).sum()
+    }
+
+    /// Names of all models, as their teams call them, with their team.
+    pub fn models(&self) -> Vec<(String, String)> {
+        let of = |(team, config): &(String, TeamConfig)| {
+            let team = team.clone();
+            config
+                .models
+                .keys()
+                .map(|m| (team.clone(), m.clone()))
+                .collect::<Vec<_>>()
+        };
+        self.teams.iter().flat_map(of).collect()
+    }
+}
+
+/// Bearer token of a team of a shape.
+pub fn token(team: &str) -> String {
+    format!("token-of-{team}")
+}
+
+/// Sizes from which a shape is built.
+#[derive(Clone, Copy, Debug)]
+pub struct Sizes {
+    /// Availability zones.
+    pub zones: [&'static str; 3],
+    /// Entry hosts.
+    pub hosts: usize,
+    /// Model engines.
+    pub engines: usize,
+    /// Plain services.
+    pub services: usize,
+    /// Teams.
+    pub teams: &'static [&'static str],
+    /// Models over all teams.
+    pub models: usize,
+    /// Adapters over all models.
+    pub adapters: usize,
+    /// Loads that the weight store starts a second.
+    pub store_loads_per_s: u32,
+    /// Loads that the weight store serves at once.
+    pub store_slots: u32,
+    /// Adapters in flight at full speed.
+    pub adapters_in_flight: u32,
+}
+
+/// The tennis association's deployment.
+pub const TENNIS: Sizes = Sizes {
+    zones: ["kl-a", "kl-b", "kl-c"],
+    hosts: 7,
+    engines: 18,
+    services: 3,
+    teams: &["association", "clubs", "coaches", "players"],
+    models: 40,
+    adapters: 100,
+    store_loads_per_s: 2,
+    store_slots: 17,
+    adapters_in_flight: 140,
+};
+
+/// The consortium's deployment.
+pub const CONSORTIUM: Sizes = Sizes {
+    zones: ["milano-a", "milano-b", "verona-c"],
+    hosts: 7,
+    engines: 9,
+    services: 3,
+    teams: &["lombarda", "serenissima", "adige"],
+    models: 18,
+    adapters: 40,
+    store_loads_per_s: 1,
+    store_slots: 11,
+    adapters_in_flight: 90,
+};
+
+/// A small deployment for tests that start processes.
+pub const SMALL: Sizes = Sizes {
+    zones: ["a", "b", "c"],
+    hosts: 3,
+    engines: 3,
+    services: 2,
+    teams: &["red", "blue"],
+    models: 4,
+    adapters: 4,
+    store_loads_per_s: 20,
+    store_slots: 4,
+    adapters_in_flight: 16,
+};
+
+const ENGINE_MEMORY_MIB: u64 = 80 * 1024;
+const MAX_BATCH: u32 = 48;
+
+/// Builds a shape; time in the stand-ins runs `speed` times faster where it
+/// concerns loading models.
+pub fn shape(sizes: &Sizes, speed: u32) -> Shape {
+    let zone = |i: usize| sizes.zones[i % sizes.zones.len()].to_owned();
+    let engines = (0..sizes.engines).map(|i| engine(i, &zone(i))).collect();
+    let services: Vec<ServicePlan> = (0..sizes.services)
+        .map(|i| ServicePlan {
+            id: UpstreamId::new(&format!("booking-{i}")),
+            zone: ZoneId::new(&zone(i)),
+            max_batch: 64,
+            work_ms: 10,
+        })
+        .collect();
+    let upstreams: Vec<String> = services.iter().map(|s| s.id.to_string()).collect();
+    let fleet = FleetConfig {
+        store_loads_per_s: sizes.store_loads_per_s * speed,
+        store_slots: sizes.store_slots,
+        adapters_in_flight: sizes.adapters_in_flight,
+    };
+    let store = StorePlan {
+        loads_per_s: fleet.store_loads_per_s,
+        slots: fleet.store_slots,
+        load_ms: u64::from(6_000 / speed),
+        adapters_in_flight: fleet.adapters_in_flight,
+        adapter_ms: 10,
+    };
+    Shape {
+        host_zones: (0..sizes.hosts).map(zone).collect(),
+        plan: Plan {
+            kv: KvPlan::default(),
+            host_list_lag_ms: 300,
+            store,
+            engines,
+            services,
+        },
+        fleet,
+        teams: teams(sizes, &upstreams),
+    }
+}
+
+fn engine(i: usize, zone: &str) -> EnginePlan {
+    EnginePlan {
+        id: UpstreamId::new(&format!("assistant-{i}")),
+        zone: ZoneId::new(zone),
+        accelerators: 1,
+        memory_mib: ENGINE_MEMORY_MIB,
+        max_batch: MAX_BATCH,
+        checks_fencing: i.is_multiple_of(2),
+        first_token_ms: 120,
+        token_gap_us: 20_000,
+        token_gap_per_request_us: 700,
+        report_lag_ms: 300,
+    }
+}
+
+fn teams(sizes: &Sizes, upstreams: &[String]) -> Vec<(String, TeamConfig)> {
+    let mut teams: Vec<(String, TeamConfig)> = sizes
+        .teams
+        .iter()
+        .map(|name| {
+            let service = ServiceConfig {
+                upstreams: upstreams.to_vec(),
+                idempotent_paths: vec!["/free".to_owned(), "/echo".to_owned()],
+                target_ms: 500,
+            };
+            let config = TeamConfig {
+                credentials_sha256: vec![Sha256::digest(token(name)).into()],
+                share_weight: 1,
+                max_in_flight: 4096,
+                services: [("bookings".to_owned(), service)].into(),
+                ..TeamConfig::default()
+            };
+            ((*name).to_owned(), config)
+        })
+        .collect();
+    let count = teams.len();
+    for i in 0..sizes.models {
+        let (_, team) = &mut teams[i % count];
+        let name = format!("draft-{i}");
+        team.relies_on.push(name.clone());
+        team.models.insert(name, model(i, sizes));
+    }
+    teams
+}
+
+fn model(i: usize, sizes: &Sizes) -> ModelConfig {
+    let adapters = (0..sizes.adapters).filter(|a| a % sizes.models == i);
+    ModelConfig {
+        version: "v1".to_owned(),
+        weights_mib: (14 + 4 * (i as u64 % 3)) * 1024,
+        kv_cache_mib: 6 * 1024,
+        adapters: adapters
+            .map(|a| (format!("style-{a}"), AdapterConfig { memory_mib: 128 }))
+            .collect(),
+        first_token_target_ms: 600,
+        token_gap_target_ms: 56,
+        min_copies: 1,
+    }
+}
