--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -11,8 +11,9 @@
 //!   withdrawal, or, where the engine refuses old fencing numbers, by an
 //!   inventory that shows a later number.
 //! * Memory is freed only while the model is unloading, no load order is
-//!   pending, and an inventory asked for after this very revision was read
-//!   shows the model gone.
+//!   pending, and an inventory shows the model gone that was asked for after
+//!   the last change of the ledger, settlements among them. An inventory from
+//!   before a settlement may be older than the load that was settled.
 //!
 //! Leases and membership decide who tries; they never free memory.
 
@@ -122,7 +123,18 @@
     pub ready: BTreeSet<ArtifactId>,
 }
 
+/// State of the ledger for which an inventory was asked.
+///
+/// Fencing numbers only grow, so no later state equals an earlier one.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Asked(Ledger);
+
 impl Ledger {
+    /// Remembers the state for which an inventory is asked now.
+    pub fn ask(&self) -> Asked {
+        Asked(self.clone())
+    }
+
     /// Ledger of an upstream nobody has acted for.
     pub fn new(capacity_mib: u64) -> Self {
         Self {
@@ -198,11 +210,13 @@
         }
     }
 
-    /// Takes in an inventory that was asked for after this revision was read.
+    /// Takes in an inventory, unless the ledger has changed since it was asked.
     ///
     /// Returns true if the ledger changed.
-    pub fn observe(&mut self, inventory: &Inventory, checks_fencing: bool) -> bool {
-        let before = self.clone();
+    pub fn observe(&mut self, asked: &Asked, inventory: &Inventory, checks_fencing: bool) -> bool {
+        if asked.0 != *self {
+            return false;
+        }
         for (artifact, &size_mib) in &inventory.resident {
             self.adopt(artifact, size_mib);
         }
@@ -220,7 +234,7 @@
             let is_free = entry.state == EntryState::Unloading && !entry.has_pending_load();
             !(is_gone && is_free)
         });
-        *self != before
+        *self != asked.0
     }
 
     /// Charged models that the engine does not hold and nobody has ordered.
--- a/src/services/placer.rs
+++ b/src/services/placer.rs
@@ -17,7 +17,7 @@
 use super::peers::PeerService;
 use crate::core::fleet::{ListedUpstream, Observation, Upstream, UpstreamKind};
 use crate::core::ids::{ArtifactId, UpstreamId};
-use crate::core::ledger::{EntryState, Ledger, Order};
+use crate::core::ledger::{Asked, EntryState, Ledger, Order};
 use crate::core::placement::{PlannedModel, PlannedUpstream, Step, plan};
 use crate::core::slots::{ReadSlot, Slot, SlotChoice, SlotUse, choose};
 use crate::core::timeline::{EventKind, Subject};
@@ -128,11 +128,11 @@
         if upstream.kind == UpstreamKind::Engine {
             self.ensure_ledger(upstream).await;
         }
-        let known = self.cached(&upstream.id);
+        let asked = self.cached(&upstream.id).map(|(_, ledger)| ledger.ask());
         let status = self.engines.status(upstream.addr).await?;
         let observed_ms = self.host.clock.now_ms();
-        if let Some((revision, ledger)) = known {
-            self.reconcile(upstream, revision, ledger, &status).await;
+        if let Some(asked) = asked {
+            self.reconcile(upstream, &asked, &status).await;
         }
         let seen = self.observation(upstream, status, observed_ms);
         Some((upstream.id.clone(), seen))
@@ -236,15 +236,12 @@
         }
     }
 
-    /// Lets the ledger observe a status asked for after it was read.
-    async fn reconcile(
-        &self,
-        upstream: &ListedUpstream,
-        revision: u64,
-        mut ledger: Ledger,
-        status: &EngineStatus,
-    ) {
-        if ledger.observe(&status.inventory(), upstream.checks_fencing) {
+    /// Lets the ledger observe a status.
+    async fn reconcile(&self, upstream: &ListedUpstream, asked: &Asked, status: &EngineStatus) {
+        let Some((revision, mut ledger)) = self.cached(&upstream.id) else {
+            return;
+        };
+        if ledger.observe(asked, &status.inventory(), upstream.checks_fencing) {
             self.write_ledger(upstream, revision, ledger, None).await;
         }
     }
