Place with memory that is idle, coming and slow in mind

In an outage of the platform nothing can be loaded, and idle memory had been left empty; after a loss, every plan unloaded more for a model that was already being waited for. Change: second copies in memory nobody needs; a plan counts on room that is being made; what an ejected upstream can batch counts for a quarter; demand of a lost model is remembered; planned copies bring their demand along.

--- a/src/core/fleet.rs
+++ b/src/core/fleet.rs
@@ -80,7 +80,9 @@
 /// Largest share of a model's copies that may be ejected, in percent.
 pub const MAX_EJECTED_PERCENT: usize = 34;
 /// Time to first byte, as a multiple of the median, that counts as slow.
-pub const SLOW_FACTOR: u64 = 4;
+pub const SLOW_FACTOR: u64 = 3;
+/// Part of its batch with which an ejected upstream is planned.
+const EJECTED_BATCH_DIVISOR: u32 = 4;
 /// Samples before an upstream can count as slow.
 const MIN_SAMPLES: u32 = 16;
 
@@ -170,6 +172,7 @@
         let same = self.ready == old.ready
             && self.holds == old.holds
             && self.free_mib == old.free_mib
+            && self.leaving_mib == old.leaving_mib
             && self.accepts_work == old.accepts_work;
         !same
     }
@@ -186,6 +189,9 @@
     pub holds: BTreeSet<ArtifactId>,
     /// Memory that is not charged, in MiB.
     pub free_mib: u64,
+    /// Memory of models that are being unloaded, in MiB.
+    #[serde(default)]
+    pub leaving_mib: u64,
     /// Load.
     pub load: LoadReport,
     /// Requests in flight per model, smoothed.
@@ -225,6 +231,16 @@
         self.estimated_in_flight() * 1000 / self.listed.max_batch.max(1)
     }
 
+    /// Batch to plan with: an upstream that is left out for its outcomes counts
+    /// for little, so that its models get copies elsewhere.
+    pub fn planned_batch(&self, now_ms: u64) -> u32 {
+        if self.health.is_ejected(now_ms) {
+            (self.listed.max_batch / EJECTED_BATCH_DIVISOR).max(1)
+        } else {
+            self.listed.max_batch
+        }
+    }
+
     /// True if new work may be sent here.
     pub fn takes_work(&self) -> bool {
         self.is_listed && self.seen.accepts_work && self.listed.state == ListedState::Live
@@ -337,6 +353,19 @@
         self.ready.retain(|_, copies| !copies.is_empty());
     }
 
+    /// Requests in flight for a model. For one that is ready nowhere it is what
+    /// was last known before its upstreams went.
+    pub fn demand(&self, artifact: &ArtifactId) -> u32 {
+        let of = |u: &Upstream| u.seen.demand.get(artifact).copied().unwrap_or(0);
+        let working = self.upstreams.iter().filter(|u| u.takes_work());
+        let is_ready = |u: &Upstream| u.seen.ready.contains(artifact);
+        let known: Option<u32> = working
+            .filter(|u| is_ready(u))
+            .map(|u| of(u))
+            .fold(None, |sum, d| Some(sum.unwrap_or(0) + d));
+        known.unwrap_or_else(|| self.upstreams.iter().map(of).sum())
+    }
+
     /// Another version of the same model that is ready somewhere.
     pub fn other_version(&self, artifact: &ArtifactId) -> Option<&ArtifactId> {
         let same_model = |a: &&ArtifactId| a.model() == artifact.model();
@@ -354,8 +383,11 @@
         upstream.local_in_flight = upstream.local_in_flight.saturating_sub(1);
     }
 
-    /// Records the first byte of an answer.
+    /// Records the first byte of an answer. What a full batch explains does
+    /// not count as slow.
     pub fn on_first_byte(&mut self, now_ms: u64, ix: UpstreamIx, first_byte_us: u64) {
+        let load_permille = u64::from(self.upstreams[ix].load_permille());
+        let first_byte_us = first_byte_us * 1000 / load_permille.max(1000);
         self.upstreams[ix].health.on_success(first_byte_us);
         if self.is_slow(ix) {
             self.upstreams[ix].health.eject(now_ms);
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -153,6 +153,15 @@
         self.capacity_mib.saturating_sub(self.charged_mib())
     }
 
+    /// Memory of models that are being unloaded in MiB.
+    pub fn leaving_mib(&self) -> u64 {
+        let leaving = self
+            .entries
+            .values()
+            .filter(|e| e.state == EntryState::Unloading);
+        leaving.map(|e| e.charge_mib).sum()
+    }
+
     /// Makes `host` the acting host.
     pub fn acquire(&mut self, host: &HostId) {
         self.fence += 1;
--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -27,7 +27,10 @@
     pub zone: ZoneId,
     /// Memory not charged in the ledger, in MiB.
     pub free_mib: u64,
-    /// Requests that meet the targets when run together.
+    /// Memory of models that are being unloaded, in MiB.
+    pub leaving_mib: u64,
+    /// Requests that meet the targets when run together; fewer while the
+    /// upstream is slow.
     pub max_batch: u32,
     /// Requests in flight.
     pub in_flight: u32,
@@ -83,21 +86,20 @@
     planner.retire_undeclared();
     planner.add_missing();
     planner.add_for_demand();
+    planner.add_spares();
     planner.steps
 }
 
-/// Load of an upstream in tenths of its batch; smaller differences do not count.
-fn load_step(upstream: &PlannedUpstream) -> u32 {
-    upstream.in_flight * 10 / upstream.max_batch.max(1)
-}
-
 /// Models and upstreams by position.
 struct Planner<'a> {
     models: &'a [PlannedModel],
     upstreams: &'a [PlannedUpstream],
     id_hashes: Vec<u64>,
-    load_steps: Vec<u32>,
+    /// Requests in flight, with those that planned copies will draw.
+    in_flight: Vec<u32>,
     free_mib: Vec<u64>,
+    /// Free memory once all that is being unloaded has gone.
+    coming_mib: Vec<u64>,
     /// Models held by each upstream.
     held: Vec<Vec<usize>>,
     /// Upstreams that hold each model.
@@ -114,7 +116,11 @@
             models,
             upstreams,
             id_hashes: upstreams.iter().map(|u| hash(u.id.as_str())).collect(),
-            load_steps: upstreams.iter().map(load_step).collect(),
+            coming_mib: upstreams
+                .iter()
+                .map(|u| u.free_mib + u.leaving_mib)
+                .collect(),
+            in_flight: upstreams.iter().map(|u| u.in_flight).collect(),
             free_mib: upstreams.iter().map(|u| u.free_mib).collect(),
             held: vec![Vec::new(); upstreams.len()],
             holders: vec![Vec::new(); models.len()],
@@ -185,7 +191,7 @@
             (
                 has_copy,
                 !model.is_relied_upon,
-                Reverse(model.copy_mib),
+                Reverse((model.demand_in_flight, model.copy_mib)),
                 &model.artifact,
             )
         });
@@ -208,6 +214,32 @@
         }
     }
 
+    /// Uses memory that nobody needs for second copies, most wanted ones first.
+    ///
+    /// They are ready when demand moves, an upstream is lost or the platform
+    /// does not answer, and they go first when the room is needed.
+    fn add_spares(&mut self) {
+        let mut single: Vec<usize> = (0..self.models.len())
+            .filter(|&m| self.holders[m].len() == 1 && self.is_settled(m))
+            .collect();
+        single.sort_by_key(|&m| {
+            let model = &self.models[m];
+            (
+                Reverse(model.demand_in_flight),
+                !model.is_relied_upon,
+                &model.artifact,
+            )
+        });
+        for m in single {
+            if self.steps.len() >= MAX_STEPS {
+                return;
+            }
+            if let Some(u) = self.best_target(m) {
+                self.push_load(u, m);
+            }
+        }
+    }
+
     /// Load of a model's copies: its own demand over its share of each batch.
     fn load_permille(&self, m: usize, copies: usize) -> u64 {
         let holders = &self.holders[m];
@@ -227,6 +259,11 @@
         mine * 1000 / room.max(1)
     }
 
+    /// Load of an upstream in tenths of its batch; less does not count.
+    fn load_step(&self, u: usize) -> u32 {
+        self.in_flight[u] * 10 / self.upstreams[u].max_batch.max(1)
+    }
+
     fn add_copy(&mut self, m: usize) {
         match self.best_target(m) {
             Some(u) => self.push_load(u, m),
@@ -246,12 +283,16 @@
                 .iter()
                 .any(|&h| self.upstreams[h].zone == upstream.zone);
             let tie = Reverse(weight(key, self.id_hashes[u]));
-            (has_zone, self.load_steps[u], self.held[u].len(), tie)
+            (has_zone, self.load_step(u), self.held[u].len(), tie)
         })
     }
 
-    /// Unloads what others can spare at the upstream where that is least.
+    /// Unloads what others can spare at the upstream where that is least,
+    /// unless room is coming already.
     fn make_room(&mut self, m: usize) {
+        if self.wait_for_room(m) {
+            return;
+        }
         let model = &self.models[m];
         let spare = |u: usize| {
             let mut spare: Vec<usize> = self.held[u]
@@ -284,12 +325,29 @@
                 &self.upstreams[*u].id,
             )
         });
-        for other in least.iter().flat_map(|(_, chosen)| chosen) {
-            let u = least.as_ref().map_or(0, |(u, _)| *u);
-            self.holders[*other].retain(|&h| h != u);
-            self.held[u].retain(|&held| held != *other);
-            self.push_unload(u, &self.models[*other].artifact);
+        let Some((u, chosen)) = least else {
+            return;
+        };
+        for other in chosen {
+            self.coming_mib[u] += self.models[other].copy_mib;
+            self.holders[other].retain(|&h| h != u);
+            self.held[u].retain(|&held| held != other);
+            self.push_unload(u, &self.models[other].artifact);
         }
+        self.coming_mib[u] -= self.models[m].copy_mib;
+    }
+
+    /// Counts on room that is being made; false if there is not enough.
+    fn wait_for_room(&mut self, m: usize) -> bool {
+        let copy_mib = self.models[m].copy_mib;
+        let has_room = |u: &usize| self.coming_mib[*u] >= copy_mib && !self.holders[m].contains(u);
+        let with_room = (0..self.upstreams.len()).filter(has_room);
+        let Some(u) = with_room.min_by_key(|&u| self.in_flight[u]) else {
+            return false;
+        };
+        self.coming_mib[u] -= copy_mib;
+        self.in_flight[u] += self.models[m].demand_in_flight;
+        true
     }
 
     /// True if a copy of `other` may go for a copy of `wanted`.
@@ -307,8 +365,10 @@
     fn push_load(&mut self, u: usize, m: usize) {
         let model = &self.models[m];
         self.free_mib[u] -= model.copy_mib;
+        self.coming_mib[u] -= model.copy_mib;
         self.held[u].push(m);
         self.holders[m].push(u);
+        self.in_flight[u] += model.demand_in_flight / self.holders[m].len() as u32;
         self.steps.push(Step::Load {
             upstream: self.upstreams[u].id.clone(),
             artifact: model.artifact.clone(),
--- a/src/services/placer.rs
+++ b/src/services/placer.rs
@@ -332,6 +332,7 @@
             observed_ms,
             holds: holds.map(|(a, _)| a.clone()).collect(),
             free_mib: ledger.free_mib(),
+            leaving_mib: ledger.leaving_mib(),
             demand: self.smooth_demand(&upstream.id, &status.in_flight),
             load: status.load,
             accepts_work: status.accepts_work,
@@ -387,23 +388,17 @@
                 id: u.listed.id.clone(),
                 zone: u.listed.zone.clone(),
                 free_mib: u.seen.free_mib,
-                max_batch: u.listed.max_batch,
+                leaving_mib: u.seen.leaving_mib,
+                max_batch: u.planned_batch(now_ms),
                 in_flight: u.seen.load.in_flight,
                 holds: u.seen.holds.clone(),
                 ready: u.seen.ready.clone(),
             })
             .collect();
-        let demand = |a: &ArtifactId| {
-            fleet
-                .upstreams()
-                .iter()
-                .filter_map(|u| u.seen.demand.get(a))
-                .sum::<u32>()
-        };
         let models: Vec<PlannedModel> = view
             .artifacts()
             .map(|d| PlannedModel {
-                demand_in_flight: demand(&d.artifact),
+                demand_in_flight: fleet.demand(&d.artifact),
                 artifact: d.artifact,
                 copy_mib: d.copy_mib,
                 min_copies: d.min_copies,
--- a/standins/src/compare.rs
+++ b/standins/src/compare.rs
@@ -12,6 +12,8 @@
 const CONTROL_MS: u64 = 250;
 /// Time for placement before the first request, in milliseconds.
 const WARM_UP_MS: u64 = 60_000;
+/// Runs of each row, with different arrivals.
+const SEEDS_PER_ROW: u64 = 5;
 /// Time after the last request for answers to end, in milliseconds.
 const COOL_DOWN_MS: u64 = 30_000;
 
@@ -292,6 +294,9 @@
                 next += 1;
             }
             for e in 0..self.engines.len() {
+                for first_ms in self.engines[e].first_tokens(self.now_ms) {
+                    policy.on_first_token(self.now_ms, e, first_ms);
+                }
                 let before = self.engines[e].in_flight();
                 self.engines[e].step(self.now_ms, targets, &mut self.tally);
                 for _ in self.engines[e].in_flight()..before {
@@ -315,8 +320,41 @@
     }
 }
 
-/// Runs all policies over one row.
+/// Runs all policies over one row, with several seeds, and takes the means.
 pub fn run_row(row: &Row) -> Vec<Scored> {
+    let runs: Vec<Vec<Scored>> = (0..SEEDS_PER_ROW)
+        .map(|i| {
+            run_seed(&Row {
+                seed: row.seed + 100 * i,
+                ..row.clone()
+            })
+        })
+        .collect();
+    let policies = runs[0].len();
+    (0..policies)
+        .map(|p| mean(runs.iter().map(|run| &run[p])))
+        .collect()
+}
+
+fn mean<'a>(runs: impl Iterator<Item = &'a Scored> + Clone) -> Scored {
+    let count = SEEDS_PER_ROW as f64;
+    let mean = |of: fn(&Scored) -> f64| runs.clone().map(of).sum::<f64>() / count;
+    let whole = |of: fn(&Scored) -> f64| mean(of).round() as u64;
+    let first = runs.clone().next().cloned();
+    let first = first.unwrap_or_else(|| unreachable!("a row has at least one run"));
+    Scored {
+        attainment_per_accelerator: mean(|s| s.attainment_per_accelerator),
+        attainment: mean(|s| s.attainment),
+        offered: whole(|s| s.offered as f64),
+        refused: whole(|s| s.refused as f64),
+        moves: whole(|s| s.moves as f64),
+        overcommits: runs.clone().map(|s| s.overcommits).sum(),
+        unreachable_model_s: mean(|s| s.unreachable_model_s),
+        ..first
+    }
+}
+
+fn run_seed(row: &Row) -> Vec<Scored> {
     let shape = shapes::shape(row.deployment.sizes(), 1);
     let models = shape.models().len();
     let requests = arrivals(row, models);
--- a/standins/src/fake_engines.rs
+++ b/standins/src/fake_engines.rs
@@ -28,6 +28,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Run {
     request: Request,
+    begun_ms: u64,
     first_ms: u64,
     tokens_done: f64,
 }
@@ -130,6 +131,15 @@
         self.resident.values().map(|r| r.memory_mib).sum()
     }
 
+    /// Memory of models that are being unloaded in MiB.
+    pub fn leaving_mib(&self) -> u64 {
+        self.resident
+            .values()
+            .filter(|r| r.is_leaving)
+            .map(|r| r.memory_mib)
+            .sum()
+    }
+
     /// Begins to load a model; false if it does not fit.
     pub fn load(&mut self, model: ModelIx, memory_mib: u64, now_ms: u64, ready_ms: u64) -> bool {
         if self.resident.contains_key(&model) {
@@ -173,6 +183,16 @@
         lost
     }
 
+    /// Times to the first tokens that came in this step, in milliseconds.
+    pub fn first_tokens(&self, now_ms: u64) -> Vec<u64> {
+        let is_now = |r: &&Run| (now_ms..now_ms + STEP_MS).contains(&r.first_ms);
+        self.runs
+            .iter()
+            .filter(is_now)
+            .map(|r| r.first_ms - r.begun_ms)
+            .collect()
+    }
+
     /// Advances by one step.
     pub fn step(&mut self, now_ms: u64, targets: &Targets, tally: &mut Tally) {
         self.begin_waiting(now_ms);
@@ -208,6 +228,7 @@
                 let first_ms = now_ms + first as u64;
                 self.runs.push(Run {
                     request,
+                    begun_ms: now_ms,
                     first_ms,
                     tokens_done: 0.0,
                 });
--- a/standins/src/policy.rs
+++ b/standins/src/policy.rs
@@ -46,6 +46,8 @@
     fn route(&mut self, sight: &Sight<'_>, request: &Request) -> Option<EngineIx>;
     /// Moves to begin now.
     fn moves(&mut self, sight: &Sight<'_>) -> Vec<Move>;
+    /// Request at an engine got its first token.
+    fn on_first_token(&mut self, _now_ms: u64, _engine: EngineIx, _first_ms: u64) {}
     /// Request at an engine has ended.
     fn on_done(&mut self, engine: EngineIx);
 }
@@ -200,7 +202,8 @@
     }
 
     fn observe(&mut self, sight: &Sight<'_>) {
-        for (e, engine) in sight.engines.iter().enumerate() {
+        let up = sight.engines.iter().enumerate().filter(|(_, e)| !e.is_down);
+        for (e, engine) in up {
             for (m, demand) in self.demand[e].iter_mut().enumerate() {
                 *demand = *demand * 0.8 + f64::from(engine.in_flight_of(m)) * 0.2;
             }
@@ -236,6 +239,7 @@
                 .collect(),
             holds: staying.map(|(m, _)| self.artifacts[*m].clone()).collect(),
             free_mib: engine.plan.memory_mib - engine.used_mib(),
+            leaving_mib: engine.leaving_mib(),
             load: LoadReport {
                 in_flight: engine.in_flight(),
                 mean_request_ms: 4_000,
@@ -255,7 +259,8 @@
                 id: u.listed.id.clone(),
                 zone: u.listed.zone.clone(),
                 free_mib: u.seen.free_mib,
-                max_batch: u.listed.max_batch,
+                leaving_mib: u.seen.leaving_mib,
+                max_batch: u.planned_batch(sight.now_ms),
                 in_flight: u.seen.load.in_flight,
                 holds: u.seen.holds.clone(),
                 ready: u.seen.ready.clone(),
@@ -270,7 +275,7 @@
                 copy_mib: sight.copy_mib[m],
                 min_copies: 1,
                 is_relied_upon: true,
-                demand_in_flight: self.demand.iter().map(|d| d[m]).sum::<f64>().round() as u32,
+                demand_in_flight: fleet.demand(artifact),
             });
         (models.collect(), upstreams)
     }
@@ -375,6 +380,13 @@
         moves
     }
 
+    fn on_first_token(&mut self, now_ms: u64, engine: EngineIx, first_ms: u64) {
+        let h = self.rng.below(self.hosts.len());
+        self.hosts[h]
+            .1
+            .on_first_byte(now_ms, engine, first_ms * 1000);
+    }
+
     fn on_done(&mut self, engine: EngineIx) {
         // Which host's request ended makes no difference to the total.
         if !self.sent[engine].is_empty() {
--- a/tests/model_ledger.rs
+++ b/tests/model_ledger.rs
@@ -243,9 +243,9 @@
             .map(|(a, e)| (a.clone(), e.pending.clone()))
             .collect();
         for (artifact, pending) in numbers {
-            pending
-                .iter()
-                .for_each(|o| ledger.settle(&artifact, o.number));
+            for order in &pending {
+                ledger.settle(&artifact, order.number);
+            }
         }
     }
     if matches!(mutant, Mutant::FreeOnTimeout | Mutant::OldInventory) {
