Prefer the own zone only while it is little more loaded

Cause: copies of the own zone were taken up to 90 % of their batch while others stood idle a millisecond away, and slow upstreams kept their callers.

--- a/src/core/routing.rs
+++ b/src/core/routing.rs
@@ -4,7 +4,7 @@
 //! that hosts with equally old reports do not all choose the same upstream.
 //! A third candidate, fixed by the prompt's prefix, wins while its load stays
 //! near the others', since its cache may hold the prefix. Copies in the
-//! host's own availability zone go first until they are full.
+//! host's own availability zone go first while they are little more loaded.
 
 use super::fleet::{Fleet, MAX_EJECTED_PERCENT, UpstreamIx};
 use super::ids::ZoneId;
@@ -12,6 +12,9 @@
 
 /// Load above which another availability zone is considered, in per mille.
 pub const SPILL_FROM_PERMILLE: u32 = 900;
+/// Load by which an upstream of the own zone may exceed the least loaded one
+/// elsewhere, in per mille.
+pub const ZONE_SLACK_PERMILLE: u32 = 60;
 /// Load by which the affinity candidate may exceed the best, in per mille.
 pub const AFFINITY_SLACK_PERMILLE: u32 = 250;
 
@@ -98,11 +101,11 @@
 }
 
 fn prefer_zone(fleet: &Fleet, zone: &ZoneId, candidates: &[UpstreamIx]) -> Vec<UpstreamIx> {
-    let has_room = |ix: &UpstreamIx| {
-        let upstream = fleet.get(*ix);
-        upstream.listed.zone == *zone && upstream.load_permille() < SPILL_FROM_PERMILLE
-    };
-    let near: Vec<UpstreamIx> = candidates.iter().copied().filter(has_room).collect();
+    let load = |ix: &UpstreamIx| fleet.get(*ix).load_permille();
+    let least = candidates.iter().map(load).min().unwrap_or(0);
+    let limit = SPILL_FROM_PERMILLE.min(least + ZONE_SLACK_PERMILLE);
+    let is_preferred = |ix: &UpstreamIx| fleet.get(*ix).listed.zone == *zone && load(ix) < limit;
+    let near: Vec<UpstreamIx> = candidates.iter().copied().filter(is_preferred).collect();
     if near.is_empty() {
         candidates.to_vec()
     } else {
