Split the largest services by duty

Cause: callers.rs had 704 lines and placer.rs 715; slots of the weight store, what peers are told, bodies and answers stood between the steps of a request and of a round. They are modules of their own now; how a planned upstream is made from a known one stood twice and is PlannedUpstream::of.

--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -10,6 +10,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+use super::fleet::Upstream;
 use super::ids::{ArtifactId, UpstreamId, ZoneId};
 use super::rendezvous::{hash, weight};
 
@@ -40,6 +41,23 @@
     pub ready: BTreeSet<ArtifactId>,
 }
 
+impl PlannedUpstream {
+    /// What is known of an upstream, for the planner.
+    pub fn of(upstream: &Upstream, now_ms: u64) -> Self {
+        let seen = &upstream.seen;
+        Self {
+            id: upstream.listed.id.clone(),
+            zone: upstream.listed.zone.clone(),
+            free_mib: seen.free_mib,
+            leaving_mib: seen.leaving_mib,
+            max_batch: upstream.planned_batch(now_ms),
+            in_flight: seen.load.in_flight,
+            holds: seen.holds.clone(),
+            ready: seen.ready.clone(),
+        }
+    }
+}
+
 /// Model as the planner sees it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlannedModel {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -2,6 +2,8 @@
 //! operators and peers. No decision is taken here.
 
 pub mod body;
+pub mod body_reader;
+pub mod caller;
 pub mod chat;
 pub mod engine;
 pub mod kv;
--- a/src/services/callers.rs
+++ b/src/services/callers.rs
@@ -9,10 +9,9 @@
 
 use bytes::Bytes;
 use compio::net::TcpListener;
-use http_body_util::Either;
 use hyper::body::Incoming;
-use hyper::header::{AUTHORIZATION, CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
-use hyper::{Method, Request, Response};
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Request};
 use serde::Serialize;
 use tokio_util::sync::CancellationToken;
 
@@ -22,31 +21,22 @@
 use super::metrics::EndLabels;
 use super::stream::{self, OnEnd, StreamEnd};
 use crate::core::admission::Admitted;
-use crate::core::claim::{MAX_RECORDED_BYTES, RecordedAnswer};
 use crate::core::ids::{TeamId, UpstreamId};
-use crate::core::outcome::{OUTCOME_HEADER, Outcome, Reason, Refusal};
+use crate::core::outcome::{Outcome, Reason, Refusal};
 use crate::core::timeline::{EventKind, Subject};
 use crate::edge::body::{self, Answer, ReadError};
+use crate::edge::body_reader::BodyReader;
+use crate::edge::caller::{
+    Whole, bearer_token, deadline, idempotency_key, refusal_answer, set_outcome, sha256,
+    unauthorized,
+};
 use crate::edge::chat::ChatRequest;
 use crate::edge::server::{Handler, serve};
 use crate::kernel::Service;
 
-/// Header with the time the caller allows, in milliseconds.
-pub const DEADLINE_HEADER: &str = "currantcove-deadline-ms";
-/// Header that names a request which must run at most once.
-pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
-/// Header on an answer that was recorded earlier.
-pub const REPLAYED_HEADER: &str = "idempotency-replayed";
-/// Longest deadline in milliseconds.
-pub const MAX_DEADLINE_MS: u64 = 600_000;
-/// Longest idempotency key in bytes.
-pub const MAX_IDEMPOTENCY_KEY_BYTES: usize = 256;
 /// Largest whole answer of an upstream in bytes.
 pub const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
-/// Memory for request bodies of all callers together, in bytes.
-pub const BODY_BUDGET_BYTES: usize = 256 * 1024 * 1024;
 const DRAINING_RETRY_MS: u64 = 200;
-const BUSY_RETRY_MS: u64 = 200;
 
 /// Service that answers callers.
 #[derive(Debug)]
@@ -56,7 +46,7 @@
     claims: Rc<ClaimService>,
     listener: RefCell<Option<TcpListener>>,
     numbers: Cell<u64>,
-    body_bytes: Rc<Cell<usize>>,
+    bodies: BodyReader,
 }
 
 /// Who calls, and what is known of the call before its body is read.
@@ -83,18 +73,6 @@
     }
 }
 
-/// Share of the body budget, given back when the body is dropped.
-struct BodyShare {
-    used: Rc<Cell<usize>>,
-    bytes: usize,
-}
-
-impl Drop for BodyShare {
-    fn drop(&mut self) {
-        self.used.set(self.used.get() - self.bytes);
-    }
-}
-
 impl CallerService {
     /// Service on a bound listener.
     pub fn new(
@@ -104,12 +82,12 @@
         listener: TcpListener,
     ) -> Self {
         Self {
-            host,
             dispatcher,
             claims,
             listener: RefCell::new(Some(listener)),
             numbers: Cell::new(0),
-            body_bytes: Rc::default(),
+            bodies: BodyReader::new(&host.settings),
+            host,
         }
     }
 
@@ -198,7 +176,7 @@
         caller: Caller,
         request: Request<Incoming>,
     ) -> Result<Answer, Box<(Caller, Refusal)>> {
-        let (bytes, _share) = match self.read_body(request).await {
+        let (bytes, _share) = match self.bodies.read(request).await {
             Ok(body) => body,
             Err(refusal) => return Err(Box::new((caller, refusal))),
         };
@@ -312,7 +290,7 @@
                 return Err(refusal);
             }
         };
-        let (bytes, _share) = self.read_body(request).await?;
+        let (bytes, _share) = self.bodies.read(request).await?;
         job.body = bytes;
         let Some(key) = key.filter(|_| !job.is_idempotent) else {
             return self.run_service(&job).await;
@@ -416,18 +394,7 @@
 
     fn give(&self, caller: &Caller, whole: Whole) -> Answer {
         self.end(caller, Outcome::Run, whole.status, None);
-        let mut answer = Response::new(Either::Left(whole.bytes.into()));
-        *answer.status_mut() = hyper::StatusCode::from_u16(whole.status).unwrap_or_default();
-        if let Some(content_type) = whole.content_type {
-            answer.headers_mut().insert(CONTENT_TYPE, content_type);
-        }
-        if whole.is_replayed {
-            answer
-                .headers_mut()
-                .insert(REPLAYED_HEADER, HeaderValue::from_static("true"));
-        }
-        set_outcome(&mut answer, Outcome::Run);
-        answer
+        whole.into_answer()
     }
 
     fn models(&self, caller: &Caller) -> Answer {
@@ -463,53 +430,6 @@
         answer
     }
 
-    async fn read_body(&self, request: Request<Incoming>) -> Result<(Bytes, BodyShare), Refusal> {
-        let max_bytes = self.host.settings.max_body_bytes;
-        let too_large = || {
-            let message = format!("the body is larger than {max_bytes} bytes");
-            Refusal::not_run(Reason::BodyTooLarge, message)
-        };
-        let announced = request.headers().get(CONTENT_LENGTH);
-        let announced: Option<usize> = announced.and_then(|v| v.to_str().ok()?.parse().ok());
-        let mut incoming = request.into_body();
-        let is_announced_larger = announced.is_some_and(|n| n > max_bytes);
-        let reserved = self.reserve_body(announced.unwrap_or(max_bytes).min(max_bytes));
-        let result = match reserved {
-            _ if is_announced_larger => Err(too_large()),
-            Err(refusal) => Err(refusal),
-            Ok(share) => {
-                let within = self.host.settings.body_timeout;
-                let read = body::read(&mut incoming, max_bytes, within).await;
-                read.map(|bytes| (bytes, share)).map_err(|e| match e {
-                    ReadError::TooLarge => too_large(),
-                    ReadError::Timeout => {
-                        Refusal::not_run(Reason::BodyTimeout, "the body did not arrive in time")
-                    }
-                    ReadError::Broken => Refusal::not_run(Reason::BadRequest, "the body broke off"),
-                })
-            }
-        };
-        if result.is_err() {
-            body::discard(incoming);
-        }
-        result
-    }
-
-    fn reserve_body(&self, bytes: usize) -> Result<BodyShare, Refusal> {
-        let used = self.body_bytes.get() + bytes;
-        if used > BODY_BUDGET_BYTES {
-            return Err(
-                Refusal::not_run(Reason::Overloaded, "no memory for the body now")
-                    .retry_after_ms(BUSY_RETRY_MS),
-            );
-        }
-        self.body_bytes.set(used);
-        Ok(BodyShare {
-            used: Rc::clone(&self.body_bytes),
-            bytes,
-        })
-    }
-
     fn end(&self, caller: &Caller, outcome: Outcome, status: u16, reason: Option<Reason>) {
         note_end(&self.host, caller, outcome, status, reason);
     }
@@ -534,48 +454,6 @@
     copies: usize,
 }
 
-/// Whole answer of an upstream.
-#[derive(Debug)]
-struct Whole {
-    status: u16,
-    content_type: Option<HeaderValue>,
-    bytes: Bytes,
-    is_replayed: bool,
-}
-
-impl Whole {
-    fn new(head: &hyper::http::response::Parts, bytes: Bytes) -> Self {
-        let content_type = head.headers.get(CONTENT_TYPE).cloned();
-        Self {
-            status: head.status.as_u16(),
-            content_type,
-            bytes,
-            is_replayed: false,
-        }
-    }
-
-    fn replayed(recorded: RecordedAnswer) -> Self {
-        Self {
-            status: recorded.status,
-            content_type: HeaderValue::from_str(&recorded.content_type).ok(),
-            bytes: Bytes::from(recorded.body.unwrap_or_default()),
-            is_replayed: true,
-        }
-    }
-
-    fn to_recorded(&self) -> RecordedAnswer {
-        let content_type = self.content_type.as_ref().and_then(|v| v.to_str().ok());
-        let is_small = self.bytes.len() <= MAX_RECORDED_BYTES;
-        RecordedAnswer {
-            status: self.status,
-            content_type: content_type
-                .unwrap_or("application/octet-stream")
-                .to_owned(),
-            body: is_small.then(|| self.bytes.to_vec()),
-        }
-    }
-}
-
 struct EndOfStream {
     host: Rc<Host>,
     caller: Caller,
@@ -616,70 +494,6 @@
     );
 }
 
-fn sha256(token: &str) -> [u8; 32] {
-    use sha2::{Digest, Sha256};
-    Sha256::digest(token.as_bytes()).into()
-}
-
-fn bearer_token(request: &Request<Incoming>) -> Option<&str> {
-    request
-        .headers()
-        .get(AUTHORIZATION)?
-        .to_str()
-        .ok()?
-        .strip_prefix("Bearer ")
-}
-
-fn unauthorized() -> Refusal {
-    Refusal::not_run(Reason::Unauthorized, "the credential belongs to no team")
-}
-
-fn deadline(request: &Request<Incoming>) -> Result<Option<Duration>, Refusal> {
-    let Some(value) = request.headers().get(DEADLINE_HEADER) else {
-        return Ok(None);
-    };
-    let parsed = value.to_str().ok().and_then(|v| v.parse().ok());
-    match parsed {
-        Some(ms) if (1..=MAX_DEADLINE_MS).contains(&ms) => Ok(Some(Duration::from_millis(ms))),
-        _ => {
-            let message = format!("{DEADLINE_HEADER} must be from 1 to {MAX_DEADLINE_MS}");
-            Err(Refusal::not_run(Reason::BadDeadline, message))
-        }
-    }
-}
-
-fn idempotency_key(request: &Request<Incoming>) -> Result<Option<HeaderValue>, Refusal> {
-    let Some(key) = request.headers().get(IDEMPOTENCY_KEY_HEADER) else {
-        return Ok(None);
-    };
-    if key.is_empty() || key.len() > MAX_IDEMPOTENCY_KEY_BYTES {
-        let message =
-            format!("{IDEMPOTENCY_KEY_HEADER} must have 1 to {MAX_IDEMPOTENCY_KEY_BYTES} bytes");
-        return Err(Refusal::not_run(Reason::BadRequest, message));
-    }
-    Ok(Some(key.clone()))
-}
-
-fn set_outcome(answer: &mut Answer, outcome: Outcome) {
-    let value = HeaderValue::from_static(outcome.as_str());
-    answer.headers_mut().insert(OUTCOME_HEADER, value);
-}
-
-#[derive(Serialize)]
-struct ErrorBody<'a> {
-    error: &'a Refusal,
-}
-
-fn refusal_answer(refusal: &Refusal) -> Answer {
-    let mut answer = body::json(refusal.reason.status(), &ErrorBody { error: refusal });
-    set_outcome(&mut answer, refusal.outcome);
-    if let Some(ms) = refusal.retry_after_ms {
-        let value = HeaderValue::from(ms.div_ceil(1000));
-        answer.headers_mut().insert(RETRY_AFTER, value);
-    }
-    answer
-}
-
 struct CallerHandler(Rc<CallerService>);
 
 impl Handler for CallerHandler {
--- a/src/services/mod.rs
+++ b/src/services/mod.rs
@@ -14,4 +14,6 @@
 pub mod operators;
 pub mod peers;
 pub mod placer;
+pub mod store_slots;
 pub mod stream;
+pub mod teller;
--- a/src/services/placer.rs
+++ b/src/services/placer.rs
@@ -14,29 +14,25 @@
 use tokio_util::sync::CancellationToken;
 
 use super::host::Host;
-use super::peers::{PeerService, Scope};
+use super::peers::PeerService;
+use super::store_slots::{StoreSlots, read_slot, slot_write};
+use super::teller::Teller;
 use crate::core::fleet::{ListedUpstream, Observation, Upstream, UpstreamKind};
 use crate::core::ids::{ArtifactId, UpstreamId};
 use crate::core::ledger::{Asked, EntryState, Ledger, Order};
 use crate::core::placement::{PlannedModel, PlannedUpstream, Step, plan};
-use crate::core::slots::{ReadSlot, Slot, SlotChoice, SlotUse, choose};
+use crate::core::slots::{ReadSlot, Slot};
 use crate::core::timeline::{EventKind, Subject};
 use crate::edge::engine::{EngineClient, EngineStatus, LoadOrder, OrderOutcome, UnloadOrder};
-use crate::edge::kv::{Cas, CasAllOutcome, CasOutcome, KeyValue, KvError, KvStore};
+use crate::edge::kv::{Cas, CasAllOutcome, KeyValue, KvError, KvStore};
 use crate::kernel::Service;
 
 /// Prefix of the ledgers.
 pub const LEDGERS_PREFIX: &str = "/currantcove/ledgers/";
-/// Prefix of the weight store's slots.
-pub const SLOTS_PREFIX: &str = "/currantcove/slots/";
 /// Time between two rounds.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two plans, for each upstream of the fleet, in milliseconds.
 const PLAN_PER_UPSTREAM_MS: u64 = 2;
-/// Time after which an unchanged observation is told again in the own zone.
-const TELL_OWN_ZONE_MS: u64 = 15_000;
-/// Time after which an unchanged observation is told again everywhere.
-const TELL_EVERYWHERE_MS: u64 = 60_000;
 /// Age of an observation of the own zone after which the planner leaves the
 /// upstream out.
 const STALE_AFTER_MS: u64 = 5_000;
@@ -60,26 +56,16 @@
     ledger: Option<(u64, Ledger)>,
     demand_permille: BTreeMap<ArtifactId, u32>,
     ordered_ms: BTreeMap<ArtifactId, u64>,
-    told: Told,
-}
-
-/// What the peers were last told of an upstream.
-#[derive(Clone, Debug, Default)]
-struct Told {
-    seen: Option<Observation>,
-    everywhere_ms: u64,
-    own_zone_ms: u64,
 }
 
 /// Service that acts for upstreams.
 #[derive(Debug)]
 pub struct PlacerService {
     host: Rc<Host>,
-    peers: Rc<PeerService>,
+    teller: Teller,
     engines: EngineClient,
     acting: RefCell<BTreeMap<UpstreamId, Acting>>,
-    slots: RefCell<Vec<ReadSlot>>,
-    are_slots_old: Cell<bool>,
+    slots: StoreSlots,
     planned_ms: Cell<u64>,
 }
 
@@ -88,13 +74,12 @@
     pub fn new(host: Rc<Host>, peers: Rc<PeerService>) -> Self {
         let engines = EngineClient::new(host.pool.clone());
         Self {
-            host,
-            peers,
+            teller: Teller::new(Rc::clone(&host), peers),
             engines,
             acting: RefCell::default(),
-            slots: RefCell::default(),
-            are_slots_old: Cell::new(false),
+            slots: StoreSlots::new(Rc::clone(&host)),
             planned_ms: Cell::new(0),
+            host,
         }
     }
 
@@ -123,49 +108,19 @@
         let duties = self.duties();
         let ids: BTreeSet<&UpstreamId> = duties.iter().map(|u| &u.id).collect();
         self.acting.borrow_mut().retain(|id, _| ids.contains(id));
+        self.teller.forget_others(&ids);
         let observing = duties.iter().map(|upstream| self.observe(upstream));
         let seen: Vec<_> = futures_util::future::join_all(observing).await;
         let items: Vec<_> = seen.into_iter().flatten().collect();
-        self.tell(items);
+        self.teller.tell(items);
         let Some(steps) = self.plan_if_due() else {
             return;
         };
-        if self.refresh_slots().await.is_ok() {
+        if self.slots.refresh().await.is_ok() {
             self.carry_out(&duties, &steps).await;
         }
     }
 
-    /// Takes in what was observed and tells the peers what they must know.
-    fn tell(&self, items: Vec<(UpstreamId, Observation)>) {
-        self.adopt_own(&items);
-        let loads = items
-            .iter()
-            .map(|(id, seen)| seen.load_update(id))
-            .collect();
-        self.peers.set_loads(loads);
-        let now_ms = self.host.clock.now_ms();
-        let mut acting = self.acting.borrow_mut();
-        let (mut everywhere, mut own_zone) = (Vec::new(), Vec::new());
-        for (id, seen) in items {
-            let told = &mut acting.entry(id.clone()).or_default().told;
-            let is_moved = told.seen.as_ref().is_none_or(|old| seen.is_moved_from(old));
-            if is_moved || now_ms >= told.everywhere_ms + TELL_EVERYWHERE_MS {
-                *told = Told {
-                    seen: Some(seen.clone()),
-                    everywhere_ms: now_ms,
-                    own_zone_ms: now_ms,
-                };
-                everywhere.push((id, seen));
-            } else if now_ms >= told.own_zone_ms + TELL_OWN_ZONE_MS {
-                told.own_zone_ms = now_ms;
-                own_zone.push((id, seen));
-            }
-        }
-        drop(acting);
-        self.peers.publish(Scope::Everywhere, everywhere);
-        self.peers.publish(Scope::OwnZone, own_zone);
-    }
-
     /// Plans, unless the last plan is too recent for the size of the fleet.
     fn plan_if_due(&self) -> Option<Vec<Step>> {
         let now_ms = self.host.clock.now_ms();
@@ -177,15 +132,6 @@
         Some(self.plan())
     }
 
-    fn adopt_own(&self, items: &[(UpstreamId, Observation)]) {
-        let mut fleet = self.host.fleet.borrow_mut();
-        for (id, seen) in items {
-            if let Some(ix) = fleet.position(id.as_str()) {
-                fleet.observe(ix, seen.clone());
-            }
-        }
-    }
-
     /// Asks an upstream for its status and brings its ledger up to date.
     async fn observe(&self, upstream: &ListedUpstream) -> Option<(UpstreamId, Observation)> {
         if upstream.kind == UpstreamKind::Engine {
@@ -270,7 +216,7 @@
                 self.host.note_platform(true);
                 self.cache(&upstream.id, revision, ledger);
                 if let Some((i, read)) = slot {
-                    self.set_slot(i, ReadSlot { revision, ..read });
+                    self.slots.set(i, ReadSlot { revision, ..read });
                 }
                 return true;
             }
@@ -280,25 +226,19 @@
                     self.drop_cached(&upstream.id);
                 }
                 if let (Some((i, _)), Some(found)) = (slot, found.get(1)) {
-                    self.set_slot(i, read_slot(found.as_ref()));
+                    self.slots.set(i, read_slot(found.as_ref()));
                 }
             }
             // The write may have taken effect: begin by reading.
             Err(KvError::Unknown) => {
                 self.drop_cached(&upstream.id);
-                self.slots.borrow_mut().clear();
+                self.slots.clear();
             }
             Err(KvError::NotSent | KvError::Refused) => {}
         }
         false
     }
 
-    fn set_slot(&self, i: usize, read: ReadSlot) {
-        if let Some(slot) = self.slots.borrow_mut().get_mut(i) {
-            *slot = read;
-        }
-    }
-
     /// Lets the ledger observe a status.
     async fn reconcile(&self, upstream: &ListedUpstream, asked: &Asked, status: &EngineStatus) {
         let Some((revision, mut ledger)) = self.cached(&upstream.id) else {
@@ -385,18 +325,8 @@
             .upstreams()
             .iter()
             .filter(|u| u.listed.kind == UpstreamKind::Engine && u.takes_work() && is_known(u));
-        let upstreams: Vec<PlannedUpstream> = known
-            .map(|u| PlannedUpstream {
-                id: u.listed.id.clone(),
-                zone: u.listed.zone.clone(),
-                free_mib: u.seen.free_mib,
-                leaving_mib: u.seen.leaving_mib,
-                max_batch: u.planned_batch(now_ms),
-                in_flight: u.seen.load.in_flight,
-                holds: u.seen.holds.clone(),
-                ready: u.seen.ready.clone(),
-            })
-            .collect();
+        let upstreams: Vec<PlannedUpstream> =
+            known.map(|u| PlannedUpstream::of(u, now_ms)).collect();
         let models: Vec<PlannedModel> = view
             .artifacts()
             .map(|d| PlannedModel {
@@ -477,7 +407,7 @@
         let Some((revision, mut ledger)) = self.cached(&upstream.id) else {
             return;
         };
-        let Some(slot) = self.claim_slot(upstream, artifact) else {
+        let Some(slot) = self.slots.claim(upstream, artifact) else {
             return;
         };
         let host = &self.host.settings.host;
@@ -566,93 +496,6 @@
         declared.map_or_else(Vec::new, |d| d.adapters.cloned().collect())
     }
 
-    /// Finds a slot of the weight store for a load.
-    fn claim_slot(
-        &self,
-        upstream: &ListedUpstream,
-        artifact: &ArtifactId,
-    ) -> Option<(usize, ReadSlot)> {
-        let now_ms = self.host.clock.now_ms();
-        let wanted = SlotUse {
-            upstream: upstream.id.clone(),
-            artifact: artifact.clone(),
-        };
-        let slots = self.slots.borrow();
-        match choose(now_ms, self.host.view.borrow().fleet(), &slots, &wanted) {
-            SlotChoice::Take(i) => {
-                let slot = Slot {
-                    started_ms: now_ms,
-                    used_by: Some(wanted),
-                };
-                Some((
-                    i,
-                    ReadSlot {
-                        revision: slots[i].revision,
-                        slot,
-                    },
-                ))
-            }
-            SlotChoice::LoadedElsewhere | SlotChoice::NoneFree => {
-                self.are_slots_old.set(true);
-                None
-            }
-        }
-    }
-
-    /// Reads the slots if what this host knows of them was in its way.
-    async fn refresh_slots(&self) -> Result<(), KvError> {
-        let is_empty = self.slots.borrow().is_empty();
-        if is_empty || self.are_slots_old.replace(false) {
-            self.read_slots().await?;
-        }
-        Ok(())
-    }
-
-    async fn read_slots(&self) -> Result<(), KvError> {
-        let snapshot = self.host.kv.list(SLOTS_PREFIX).await?;
-        let count = self.host.view.borrow().fleet().store_slots as usize;
-        let mut slots = vec![ReadSlot::default(); count];
-        for kv in &snapshot.kvs {
-            let i = kv
-                .key
-                .strip_prefix(SLOTS_PREFIX)
-                .and_then(|i| i.parse::<usize>().ok());
-            if let Some(i) = i.filter(|&i| i < count) {
-                slots[i] = read_slot(Some(kv));
-            }
-        }
-        *self.slots.borrow_mut() = slots;
-        Ok(())
-    }
-
-    /// Frees slots of loads that this host knows to have ended.
-    async fn free_slots(&self) {
-        let ended: Vec<(usize, ReadSlot)> = {
-            let slots = self.slots.borrow();
-            let ended = slots
-                .iter()
-                .enumerate()
-                .filter(|(_, r)| self.has_ended(&r.slot));
-            ended.map(|(i, r)| (i, r.clone())).collect()
-        };
-        for (i, read) in ended {
-            let slot = Slot {
-                used_by: None,
-                ..read.slot
-            };
-            let free = ReadSlot {
-                revision: read.revision,
-                slot,
-            };
-            match self.host.kv.cas(slot_write(i, &free)).await {
-                Ok(CasOutcome::Written(revision)) => {
-                    self.set_slot(i, ReadSlot { revision, ..free });
-                }
-                _ => return self.slots.borrow_mut().clear(),
-            }
-        }
-    }
-
     /// True if the load of a slot has ended, by this host's ledger or by what
     /// another acting host has told since.
     fn has_ended(&self, slot: &Slot) -> bool {
@@ -680,23 +523,6 @@
     }
 }
 
-fn read_slot(found: Option<&KeyValue>) -> ReadSlot {
-    let parse = |kv: &KeyValue| ReadSlot {
-        revision: kv.mod_revision,
-        slot: serde_json::from_slice(&kv.value).unwrap_or_default(),
-    };
-    found.map(parse).unwrap_or_default()
-}
-
-fn slot_write(i: usize, read: &ReadSlot) -> Cas {
-    Cas {
-        key: format!("{SLOTS_PREFIX}{i}"),
-        expected_revision: read.revision,
-        value: serde_json::to_vec(&read.slot).ok(),
-        lease: 0,
-    }
-}
-
 impl Service for PlacerService {
     const NAME: &'static str = "placer";
 
@@ -705,7 +531,7 @@
             loop {
                 if !self.host.draining.is_cancelled() {
                     self.round().await;
-                    self.free_slots().await;
+                    self.slots.free_ended(|slot| self.has_ended(slot)).await;
                 }
                 compio::time::sleep(ROUND_INTERVAL).await;
             }
--- a/standins/src/policy.rs
+++ b/standins/src/policy.rs
@@ -255,16 +255,7 @@
         let fleet = &self.hosts[0].1;
         let upstreams = fleet.upstreams().iter().filter(|u| u.takes_work());
         let upstreams: Vec<PlannedUpstream> = upstreams
-            .map(|u| PlannedUpstream {
-                id: u.listed.id.clone(),
-                zone: u.listed.zone.clone(),
-                free_mib: u.seen.free_mib,
-                leaving_mib: u.seen.leaving_mib,
-                max_batch: u.planned_batch(sight.now_ms),
-                in_flight: u.seen.load.in_flight,
-                holds: u.seen.holds.clone(),
-                ready: u.seen.ready.clone(),
-            })
+            .map(|u| PlannedUpstream::of(u, sight.now_ms))
             .collect();
         let models = self
             .artifacts
--- a/standins/tests/placement.rs
+++ b/standins/tests/placement.rs
@@ -11,7 +11,7 @@
 use currantcove::core::slots::{Slot, SlotUse};
 use currantcove::edge::kv::{Cas, CasOutcome, EtcdClient, KvStore};
 use currantcove::edge::pool::Pool;
-use currantcove::services::placer::SLOTS_PREFIX;
+use currantcove::services::store_slots::SLOTS_PREFIX;
 use currantcove_standins::client::{Caller, is_whole_draft};
 use currantcove_standins::control::Control;
 use currantcove_standins::deployment::Deployment;
