Give peer links small buffers

Cause: 39 links cost 0.31 MB of memory each; the websocket library keeps 128 KiB for reading and for writing, and two hosts of a zone dial each other. Messages have some hundred bytes.

--- a/src/services/peers.rs
+++ b/src/services/peers.rs
@@ -37,6 +37,9 @@
 
 /// Largest message between peers in bytes.
 const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
+/// Buffers of one link in bytes; the library's own are 128 KiB each, and a host
+/// has two connections with each of many peers.
+const BUFFER_BYTES: usize = 4 * 1024;
 /// Messages queued for one peer; a peer that reads slower loses messages.
 const QUEUED_MESSAGES: usize = 256;
 /// Time between two looks at the list of neighbours.
@@ -432,6 +435,8 @@
 
 fn websocket_config() -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(BUFFER_BYTES)
+        .write_buffer_size(BUFFER_BYTES)
         .max_message_size(Some(MAX_MESSAGE_BYTES))
         .max_frame_size(Some(MAX_MESSAGE_BYTES))
 }
