Remove code that nothing calls

Cause: reading the whole change again found Ledger::missing (the placer orders again from the ledger's own states), Pool::forget and Kernel::names without a caller. Behaviour is the same. Checked: clippy clean; core tests, claim search, properties and server pass (29 tests).

--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -246,15 +246,6 @@
         *self != asked.0
     }
 
-    /// Charged models that the engine does not hold and nobody has ordered.
-    pub fn missing<'a>(&'a self, inventory: &'a Inventory) -> impl Iterator<Item = &'a ArtifactId> {
-        self.entries
-            .iter()
-            .filter(|(_, e)| e.state != EntryState::Unloading && !e.has_pending_load())
-            .map(|(artifact, _)| artifact)
-            .filter(|artifact| !inventory.resident.contains_key(*artifact))
-    }
-
     fn adopt(&mut self, artifact: &ArtifactId, size_mib: u64) {
         self.entries
             .entry(artifact.clone())
--- a/src/edge/pool.rs
+++ b/src/edge/pool.rs
@@ -67,11 +67,6 @@
         }
     }
 
-    /// Forgets idle connections to an address.
-    pub fn forget(&self, addr: SocketAddr) {
-        self.idle.borrow_mut().remove(&addr);
-    }
-
     async fn checkout(&self, addr: SocketAddr) -> Option<SendRequest<RequestBody>> {
         loop {
             let mut sender = self.idle.borrow_mut().get_mut(&addr)?.pop()?;
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -68,11 +68,6 @@
         Ok(())
     }
 
-    /// Names of all registered services.
-    pub fn names(&self) -> Vec<&'static str> {
-        self.services.borrow().keys().copied().collect()
-    }
-
     /// Cancels all services and waits for them.
     pub async fn stop(&self) {
         self.cancel.cancel();
