--- /dev/null
+++ b/src/core/engine_book.rs
@@ -0,0 +1,139 @@
+//! What the acting host knows of one engine's accelerator memory.
+//!
+//! Everything that an order may have put there is charged until a report
+//! proves otherwise, so that neither the memory nor the adapter slots are
+//! ever exceeded. Each order names the count of orders before it: an order
+//! whose answer was lost can run late only until the next one is accepted.
+
+use std::collections::BTreeMap;
+
+use super::catalog::EngineSpec;
+use super::ids::{AdapterId, ModelId};
+use super::registry::{Entry, Holdings};
+
+/// Time after the last order from which a listing with the same count of
+/// orders is believed, in milliseconds; listings lag by a heartbeat or two.
+const LISTING_LAG_MS: u64 = 3_500;
+
+/// One engine.
+#[derive(Clone, Debug, Default)]
+pub struct EngineBook {
+    /// Start of the incarnation.
+    pub started_ms: u64,
+    /// Orders accepted since the start.
+    pub orders_accepted: u64,
+    /// Models and adapters ready for requests.
+    pub holds: Holdings,
+    /// Model that is being loaded or may be, and when it is likely ready.
+    pub loading: Option<(ModelId, u64)>,
+    /// Model that is being unloaded or may be.
+    pub unloading: Option<ModelId>,
+    /// Adapters that are being loaded or may be.
+    pub coming: BTreeMap<(ModelId, AdapterId), u64>,
+    /// Adapters that are being unloaded or may be.
+    pub leaving: BTreeMap<(ModelId, AdapterId), u64>,
+    /// Time of the last order.
+    pub last_order_ms: u64,
+    /// Time until which the engine gets no orders for models.
+    pub blocked_until_ms: u64,
+}
+
+impl EngineBook {
+    /// Book of an engine as it is listed.
+    pub fn new(entry: &Entry) -> Self {
+        Self {
+            started_ms: entry.started_ms,
+            orders_accepted: entry.orders_accepted,
+            holds: entry.holds.clone(),
+            ..Self::default()
+        }
+    }
+
+    /// Takes in a listing; true if the book changed.
+    pub fn reconcile(&mut self, entry: &Entry, now_ms: u64) -> bool {
+        if entry.started_ms != self.started_ms {
+            *self = Self::new(entry);
+            return true;
+        }
+        let is_newer = entry.orders_accepted > self.orders_accepted;
+        let is_settled = entry.orders_accepted == self.orders_accepted
+            && now_ms > self.last_order_ms + LISTING_LAG_MS
+            && self.is_quiet();
+        if !is_newer && !is_settled {
+            return false;
+        }
+        self.orders_accepted = entry.orders_accepted;
+        let is_changed = self.holds != entry.holds;
+        self.holds.clone_from(&entry.holds);
+        self.coming.retain(|(m, a), _| !has(&entry.holds, m, a));
+        is_changed
+    }
+
+    /// True if no order is under way or may be.
+    pub fn is_quiet(&self) -> bool {
+        self.loading.is_none()
+            && self.unloading.is_none()
+            && self.coming.is_empty()
+            && self.leaving.is_empty()
+    }
+
+    /// Adapters that occupy a slot or may.
+    pub fn adapters_charged(&self) -> usize {
+        let held: usize = self.holds.values().map(std::collections::BTreeSet::len).sum();
+        held + self.coming.len() + self.leaving.len()
+    }
+
+    /// Memory that is occupied or may be, in MB.
+    pub fn charged_mb(&self, spec: &EngineSpec) -> u64 {
+        let model_mb = |m: &ModelId| spec.models.get(m).map_or(0, |s| s.weights_mb);
+        let adapter_mb = |m: &ModelId| spec.models.get(m).map_or(0, |s| s.adapter_mb);
+        let held: u64 = self
+            .holds
+            .iter()
+            .map(|(m, adapters)| model_mb(m) + adapters.len() as u64 * adapter_mb(m))
+            .sum();
+        let moving = self.coming.keys().chain(self.leaving.keys());
+        let adapters: u64 = moving.map(|(m, _)| adapter_mb(m)).sum();
+        let models = self.loading.iter().map(|(m, _)| m).chain(&self.unloading);
+        held + adapters + models.map(model_mb).sum::<u64>()
+    }
+
+    /// True if a model fits beside everything that is charged.
+    pub fn fits_model(&self, spec: &EngineSpec, model: &ModelId) -> bool {
+        let Some(size) = spec.models.get(model) else {
+            return false;
+        };
+        self.charged_mb(spec) + size.weights_mb <= spec.weights_mb
+    }
+
+    /// True if an adapter fits beside everything that is charged.
+    pub fn fits_adapter(&self, spec: &EngineSpec, model: &ModelId) -> bool {
+        let size_mb = spec.models.get(model).map_or(0, |s| s.adapter_mb);
+        self.adapters_charged() < spec.adapter_slots as usize
+            && self.charged_mb(spec) + size_mb <= spec.weights_mb
+    }
+
+    /// Adapter that was asked for least lately.
+    pub fn adapter_to_evict(
+        &self,
+        last_asked_ms: impl Fn(&ModelId, &AdapterId) -> u64,
+    ) -> Option<(ModelId, AdapterId)> {
+        let held = self.holds.iter();
+        let all = held.flat_map(|(m, adapters)| adapters.iter().map(move |a| (m, a)));
+        all.min_by_key(|(m, a)| last_asked_ms(m, a))
+            .map(|(m, a)| (m.clone(), a.clone()))
+    }
+
+    /// Models that are held or may come.
+    pub fn planned_holdings(&self) -> Holdings {
+        let mut holds = self.holds.clone();
+        if let Some((model, _)) = &self.loading {
+            holds.entry(model.clone()).or_default();
+        }
+        holds
+    }
+}
+
+fn has(holds: &Holdings, model: &ModelId, adapter: &AdapterId) -> bool {
+    holds.get(model).is_some_and(|a| a.contains(adapter))
+}
--- a/src/core/ids.rs
+++ b/src/core/ids.rs
@@ -62,6 +62,18 @@
     /// Availability zone.
     ZoneId
 );
+id_type!(
+    /// Service that upstreams belong to.
+    ServiceId
+);
+id_type!(
+    /// Model as engines name it.
+    ModelId
+);
+id_type!(
+    /// Adapter of a model, unique within it.
+    AdapterId
+);
 id_type!(
     /// One version of one team's model, written `team/model@version`.
     ArtifactId
--- /dev/null
+++ b/src/core/load.rs
@@ -0,0 +1,319 @@
+//! Load and health of upstreams, as one entry host sees them.
+//!
+//! A host counts what it has in flight itself and learns what all others have
+//! from the acting host's digests. An upstream that fails in a row, or falls
+//! silent while it owes answers, is left out for a while and comes back on
+//! trial, so that no health checks are needed.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::ids::UpstreamId;
+
+/// Failures in a row after which an upstream is left out.
+pub const EJECT_AFTER_FAILURES: u32 = 3;
+/// First time an upstream is left out, in milliseconds; doubles each time.
+pub const FIRST_EJECTION_MS: u64 = 600;
+/// Longest time an upstream is left out, in milliseconds.
+pub const MAX_EJECTION_MS: u64 = 5_000;
+/// Silence of an engine that owes events after which it gets nothing new, in
+/// milliseconds; events of a running stream are at most tenths of a second
+/// apart.
+pub const SILENT_AFTER_MS: u64 = 900;
+/// Age at which what other hosts have in flight is not known any more, in
+/// milliseconds; several digests were lost by then.
+pub const OTHERS_EXPIRE_MS: u64 = 2_500;
+/// Time per prompt token assumed before the first answer, in microseconds.
+const INITIAL_TOKEN_US: f64 = 80.0;
+/// Weight of a new sample in smoothed values.
+const SMOOTHING: f64 = 0.15;
+
+/// Requests in flight at one upstream.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct InFlight {
+    /// Requests.
+    #[serde(rename = "n")]
+    pub requests: u32,
+    /// Tokens of their prompts and answers.
+    #[serde(rename = "t")]
+    pub tokens: u32,
+    /// Prompt tokens of those that have no first event yet.
+    #[serde(rename = "u")]
+    pub unread_tokens: u32,
+}
+
+impl InFlight {
+    /// Sum of both.
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            requests: self.requests + other.requests,
+            tokens: self.tokens + other.tokens,
+            unread_tokens: self.unread_tokens + other.unread_tokens,
+        }
+    }
+
+    /// Difference, not below zero.
+    pub fn minus(self, other: Self) -> Self {
+        Self {
+            requests: self.requests.saturating_sub(other.requests),
+            tokens: self.tokens.saturating_sub(other.tokens),
+            unread_tokens: self.unread_tokens.saturating_sub(other.unread_tokens),
+        }
+    }
+
+    /// True if nothing is in flight.
+    pub fn is_empty(self) -> bool {
+        self == Self::default()
+    }
+}
+
+/// Load and health of one upstream.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// In flight from this host.
+    pub local: InFlight,
+    others: InFlight,
+    others_at_ms: u64,
+    last_heard_ms: u64,
+    owing_since_ms: u64,
+    consecutive_failures: u32,
+    ejections: u32,
+    ejected_until_ms: u64,
+    /// Smoothed share of failed answers.
+    failure_share: f64,
+    /// Smoothed time from request to answer or first event.
+    first_answer_ms: f64,
+    /// Smoothed time from request to the end of the answer.
+    whole_answer_ms: f64,
+    /// Smoothed time to the first event per prompt token ahead.
+    token_us: f64,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Self {
+            local: InFlight::default(),
+            others: InFlight::default(),
+            others_at_ms: 0,
+            last_heard_ms: 0,
+            owing_since_ms: 0,
+            consecutive_failures: 0,
+            ejections: 0,
+            ejected_until_ms: 0,
+            failure_share: 0.0,
+            first_answer_ms: 0.0,
+            whole_answer_ms: 0.0,
+            token_us: INITIAL_TOKEN_US,
+        }
+    }
+}
+
+fn smooth(value: &mut f64, sample: f64) {
+    if *value == 0.0 {
+        *value = sample;
+    } else {
+        *value += (sample - *value) * SMOOTHING;
+    }
+}
+
+impl Load {
+    /// In flight from all hosts, as far as known.
+    pub fn total(&self, now_ms: u64) -> InFlight {
+        if now_ms.saturating_sub(self.others_at_ms) > OTHERS_EXPIRE_MS {
+            return self.local;
+        }
+        self.local.plus(self.others)
+    }
+
+    /// True while the upstream gets nothing new.
+    pub fn is_ejected(&self, now_ms: u64) -> bool {
+        now_ms < self.ejected_until_ms
+    }
+
+    /// True if the upstream owes events and has sent nothing for long.
+    pub fn is_silent(&self, now_ms: u64) -> bool {
+        let heard_ms = self.last_heard_ms.max(self.owing_since_ms);
+        self.local.requests > 0 && now_ms.saturating_sub(heard_ms) > SILENT_AFTER_MS
+    }
+
+    /// Smoothed share of failed answers, from 0 to 1.
+    pub fn failure_share(&self) -> f64 {
+        self.failure_share
+    }
+
+    /// Smoothed time to the answer or the first event; 0 before the first.
+    pub fn first_answer_ms(&self) -> f64 {
+        self.first_answer_ms
+    }
+
+    /// Smoothed time to the end of the answer; 0 before the first.
+    pub fn whole_answer_ms(&self) -> f64 {
+        self.whole_answer_ms
+    }
+
+    /// Predicted time until a prompt of some tokens is read.
+    pub fn predicted_read_ms(&self, now_ms: u64, prompt_tokens: u32) -> f64 {
+        let ahead = self.total(now_ms).unread_tokens + prompt_tokens;
+        f64::from(ahead) * self.token_us / 1000.0
+    }
+
+    fn fail(&mut self, now_ms: u64) {
+        smooth_share(&mut self.failure_share, 1.0);
+        self.consecutive_failures += 1;
+        if self.consecutive_failures >= EJECT_AFTER_FAILURES {
+            let backoff_ms = FIRST_EJECTION_MS << self.ejections.min(4);
+            self.ejected_until_ms = now_ms + backoff_ms.min(MAX_EJECTION_MS);
+            self.ejections += 1;
+            // The next failure after the pause ejects again.
+            self.consecutive_failures = EJECT_AFTER_FAILURES - 1;
+        }
+    }
+
+    fn succeed(&mut self) {
+        smooth_share(&mut self.failure_share, 0.0);
+        self.consecutive_failures = 0;
+        self.ejections = self.ejections.saturating_sub(1);
+    }
+}
+
+/// Smooths a share; unlike a time, zero is a sample like any other.
+fn smooth_share(value: &mut f64, sample: f64) {
+    *value += (sample - *value) * SMOOTHING;
+}
+
+/// What one request adds to the load of its upstream.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Demand {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Most tokens of the answer.
+    pub output_tokens: u32,
+}
+
+/// Request that is counted at its upstream until it ends.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    /// Upstream.
+    pub upstream: UpstreamId,
+    /// Size.
+    pub demand: Demand,
+    sent_ms: u64,
+    unread_ahead: u32,
+    is_unread: bool,
+}
+
+/// Loads of all upstreams.
+#[derive(Clone, Debug, Default)]
+pub struct LoadBook {
+    loads: HashMap<UpstreamId, Load>,
+}
+
+impl LoadBook {
+    /// Load of an upstream, if anything is known of it.
+    pub fn get(&self, id: &str) -> Option<&Load> {
+        self.loads.get(id)
+    }
+
+    fn entry(&mut self, id: &UpstreamId) -> &mut Load {
+        self.loads.entry(id.clone()).or_default()
+    }
+
+    /// Forgets an upstream that is gone, unless requests are still counted.
+    pub fn forget(&mut self, id: &UpstreamId) {
+        if self.loads.get(id).is_some_and(|l| l.local.is_empty()) {
+            self.loads.remove(id);
+        }
+    }
+
+    /// Counts a request that is being sent.
+    pub fn on_sent(&mut self, now_ms: u64, id: &UpstreamId, demand: Demand) -> Sent {
+        let load = self.entry(id);
+        if load.local.requests == 0 {
+            load.owing_since_ms = now_ms;
+        }
+        let unread_ahead = load.total(now_ms).unread_tokens;
+        load.local = load.local.plus(in_flight(demand, true));
+        Sent {
+            upstream: id.clone(),
+            demand,
+            sent_ms: now_ms,
+            unread_ahead,
+            is_unread: true,
+        }
+    }
+
+    /// Counts the answer's head, or the first event of a stream.
+    pub fn on_first_answer(&mut self, now_ms: u64, sent: &mut Sent) {
+        if !std::mem::take(&mut sent.is_unread) {
+            return;
+        }
+        let load = self.entry(&sent.upstream);
+        let unread = sent.demand.prompt_tokens;
+        load.local.unread_tokens = load.local.unread_tokens.saturating_sub(unread);
+        let took_ms = now_ms.saturating_sub(sent.sent_ms) as f64;
+        smooth(&mut load.first_answer_ms, took_ms.max(0.5));
+        let ahead = sent.unread_ahead + unread;
+        if unread > 0 {
+            smooth(&mut load.token_us, took_ms * 1000.0 / f64::from(ahead));
+        }
+        load.last_heard_ms = now_ms;
+    }
+
+    /// Notes that an upstream sent something.
+    pub fn on_heard(&mut self, now_ms: u64, id: &str) {
+        if let Some(load) = self.loads.get_mut(id) {
+            load.last_heard_ms = now_ms;
+        }
+    }
+
+    /// Counts the end of a request.
+    pub fn on_end(&mut self, now_ms: u64, sent: &Sent, end: AttemptEnd) {
+        let load = self.entry(&sent.upstream);
+        load.local = load.local.minus(in_flight(sent.demand, sent.is_unread));
+        match end {
+            AttemptEnd::Answered => {
+                let took_ms = now_ms.saturating_sub(sent.sent_ms) as f64;
+                smooth(&mut load.whole_answer_ms, took_ms.max(0.5));
+                load.succeed();
+                load.last_heard_ms = now_ms;
+            }
+            AttemptEnd::Failed => load.fail(now_ms),
+            AttemptEnd::Neutral => {}
+        }
+    }
+
+    /// Takes in what all other hosts have in flight at an upstream.
+    pub fn set_others(&mut self, now_ms: u64, id: &UpstreamId, others: InFlight) {
+        let load = self.entry(id);
+        load.others = others;
+        load.others_at_ms = now_ms;
+    }
+
+    /// Upstreams with requests of this host in flight.
+    pub fn local(&self) -> impl Iterator<Item = (&UpstreamId, InFlight)> {
+        self.loads
+            .iter()
+            .filter(|(_, l)| !l.local.is_empty())
+            .map(|(id, l)| (id, l.local))
+    }
+}
+
+fn in_flight(demand: Demand, is_unread: bool) -> InFlight {
+    InFlight {
+        requests: 1,
+        tokens: demand.prompt_tokens + demand.output_tokens,
+        unread_tokens: if is_unread { demand.prompt_tokens } else { 0 },
+    }
+}
+
+/// How an attempt ended, as far as it tells of the upstream's health.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AttemptEnd {
+    /// The upstream answered well.
+    Answered,
+    /// The upstream failed.
+    Failed,
+    /// Nothing was learnt: the caller left, or the upstream was full.
+    Neutral,
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,17 +5,24 @@
 //! comes from a seeded generator that the caller passes in.
 
 pub mod admission;
+pub mod balance;
+pub mod catalog;
 pub mod claim;
 pub mod config;
+pub mod copies;
+pub mod engine_book;
 pub mod fleet;
 pub mod ids;
 pub mod ledger;
+pub mod load;
 pub mod membership;
 pub mod outcome;
 pub mod placement;
+pub mod registry;
 pub mod rendezvous;
 pub mod retry;
 pub mod routing;
 pub mod slots;
 pub mod timeline;
 pub mod view;
+pub mod waiting;
--- /dev/null
+++ b/src/core/registry.rs
@@ -0,0 +1,231 @@
+//! Upstreams as the platform lists them.
+//!
+//! An entry that vanishes while the store answers is gone at once. One that
+//! is missing after an outage of the store may only have lapsed meanwhile: it
+//! stays in use for a grace period, within which its upstream registers
+//! again.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use super::ids::{AdapterId, ModelId, ServiceId, UpstreamId, ZoneId};
+
+/// Time for which an entry that lapsed during an outage stays in use; living
+/// upstreams are listed again about two seconds after the store's return.
+pub const LAPSE_GRACE_MS: u64 = 2_300;
+
+/// Models and adapters in an engine's accelerator memory.
+pub type Holdings = BTreeMap<ModelId, BTreeSet<AdapterId>>;
+
+/// One upstream, as listed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Entry {
+    /// Name of this incarnation.
+    pub id: UpstreamId,
+    /// Service.
+    pub service: ServiceId,
+    /// Address for requests and orders.
+    pub addr: SocketAddr,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Requests that run together.
+    pub slots: u32,
+    /// True once it takes no new work.
+    pub is_draining: bool,
+    /// Start of the incarnation, in milliseconds since the epoch.
+    pub started_ms: u64,
+    /// Orders accepted since the start.
+    pub orders_accepted: u64,
+    /// Models and adapters ready for requests.
+    pub holds: Holdings,
+    /// Models whose weights are in host memory.
+    pub in_memory: BTreeSet<ModelId>,
+    /// Models whose weights are on disk.
+    pub on_disk: BTreeSet<ModelId>,
+}
+
+impl Entry {
+    /// True if `other` is an older statement about the same upstream; at the
+    /// same count of orders, unless `other` was stated by the acting host.
+    fn is_newer_than(&self, other: &Self, is_stated: bool) -> bool {
+        let own = (self.started_ms, self.orders_accepted);
+        let others = (other.started_ms, other.orders_accepted);
+        own > others || (own == others && !is_stated)
+    }
+
+    /// True if requests for the model, and its adapter if one is named, can
+    /// run here.
+    pub fn has(&self, model: &ModelId, adapter: Option<&AdapterId>) -> bool {
+        self.holds
+            .get(model)
+            .is_some_and(|adapters| adapter.is_none_or(|a| adapters.contains(a)))
+    }
+}
+
+/// What changed in the registry.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RegistryChange {
+    /// Listed, or listed anew by another incarnation.
+    Added(UpstreamId),
+    /// Takes no new work from now on.
+    Draining(UpstreamId),
+    /// Not listed any more.
+    Removed(UpstreamId),
+    /// Missing after an outage; in use until the grace period ends.
+    Lapsed(UpstreamId),
+    /// What it holds changed.
+    Holdings(UpstreamId),
+}
+
+/// Time for which the acting host's statement goes before a listing with the
+/// same count of orders, in milliseconds; listings follow within a heartbeat
+/// or two.
+const STATEMENT_HOLDS_MS: u64 = 3_000;
+
+/// All listed upstreams.
+#[derive(Clone, Debug, Default)]
+pub struct Registry {
+    entries: BTreeMap<UpstreamId, Entry>,
+    stated_ms: BTreeMap<UpstreamId, u64>,
+    lapsed_until_ms: BTreeMap<UpstreamId, u64>,
+}
+
+impl Registry {
+    /// Entry of an upstream.
+    pub fn get(&self, id: &str) -> Option<&Entry> {
+        self.entries.get(id)
+    }
+
+    /// All entries, by name.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
+    /// Entries of a service.
+    pub fn of_service<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a Entry> {
+        self.entries.values().filter(|e| e.service == *service)
+    }
+
+    /// Number of entries.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// True if nothing is listed.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Takes in one written entry.
+    pub fn upsert(&mut self, mut entry: Entry, now_ms: u64) -> Option<RegistryChange> {
+        self.lapsed_until_ms.remove(&entry.id);
+        let id = entry.id.clone();
+        let Some(old) = self.entries.get(&entry.id) else {
+            self.entries.insert(entry.id.clone(), entry);
+            return Some(RegistryChange::Added(id));
+        };
+        if entry.started_ms < old.started_ms {
+            // A late statement of an earlier incarnation.
+            return None;
+        }
+        let is_restarted = entry.started_ms > old.started_ms;
+        let starts_draining = entry.is_draining && !old.is_draining;
+        let stated_ms = self.stated_ms.get(&entry.id).copied().unwrap_or(0);
+        let is_stated = now_ms < stated_ms + STATEMENT_HOLDS_MS;
+        if !is_restarted && !entry.is_newer_than(old, is_stated) {
+            // A statement of the acting host overtook the listing.
+            entry.holds.clone_from(&old.holds);
+            entry.orders_accepted = old.orders_accepted;
+        }
+        let is_moved = entry.holds != old.holds;
+        self.entries.insert(entry.id.clone(), entry);
+        if is_restarted {
+            Some(RegistryChange::Added(id))
+        } else if starts_draining {
+            Some(RegistryChange::Draining(id))
+        } else {
+            is_moved.then_some(RegistryChange::Holdings(id))
+        }
+    }
+
+    /// Takes in what the acting host knows an upstream to hold after an order.
+    pub fn observe_holdings(
+        &mut self,
+        now_ms: u64,
+        id: &str,
+        started_ms: u64,
+        orders_accepted: u64,
+        holds: &Holdings,
+    ) -> bool {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return false;
+        };
+        if entry.started_ms != started_ms || entry.orders_accepted > orders_accepted {
+            return false;
+        }
+        entry.orders_accepted = orders_accepted;
+        self.stated_ms.insert(entry.id.clone(), now_ms);
+        let is_moved = entry.holds != *holds;
+        if is_moved {
+            entry.holds.clone_from(holds);
+        }
+        is_moved
+    }
+
+    /// Takes in a removal that the store reported while it answered.
+    pub fn remove(&mut self, id: &str, is_after_outage: bool, now_ms: u64) -> Option<RegistryChange> {
+        let (id, _) = self.entries.get_key_value(id)?;
+        let id = id.clone();
+        if is_after_outage {
+            let until_ms = now_ms + LAPSE_GRACE_MS;
+            self.lapsed_until_ms.entry(id.clone()).or_insert(until_ms);
+            return Some(RegistryChange::Lapsed(id));
+        }
+        self.entries.remove(&id);
+        self.stated_ms.remove(&id);
+        self.lapsed_until_ms.remove(&id);
+        Some(RegistryChange::Removed(id))
+    }
+
+    /// Takes in a whole listing.
+    pub fn replace(
+        &mut self,
+        listed: Vec<Entry>,
+        is_after_outage: bool,
+        now_ms: u64,
+    ) -> Vec<RegistryChange> {
+        let present: BTreeSet<UpstreamId> = listed.iter().map(|e| e.id.clone()).collect();
+        let mut changes: Vec<RegistryChange> =
+            listed.into_iter().filter_map(|e| self.upsert(e, now_ms)).collect();
+        let missing: Vec<UpstreamId> = self
+            .entries
+            .keys()
+            .filter(|id| !present.contains(*id))
+            .cloned()
+            .collect();
+        changes.extend(
+            missing
+                .iter()
+                .filter(|id| !self.lapsed_until_ms.contains_key(*id))
+                .map(UpstreamId::as_str)
+                .collect::<Vec<_>>()
+                .into_iter()
+                .filter_map(|id| self.remove(id, is_after_outage, now_ms)),
+        );
+        changes
+    }
+
+    /// Drops lapsed entries whose grace period has ended.
+    pub fn expire_lapsed(&mut self, now_ms: u64) -> Vec<RegistryChange> {
+        let expired: Vec<UpstreamId> = self
+            .lapsed_until_ms
+            .iter()
+            .filter(|(_, until_ms)| now_ms >= **until_ms)
+            .map(|(id, _)| id.clone())
+            .collect();
+        expired
+            .iter()
+            .filter_map(|id| self.remove(id.as_str(), false, now_ms))
+            .collect()
+    }
+}
--- a/src/core/retry.rs
+++ b/src/core/retry.rs
@@ -11,25 +11,46 @@
 /// Cost of one retry in the unit of the bucket.
 const RETRY_COST_PERMILLE: u32 = 1000;
 
-/// Token bucket of one team.
+/// Token bucket of one team or service.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     tokens_permille: u32,
+    share_permille: u32,
+    max_permille: u32,
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self {
-            tokens_permille: MAX_SAVED_RETRIES * RETRY_COST_PERMILLE,
-        }
+        Self::new(RETRY_SHARE_PERMILLE, MAX_SAVED_RETRIES * RETRY_COST_PERMILLE)
     }
 }
 
 impl RetryBudget {
+    /// Full bucket that first attempts fill by a share each, up to a maximum;
+    /// both in thousandths of a retry.
+    pub fn new(share_permille: u32, max_permille: u32) -> Self {
+        Self {
+            tokens_permille: max_permille,
+            share_permille,
+            max_permille,
+        }
+    }
+
+    /// Changes the maximum; what is saved beyond it is lost.
+    pub fn set_max(&mut self, max_permille: u32) {
+        self.max_permille = max_permille;
+        self.tokens_permille = self.tokens_permille.min(max_permille);
+    }
+
+    /// Retries that are left.
+    pub fn left(&self) -> u32 {
+        self.tokens_permille / RETRY_COST_PERMILLE
+    }
+
     /// Counts a first attempt.
     pub fn on_first_attempt(&mut self) {
-        let max = MAX_SAVED_RETRIES * RETRY_COST_PERMILLE;
-        self.tokens_permille = (self.tokens_permille + RETRY_SHARE_PERMILLE).min(max);
+        let filled = self.tokens_permille + self.share_permille;
+        self.tokens_permille = filled.min(self.max_permille);
     }
 
     /// Takes the cost of one retry; false if the budget is spent.
--- /dev/null
+++ b/src/core/waiting.rs
@@ -0,0 +1,258 @@
+//! Requests that wait at a host until an upstream has room.
+//!
+//! Answers the load pattern of bursts: more arrives than upstreams take for
+//! some seconds, on some models and not on others. Requests wait here and not
+//! in an engine's queue, since only here can they be reordered or refused.
+//! Those that can still meet their objective go first, the most urgent ahead;
+//! those that cannot follow in order of arrival. A request whose predicted
+//! wait is too long is refused when it arrives, with the time after which the
+//! backlog will have gone.
+
+use std::collections::{HashMap, HashSet};
+
+use super::balance::{Allowed, Need, NoUpstream};
+use super::ids::{ModelId, ServiceId, UpstreamId};
+use super::routing::Rng;
+
+/// Requests that wait at one host at most; bounds memory and the time of one
+/// pass.
+pub const MAX_WAITING: usize = 512;
+/// Time that one step of priority is worth against the due time, in
+/// milliseconds.
+pub const PRIORITY_STEP_MS: u64 = 250;
+/// Shortest time after which refused callers come back, in milliseconds.
+pub const MIN_RETRY_AFTER_MS: u64 = 200;
+/// Longest time after which refused callers come back, in milliseconds.
+pub const MAX_RETRY_AFTER_MS: u64 = 10_000;
+/// Interval between two departures assumed without any measurement, in
+/// milliseconds.
+const DEFAULT_INTERVAL_MS: f64 = 50.0;
+/// Weight of a new sample of the interval between departures.
+const INTERVAL_SMOOTHING: f64 = 0.2;
+/// Longest time between two departures that counts as one interval.
+const MAX_INTERVAL_MS: u64 = 3_000;
+
+/// Requests that compete for the same copies.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Lane {
+    /// Service.
+    pub service: ServiceId,
+    /// Model; absent for plain services.
+    pub model: Option<ModelId>,
+}
+
+impl Lane {
+    /// Lane of a request.
+    pub fn of(need: &Need) -> Self {
+        Self {
+            service: need.service.clone(),
+            model: need.weights.as_ref().map(|w| w.model.clone()),
+        }
+    }
+}
+
+/// Request that waits.
+#[derive(Clone, Debug)]
+pub struct Waiter {
+    /// Number that tells waiters apart.
+    pub ticket: u64,
+    /// What it needs.
+    pub need: Need,
+    /// Upstreams it may go to.
+    pub allowed: Allowed,
+    /// Rank; 0 goes first.
+    pub priority: u8,
+    /// Arrival.
+    pub arrived_ms: u64,
+    /// Latest departure that can meet the objective.
+    pub due_ms: u64,
+    /// Latest departure that is of any use to the caller.
+    pub give_up_ms: u64,
+}
+
+/// Waiting requests and how fast they leave.
+#[derive(Clone, Debug, Default)]
+pub struct WaitQueue {
+    waiters: Vec<Waiter>,
+    departures: HashMap<Lane, Departures>,
+}
+
+/// How fast requests of a lane leave while others wait.
+#[derive(Clone, Copy, Debug, Default)]
+struct Departures {
+    last_ms: u64,
+    interval_ms: f64,
+}
+
+/// What became of a pass over the queue.
+#[derive(Clone, Debug, Default)]
+pub struct Pass {
+    /// Waiters that leave, with their upstream.
+    pub sent: Vec<(u64, UpstreamId)>,
+    /// Waiters whose time has passed, with the reason they found no room.
+    pub given_up: Vec<(u64, NoUpstream)>,
+}
+
+impl WaitQueue {
+    /// Number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.waiters.len()
+    }
+
+    /// True if nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiters.is_empty()
+    }
+
+    /// Adds a request.
+    pub fn push(&mut self, waiter: Waiter) {
+        self.waiters.push(waiter);
+    }
+
+    /// Removes a request whose caller left.
+    pub fn remove(&mut self, ticket: u64) {
+        self.waiters.retain(|w| w.ticket != ticket);
+    }
+
+    /// Requests that wait, by lane.
+    pub fn by_lane(&self) -> HashMap<Lane, u32> {
+        let mut counts = HashMap::new();
+        for waiter in &self.waiters {
+            *counts.entry(Lane::of(&waiter.need)).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Requests of a lane that would leave before a new one.
+    pub fn ahead_of(&self, now_ms: u64, lane: &Lane, priority: u8, due_ms: u64) -> usize {
+        let key = order_key(now_ms, priority, due_ms, now_ms);
+        let is_ahead = |w: &&Waiter| {
+            order_key(now_ms, w.priority, w.due_ms, w.arrived_ms) <= key && Lane::of(&w.need) == *lane
+        };
+        self.waiters.iter().filter(is_ahead).count()
+    }
+
+    /// Predicted wait behind some others of a lane.
+    pub fn predicted_wait_ms(&self, lane: &Lane, ahead: usize) -> u64 {
+        let measured = self.departures.get(lane).map(|d| d.interval_ms);
+        let interval_ms = measured.filter(|i| *i > 0.0).unwrap_or(DEFAULT_INTERVAL_MS);
+        ((ahead + 1) as f64 * interval_ms) as u64
+    }
+
+    /// Lets all leave that find room, in order, and gives up on those whose
+    /// time has passed.
+    pub fn pass(
+        &mut self,
+        now_ms: u64,
+        mut choose: impl FnMut(&Waiter) -> Result<UpstreamId, NoUpstream>,
+    ) -> Pass {
+        let mut pass = Pass::default();
+        if self.waiters.is_empty() {
+            return pass;
+        }
+        self.waiters
+            .sort_by_key(|w| order_key(now_ms, w.priority, w.due_ms, w.arrived_ms));
+        let mut full: HashSet<(Lane, bool)> = HashSet::new();
+        let waiters = std::mem::take(&mut self.waiters);
+        for waiter in waiters {
+            let lane = Lane::of(&waiter.need);
+            let has_adapter = waiter.need.weights.as_ref().is_some_and(|w| w.adapter.is_some());
+            // A request that found no room blocks those behind it, so that
+            // large ones are not passed over for ever.
+            let is_blocked = full.contains(&(lane.clone(), has_adapter))
+                || full.contains(&(lane.clone(), false));
+            let found = if is_blocked { Err(NoUpstream::Full) } else { choose(&waiter) };
+            match found {
+                Ok(upstream) => {
+                    self.note_departure(now_ms, lane);
+                    pass.sent.push((waiter.ticket, upstream));
+                }
+                Err(reason) if now_ms >= waiter.give_up_ms || is_hopeless(reason) => {
+                    pass.given_up.push((waiter.ticket, reason));
+                }
+                Err(reason) => {
+                    if reason == NoUpstream::Full {
+                        full.insert((lane, has_adapter));
+                    }
+                    self.waiters.push(waiter);
+                }
+            }
+        }
+        pass
+    }
+
+    fn note_departure(&mut self, now_ms: u64, lane: Lane) {
+        let departures = self.departures.entry(lane).or_default();
+        let interval_ms = now_ms.saturating_sub(departures.last_ms);
+        if departures.last_ms > 0 && interval_ms < MAX_INTERVAL_MS {
+            let sample_ms = (interval_ms as f64).max(1.0);
+            if departures.interval_ms == 0.0 {
+                departures.interval_ms = sample_ms;
+            } else {
+                departures.interval_ms += (sample_ms - departures.interval_ms) * INTERVAL_SMOOTHING;
+            }
+        }
+        departures.last_ms = now_ms;
+    }
+
+    /// Earliest time at which a waiter is given up.
+    pub fn next_give_up_ms(&self) -> Option<u64> {
+        self.waiters.iter().map(|w| w.give_up_ms).min()
+    }
+}
+
+/// Those that can meet their objective first, by urgency, then the others.
+fn order_key(now_ms: u64, priority: u8, due_ms: u64, arrived_ms: u64) -> (bool, u64) {
+    let is_late = now_ms > due_ms;
+    if is_late {
+        (true, arrived_ms)
+    } else {
+        (false, due_ms + u64::from(priority) * PRIORITY_STEP_MS)
+    }
+}
+
+/// True if waiting cannot help.
+fn is_hopeless(reason: NoUpstream) -> bool {
+    matches!(reason, NoUpstream::NoneListed | NoUpstream::AllTried)
+}
+
+/// Time until a request can leave, for the ways in which there is no room.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Outlook {
+    /// Why there is no room now.
+    pub reason: NoUpstream,
+    /// Predicted time until there is.
+    pub wait_ms: u64,
+}
+
+/// What a request that finds no room is to do.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// Wait at the host.
+    Wait,
+    /// Be refused now and come back after some time.
+    Refuse {
+        /// Time to come back.
+        retry_after_ms: u64,
+    },
+}
+
+/// Decides whether a request waits.
+///
+/// It waits if it is likely to leave within `useful_ms`, the time within
+/// which an answer is of use to the caller.
+pub fn admit(waiting: usize, outlook: Outlook, useful_ms: u64, rng: &mut Rng) -> Verdict {
+    let can_wait = waiting < MAX_WAITING && !is_hopeless(outlook.reason);
+    if can_wait && outlook.wait_ms <= useful_ms {
+        return Verdict::Wait;
+    }
+    let retry_after_ms = spread_retry_after(outlook.wait_ms, rng);
+    Verdict::Refuse { retry_after_ms }
+}
+
+/// Time to come back once a backlog has gone, spread over half as much again
+/// so that callers do not return together.
+pub fn spread_retry_after(backlog_ms: u64, rng: &mut Rng) -> u64 {
+    let spread_ms = rng.below((backlog_ms / 2 + MIN_RETRY_AFTER_MS) as usize) as u64;
+    (backlog_ms + spread_ms).clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
+}
--- a/src/edge/body.rs
+++ b/src/edge/body.rs
@@ -1,14 +1,17 @@
 //! Bodies of requests and answers.
 
 use std::fmt;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Channel, Either, Full, LengthLimitError, Limited};
 use hyper::Response;
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use serde::Serialize;
+use tokio_util::sync::{CancellationToken, DropGuard};
 
 /// Why a streamed answer was broken off; ends the connection without a
 /// proper end of the body, so that no caller takes it for whole.
@@ -24,10 +27,48 @@
 impl std::error::Error for Truncated {}
 
 /// Body of an answer: whole, or streamed.
-pub type AnswerBody = Either<Full<Bytes>, Channel<Bytes, Truncated>>;
+pub type AnswerBody = Either<Full<Bytes>, StreamedBody>;
 /// Answer of one of our servers.
 pub type Answer = Response<AnswerBody>;
 
+/// Streamed body; tells its sender when the receiver goes away.
+#[derive(Debug)]
+pub struct StreamedBody {
+    channel: Channel<Bytes, Truncated>,
+    _gone: Option<DropGuard>,
+}
+
+impl StreamedBody {
+    /// Body that cancels `gone` when it is dropped.
+    pub fn new(channel: Channel<Bytes, Truncated>, gone: CancellationToken) -> Self {
+        Self {
+            channel,
+            _gone: Some(gone.drop_guard()),
+        }
+    }
+}
+
+impl From<Channel<Bytes, Truncated>> for StreamedBody {
+    fn from(channel: Channel<Bytes, Truncated>) -> Self {
+        Self {
+            channel,
+            _gone: None,
+        }
+    }
+}
+
+impl Body for StreamedBody {
+    type Data = Bytes;
+    type Error = Truncated;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
+        Pin::new(&mut self.channel).poll_frame(cx)
+    }
+}
+
 /// Why a body could not be read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReadError {
--- a/src/edge/body_reader.rs
+++ b/src/edge/body_reader.rs
@@ -4,25 +4,33 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 
-use super::body::{self, ReadError};
+use super::body;
 use crate::core::outcome::{Reason, Refusal};
-use crate::settings::Settings;
 
 /// Memory for request bodies of all callers together, in bytes.
 pub const BODY_BUDGET_BYTES: usize = 256 * 1024 * 1024;
 /// When to come back if there is no memory for a body, in milliseconds.
 const BUSY_RETRY_MS: u64 = 200;
 
-/// Reader of bodies.
+/// Bounds of one body.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BodyLimits {
+    /// Largest body in bytes.
+    pub max_bytes: usize,
+    /// Longest time for the whole body to arrive.
+    pub timeout: Duration,
+}
+
+/// Reader of bodies, with one budget for all of them.
 #[derive(Debug)]
 pub struct BodyReader {
-    max_body_bytes: usize,
-    body_timeout: Duration,
+    budget_bytes: usize,
     used: Rc<Cell<usize>>,
 }
 
@@ -33,6 +41,21 @@
     bytes: usize,
 }
 
+impl BodyShare {
+    fn grow(&mut self, bytes: usize, budget_bytes: usize) -> Result<(), Refusal> {
+        let used = self.used.get() + bytes;
+        if used > budget_bytes {
+            let message = "no memory for the body now";
+            return Err(
+                Refusal::not_run(Reason::Overloaded, message).retry_after_ms(BUSY_RETRY_MS)
+            );
+        }
+        self.used.set(used);
+        self.bytes += bytes;
+        Ok(())
+    }
+}
+
 impl Drop for BodyShare {
     fn drop(&mut self) {
         self.used.set(self.used.get() - self.bytes);
@@ -40,41 +63,32 @@
 }
 
 impl BodyReader {
-    /// Reader with the limits of the settings.
-    pub fn new(settings: &Settings) -> Self {
+    /// Reader with a budget for all bodies together.
+    pub fn new(budget_bytes: usize) -> Self {
         Self {
-            max_body_bytes: settings.max_body_bytes,
-            body_timeout: settings.body_timeout,
+            budget_bytes,
             used: Rc::default(),
         }
     }
 
     /// Reads a body within its limits; the share is held until it is dropped.
-    pub async fn read(&self, request: Request<Incoming>) -> Result<(Bytes, BodyShare), Refusal> {
-        let max_bytes = self.max_body_bytes;
-        let too_large = || {
-            let message = format!("the body is larger than {max_bytes} bytes");
-            Refusal::not_run(Reason::BodyTooLarge, message)
-        };
+    pub async fn read(
+        &self,
+        request: Request<Incoming>,
+        limits: BodyLimits,
+    ) -> Result<(Bytes, BodyShare), Refusal> {
         let announced = request.headers().get(CONTENT_LENGTH);
         let announced: Option<usize> = announced.and_then(|v| v.to_str().ok()?.parse().ok());
         let mut incoming = request.into_body();
-        let is_announced_larger = announced.is_some_and(|n| n > max_bytes);
-        let reserved = self.reserve(announced.unwrap_or(max_bytes).min(max_bytes));
-        let result = match reserved {
-            _ if is_announced_larger => Err(too_large()),
-            Err(refusal) => Err(refusal),
-            Ok(share) => {
-                let within = self.body_timeout;
-                let read = body::read(&mut incoming, max_bytes, within).await;
-                read.map(|bytes| (bytes, share)).map_err(|e| match e {
-                    ReadError::TooLarge => too_large(),
-                    ReadError::Timeout => {
-                        Refusal::not_run(Reason::BodyTimeout, "the body did not arrive in time")
-                    }
-                    ReadError::Broken => Refusal::not_run(Reason::BadRequest, "the body broke off"),
-                })
-            }
+        let result = if announced.is_some_and(|n| n > limits.max_bytes) {
+            Err(too_large(limits.max_bytes))
+        } else {
+            let reading = self.collect(&mut incoming, announced.unwrap_or(0), limits.max_bytes);
+            let read = compio::time::timeout(limits.timeout, reading).await;
+            read.unwrap_or_else(|_| {
+                let message = "the body did not arrive in time";
+                Err(Refusal::not_run(Reason::BodyTimeout, message))
+            })
         };
         if result.is_err() {
             body::discard(incoming);
@@ -82,18 +96,46 @@
         result
     }
 
-    fn reserve(&self, bytes: usize) -> Result<BodyShare, Refusal> {
-        let used = self.used.get() + bytes;
-        if used > BODY_BUDGET_BYTES {
-            return Err(
-                Refusal::not_run(Reason::Overloaded, "no memory for the body now")
-                    .retry_after_ms(BUSY_RETRY_MS),
-            );
-        }
-        self.used.set(used);
-        Ok(BodyShare {
+    async fn collect(
+        &self,
+        incoming: &mut Incoming,
+        announced_bytes: usize,
+        max_bytes: usize,
+    ) -> Result<(Bytes, BodyShare), Refusal> {
+        let mut share = BodyShare {
             used: Rc::clone(&self.used),
-            bytes,
-        })
+            bytes: 0,
+        };
+        let mut whole = Bytes::new();
+        let mut parts: Option<BytesMut> = None;
+        while let Some(frame) = incoming.frame().await {
+            let broken = |_| Refusal::not_run(Reason::BadRequest, "the body broke off");
+            let data = frame.map_err(broken)?.into_data().unwrap_or_default();
+            share.grow(data.len(), self.budget_bytes)?;
+            if share.bytes > max_bytes {
+                return Err(too_large(max_bytes));
+            }
+            if whole.is_empty() && parts.is_none() {
+                // Most bodies arrive in one piece, which needs no copy.
+                whole = data;
+                continue;
+            }
+            let parts = parts.get_or_insert_with(|| {
+                let mut parts = BytesMut::with_capacity(announced_bytes.max(share.bytes));
+                parts.extend_from_slice(&whole);
+                parts
+            });
+            parts.extend_from_slice(&data);
+        }
+        let body = parts.map_or(whole, BytesMut::freeze);
+        if body.len() < announced_bytes {
+            return Err(Refusal::not_run(Reason::BadRequest, "the body broke off"));
+        }
+        Ok((body, share))
     }
 }
+
+fn too_large(max_bytes: usize) -> Refusal {
+    let message = format!("the body is larger than {max_bytes} bytes");
+    Refusal::not_run(Reason::BodyTooLarge, message)
+}
--- a/src/edge/kv.rs
+++ b/src/edge/kv.rs
@@ -39,6 +39,17 @@
     Refused,
 }
 
+impl KvError {
+    /// Short name for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotSent => "not_reached",
+            Self::Unknown => "no_answer",
+            Self::Refused => "refused",
+        }
+    }
+}
+
 /// Key, value and revisions.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct KeyValue {
--- a/src/edge/server.rs
+++ b/src/edge/server.rs
@@ -25,6 +25,8 @@
 pub const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Largest header block in bytes.
 pub const MAX_HEADER_BYTES: usize = 16 * 1024;
+/// Smallest buffer of a connection that the HTTP library allows, in bytes.
+const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -43,8 +45,32 @@
     socket.listen(LISTEN_BACKLOG).await
 }
 
+/// Bounds of one connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ConnectionLimits {
+    /// Longest time until the head of a request is read, from the end of the
+    /// request before.
+    pub header_timeout: Duration,
+    /// Largest head of a request in bytes.
+    pub header_bytes: usize,
+}
+
+impl Default for ConnectionLimits {
+    fn default() -> Self {
+        Self {
+            header_timeout: HEADER_TIMEOUT,
+            header_bytes: MAX_HEADER_BYTES,
+        }
+    }
+}
+
 /// Answers requests.
 pub trait Handler: 'static {
+    /// Bounds of a connection that begins now.
+    fn limits(&self) -> ConnectionLimits {
+        ConnectionLimits::default()
+    }
+
     /// Answers one request.
     fn handle(&self, request: Request<Incoming>) -> impl Future<Output = Answer>;
 }
@@ -93,14 +119,15 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
+    let limits = handler.limits();
     let service = service_fn(|request| {
         let handler = Rc::clone(&handler);
         async move { Ok::<_, Infallible>(handler.handle(request).await) }
     });
     let connection = http1::Builder::new()
         .timer(CompioTimer)
-        .header_read_timeout(HEADER_TIMEOUT)
-        .max_buf_size(MAX_HEADER_BYTES)
+        .header_read_timeout(limits.header_timeout)
+        .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(HyperStream::new_plain(stream), service)
         .with_upgrades();
     let mut connection = std::pin::pin!(connection);
--- /dev/null
+++ b/src/gateway/acting.rs
@@ -0,0 +1,510 @@
+//! The acting host: sums up what all hosts report, plans copies of models,
+//! and sees to adapters that are asked for.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use tokio_util::sync::CancellationToken;
+
+use super::demand::{ModelCounts, ServiceModel};
+use super::membership::Membership;
+use super::peers::{ActingInbox, PeerMessage, chunk};
+use super::platform::{Order, Platform};
+use super::state::Gateway;
+use crate::core::balance::Weights;
+use crate::core::catalog::EngineSpec;
+use crate::core::copies::{ModelDemand, PlannedEngine, Step, plan};
+use crate::core::engine_book::EngineBook;
+use crate::core::ids::{AdapterId, HostId, ModelId, ServiceId, UpstreamId};
+use crate::core::load::InFlight;
+use crate::kernel::Service;
+
+/// Time between two plans.
+const PLAN_EVERY: Duration = Duration::from_millis(200);
+/// Time after which a host's report does not count any more, in milliseconds.
+const REPORT_EXPIRES_MS: u64 = 2_500;
+/// Time over which refusals are averaged, in milliseconds.
+const REFUSALS_OVER_MS: f64 = 1_500.0;
+/// Time that a refused request would have run, in seconds; turns refusals a
+/// second into batch places.
+const REFUSED_RUN_S: f64 = 2.5;
+/// Loads from the weight store that may be saved up for a burst.
+const SAVED_LOADS: f64 = 3.0;
+/// Fill of a copy's batch above which an adapter is loaded on another copy.
+const ADAPTER_SPREAD_FILL: f64 = 0.7;
+
+/// What one host reported.
+#[derive(Debug, Default)]
+struct HostReport {
+    started_ms: u64,
+    at_ms: u64,
+    in_flight: HashMap<UpstreamId, InFlight>,
+    models: HashMap<ServiceModel, ModelCounts>,
+}
+
+/// Demand for one model over all hosts.
+#[derive(Clone, Copy, Debug, Default)]
+struct ModelTrack {
+    refused_per_s: f64,
+    refused_at_ms: u64,
+    last_asked_ms: u64,
+}
+
+impl ModelTrack {
+    fn decay(&mut self, now_ms: u64) {
+        let passed_ms = now_ms.saturating_sub(self.refused_at_ms) as f64;
+        self.refused_per_s *= (-passed_ms / REFUSALS_OVER_MS).exp();
+        self.refused_at_ms = now_ms;
+    }
+
+    fn on_refused(&mut self, now_ms: u64, count: u32) {
+        self.decay(now_ms);
+        self.refused_per_s += f64::from(count) * 1000.0 / REFUSALS_OVER_MS;
+    }
+}
+
+/// State of the acting host.
+#[derive(Debug, Default)]
+pub struct ActingState {
+    hosts: HashMap<HostId, HostReport>,
+    tracks: HashMap<ServiceModel, ModelTrack>,
+    asked_adapters: HashMap<(ModelId, AdapterId), u64>,
+    /// Engines by name.
+    pub engines: BTreeMap<UpstreamId, EngineBook>,
+    store_loads: f64,
+    store_loads_at_ms: u64,
+    term: u64,
+}
+
+impl ActingState {
+    /// Time at which an adapter was asked for last.
+    pub fn asked_ms(&self, model: &ModelId, adapter: &AdapterId) -> u64 {
+        let key = (model.clone(), adapter.clone());
+        self.asked_adapters.get(&key).copied().unwrap_or(0)
+    }
+
+    fn totals(&self, now_ms: u64) -> HashMap<UpstreamId, InFlight> {
+        let mut totals: HashMap<UpstreamId, InFlight> = HashMap::new();
+        let fresh = self
+            .hosts
+            .values()
+            .filter(|h| now_ms < h.at_ms + REPORT_EXPIRES_MS);
+        for (id, load) in fresh.flat_map(|h| &h.in_flight) {
+            let total = totals.entry(id.clone()).or_default();
+            *total = total.plus(*load);
+        }
+        totals
+    }
+
+    /// Demand for the models of a service.
+    fn demand(&mut self, now_ms: u64, service: &ServiceId) -> BTreeMap<ModelId, ModelDemand> {
+        let mut demand: BTreeMap<ModelId, ModelDemand> = BTreeMap::new();
+        for ((of, model), track) in &mut self.tracks {
+            if of == service {
+                track.decay(now_ms);
+                let entry = demand.entry(model.clone()).or_default();
+                entry.last_asked_ms = track.last_asked_ms;
+                entry.offered = track.refused_per_s * REFUSED_RUN_S;
+            }
+        }
+        let fresh = self
+            .hosts
+            .values()
+            .filter(|h| now_ms < h.at_ms + REPORT_EXPIRES_MS);
+        for ((of, model), counts) in fresh.flat_map(|h| &h.models) {
+            if of == service {
+                let entry = demand.entry(model.clone()).or_default();
+                entry.offered += f64::from(counts.running + counts.waiting);
+            }
+        }
+        demand
+    }
+
+    fn refill_store_loads(&mut self, now_ms: u64, per_s: f64) {
+        let passed_s = now_ms.saturating_sub(self.store_loads_at_ms) as f64 / 1000.0;
+        self.store_loads_at_ms = now_ms;
+        self.store_loads = (self.store_loads + passed_s * per_s).min(SAVED_LOADS);
+    }
+
+    /// Takes a load from the weight store's budget.
+    pub fn take_store_load(&mut self) {
+        self.store_loads -= 1.0;
+    }
+}
+
+/// Service that acts for the fleet while this host's term lasts.
+#[derive(Debug)]
+pub struct Acting<P: Platform> {
+    /// Shared state of the host.
+    pub gateway: Rc<Gateway<P>>,
+    /// Knows whether this host acts.
+    pub membership: Rc<Membership<P>>,
+    /// What the acting host knows.
+    pub state: RefCell<ActingState>,
+    /// Orders that wait for each engine.
+    pub orders: RefCell<HashMap<UpstreamId, super::orders::OrderQueue>>,
+}
+
+impl<P: Platform> Acting<P> {
+    /// Service over the shared state.
+    pub fn new(gateway: Rc<Gateway<P>>, membership: Rc<Membership<P>>) -> Self {
+        Self {
+            gateway,
+            membership,
+            state: RefCell::default(),
+            orders: RefCell::default(),
+        }
+    }
+
+    /// Engine specification of an upstream's service.
+    pub fn spec_of(&self, id: &UpstreamId) -> Option<EngineSpec> {
+        let catalog = self.gateway.catalog()?;
+        let registry = self.gateway.registry.borrow();
+        let entry = registry.get(id.as_str())?;
+        catalog.services.get(&entry.service)?.engine.clone()
+    }
+
+    /// Brings the books in line with the listings.
+    fn reconcile(&self, term: u64) {
+        let now_ms = self.gateway.now_ms();
+        let registry = self.gateway.registry.borrow();
+        let mut state = self.state.borrow_mut();
+        if state.term != term {
+            // What another host ordered lately is not known; loads begin anew.
+            state.term = term;
+            state.engines.clear();
+            state.store_loads = 0.0;
+            state.store_loads_at_ms = now_ms;
+        }
+        state.engines.retain(|id, _| registry.get(id.as_str()).is_some());
+        for entry in registry.entries() {
+            match state.engines.get_mut(&entry.id) {
+                Some(book) => {
+                    book.reconcile(entry, now_ms);
+                }
+                None => {
+                    state.engines.insert(entry.id.clone(), EngineBook::new(entry));
+                }
+            }
+        }
+    }
+
+    fn act(self: &Rc<Self>, term: u64) {
+        self.reconcile(term);
+        let Some(catalog) = self.gateway.catalog() else {
+            return;
+        };
+        for (service, spec) in catalog.engines() {
+            let steps = self.plan(service, spec);
+            for step in steps {
+                self.carry_out(service, spec, step);
+            }
+        }
+    }
+
+    fn plan(&self, service: &ServiceId, spec: &EngineSpec) -> Vec<Step> {
+        let now_ms = self.gateway.now_ms();
+        let mut state = self.state.borrow_mut();
+        state.refill_store_loads(now_ms, spec.store_loads_per_s);
+        let totals = state.totals(now_ms);
+        let demand = state.demand(now_ms, service);
+        let registry = self.gateway.registry.borrow();
+        let loads = self.gateway.loads.borrow();
+        let orders = self.orders.borrow();
+        let mut engines = Vec::new();
+        for entry in registry.of_service(service) {
+            let Some(book) = state.engines.get(&entry.id) else {
+                continue;
+            };
+            let is_failing = loads
+                .get(entry.id.as_str())
+                .is_some_and(|l| l.is_ejected(now_ms) || l.is_silent(now_ms));
+            let has_orders = orders.get(&entry.id).is_some_and(|q| q.has_model_orders());
+            let is_settled = book.loading.is_none() && book.unloading.is_none();
+            let takes_orders = !entry.is_draining
+                && !is_failing
+                && !has_orders
+                && is_settled
+                && now_ms >= book.blocked_until_ms;
+            engines.push(PlannedEngine {
+                id: entry.id.clone(),
+                batch: entry.slots,
+                in_flight: totals.get(&entry.id).map_or(0, |t| t.requests),
+                takes_orders,
+                is_serving: !entry.is_draining && !is_failing,
+                holds: book.planned_holdings(),
+                loading: book.loading.as_ref().map(|(m, _)| m.clone()),
+                in_memory: entry.in_memory.clone(),
+                on_disk: entry.on_disk.clone(),
+            });
+        }
+        let store_loads = state.store_loads.max(0.0) as u32;
+        plan(now_ms, spec, &engines, &demand, store_loads)
+    }
+
+    fn carry_out(self: &Rc<Self>, service: &ServiceId, spec: &EngineSpec, step: Step) {
+        match step {
+            Step::Load {
+                upstream,
+                model,
+                is_from_store,
+            } => {
+                if is_from_store {
+                    self.state.borrow_mut().take_store_load();
+                }
+                tracing::info!(event = "plan", step = "load", upstream = %upstream, model = %model, is_from_store);
+                self.announce_loading(service, spec, &upstream, &model);
+                self.enqueue(upstream, Order::LoadModel(model));
+            }
+            Step::Unload { upstream, model } => {
+                tracing::info!(event = "plan", step = "unload", upstream = %upstream, model = %model);
+                self.enqueue(upstream, Order::UnloadModel(model));
+            }
+        }
+    }
+
+    fn announce_loading(
+        &self,
+        service: &ServiceId,
+        spec: &EngineSpec,
+        upstream: &UpstreamId,
+        model: &ModelId,
+    ) {
+        let ready_in_ms = self.load_time(spec, upstream, model).as_millis() as u64;
+        let term = self.state.borrow().term;
+        let message = PeerMessage::Loading {
+            term,
+            service: service.clone(),
+            model: model.clone(),
+            ready_in_ms,
+        };
+        self.broadcast(&message);
+        let gateway = &self.gateway;
+        gateway.take_loading(service.clone(), model.clone(), ready_in_ms);
+    }
+
+    /// Time of a load at an engine, by where its weights lie.
+    pub fn load_time(&self, spec: &EngineSpec, upstream: &UpstreamId, model: &ModelId) -> Duration {
+        let registry = self.gateway.registry.borrow();
+        let entry = registry.get(upstream.as_str());
+        let Some(size) = spec.models.get(model) else {
+            return Duration::ZERO;
+        };
+        if entry.is_some_and(|e| e.in_memory.contains(model)) {
+            size.memory_load
+        } else if entry.is_some_and(|e| e.on_disk.contains(model)) {
+            size.disk_load
+        } else {
+            size.store_load
+        }
+    }
+
+    /// Sends a message to all other hosts.
+    pub fn broadcast(&self, message: &PeerMessage) {
+        let gateway = &self.gateway;
+        let own = gateway.settings().host.clone();
+        let peers = gateway.peers.borrow();
+        for (host, peer) in peers.iter() {
+            if *host != own {
+                gateway.send_peer(peer.addr, message);
+            }
+        }
+    }
+
+    /// Tells all hosts what an engine holds.
+    pub fn broadcast_holdings(&self, upstream: &UpstreamId) {
+        let state = self.state.borrow();
+        let Some(book) = state.engines.get(upstream) else {
+            return;
+        };
+        let message = PeerMessage::Holdings {
+            term: state.term,
+            upstream: upstream.clone(),
+            started_ms: book.started_ms,
+            orders_accepted: book.orders_accepted,
+            holds: book.holds.clone(),
+        };
+        self.broadcast(&message);
+        let (started_ms, accepted) = (book.started_ms, book.orders_accepted);
+        self.gateway
+            .take_holdings(upstream, started_ms, accepted, &book.holds);
+    }
+
+    /// Tells each host what all others have in flight.
+    fn send_digests(&self, term: u64) {
+        let gateway = &self.gateway;
+        let now_ms = gateway.now_ms();
+        let own = gateway.settings().host.clone();
+        let state = self.state.borrow();
+        let totals = state.totals(now_ms);
+        let peers = gateway.peers.borrow();
+        for (host, peer) in peers.iter() {
+            let reported = state.hosts.get(host);
+            let others: Vec<(UpstreamId, InFlight)> = totals
+                .iter()
+                .map(|(id, total)| {
+                    let mine = reported.and_then(|r| r.in_flight.get(id).copied());
+                    (id.clone(), total.minus(mine.unwrap_or_default()))
+                })
+                .collect();
+            if *host == own {
+                let mut loads = gateway.loads.borrow_mut();
+                for (id, others) in &others {
+                    loads.set_others(now_ms, id, *others);
+                }
+                continue;
+            }
+            for part in 0..others.len().div_ceil(super::peers::ITEMS_PER_DATAGRAM) {
+                let others = chunk(&others, part);
+                gateway.send_peer(peer.addr, &PeerMessage::Digest { term, others });
+            }
+        }
+    }
+
+    /// Loads an adapter on the copy of its model with most room.
+    fn want_adapter(self: &Rc<Self>, service: &ServiceId, model: &ModelId, adapter: &AdapterId) {
+        let now_ms = self.gateway.now_ms();
+        let registry = self.gateway.registry.borrow();
+        let state = self.state.borrow();
+        let totals = state.totals(now_ms);
+        let fill = |id: &UpstreamId, slots: u32| {
+            let requests = totals.get(id).map_or(0, |t| t.requests);
+            f64::from(requests) / f64::from(slots.max(1))
+        };
+        let mut has_room_already = false;
+        let mut best: Option<(f64, UpstreamId)> = None;
+        for entry in registry.of_service(service).filter(|e| !e.is_draining) {
+            let Some(book) = state.engines.get(&entry.id) else {
+                continue;
+            };
+            let Some(adapters) = book.holds.get(model) else {
+                continue;
+            };
+            let fill = fill(&entry.id, entry.slots);
+            let key = (model.clone(), adapter.clone());
+            if book.coming.contains_key(&key) {
+                return;
+            }
+            if adapters.contains(adapter) {
+                has_room_already |= fill < ADAPTER_SPREAD_FILL;
+                continue;
+            }
+            let crowding = book.adapters_charged() as f64 / 100.0;
+            if best.as_ref().is_none_or(|(least, _)| fill + crowding < *least) {
+                best = Some((fill + crowding, entry.id.clone()));
+            }
+        }
+        drop(state);
+        drop(registry);
+        if has_room_already {
+            return;
+        }
+        if let Some((_, upstream)) = best {
+            self.enqueue(upstream, Order::LoadAdapter(model.clone(), adapter.clone()));
+        }
+    }
+}
+
+impl<P: Platform> ActingInbox for Rc<Acting<P>> {
+    fn on_report(
+        &self,
+        host: &HostId,
+        started_ms: u64,
+        in_flight: &[(UpstreamId, InFlight)],
+        models: &[(ServiceId, ModelId, ModelCounts)],
+        adapters: &[(ServiceId, ModelId, AdapterId)],
+    ) {
+        let now_ms = self.gateway.now_ms();
+        let mut guard = self.state.borrow_mut();
+        let state = &mut *guard;
+        let report = state.hosts.entry(host.clone()).or_default();
+        if report.started_ms != started_ms {
+            *report = HostReport {
+                started_ms,
+                ..HostReport::default()
+            };
+        }
+        report.at_ms = now_ms;
+        for (id, load) in in_flight {
+            if load.is_empty() {
+                report.in_flight.remove(id);
+            } else {
+                report.in_flight.insert(id.clone(), *load);
+            }
+        }
+        for (service, model, counts) in models {
+            let key = (service.clone(), model.clone());
+            let old = report.models.insert(key.clone(), *counts);
+            let old = old.unwrap_or_default();
+            let track = state.tracks.entry(key).or_default();
+            if counts.asked > old.asked {
+                track.last_asked_ms = now_ms;
+            }
+            if counts.refused > old.refused {
+                track.on_refused(now_ms, counts.refused - old.refused);
+            }
+        }
+        for (_, model, adapter) in adapters {
+            state
+                .asked_adapters
+                .insert((model.clone(), adapter.clone()), now_ms);
+        }
+    }
+
+    fn on_want(&self, service: &ServiceId, weights: &Weights) {
+        let now_ms = self.gateway.now_ms();
+        let Some(term) = self.membership.acting_term() else {
+            return;
+        };
+        {
+            let mut state = self.state.borrow_mut();
+            let key = (service.clone(), weights.model.clone());
+            state.tracks.entry(key).or_default().last_asked_ms = now_ms;
+            if let Some(adapter) = &weights.adapter {
+                let key = (weights.model.clone(), adapter.clone());
+                state.asked_adapters.insert(key, now_ms);
+            }
+        }
+        let has_copy = {
+            let state = self.state.borrow();
+            let mut books = state.engines.values();
+            books.any(|b| b.holds.contains_key(&weights.model))
+        };
+        if !has_copy {
+            self.act(term);
+        } else if let Some(adapter) = &weights.adapter {
+            self.want_adapter(service, &weights.model, adapter);
+        }
+    }
+}
+
+impl<P: Platform> Service for Acting<P> {
+    const NAME: &'static str = "gateway-acting";
+
+    async fn run(self: Rc<Self>, cancel: CancellationToken) {
+        let mut digests_at_ms = 0;
+        loop {
+            futures_util::select_biased! {
+                () = cancel.cancelled().fuse() => return,
+                () = compio::time::sleep(PLAN_EVERY).fuse() => {}
+            }
+            self.gateway.pool.sweep();
+            let now_ms = self.gateway.now_ms();
+            for change in self.gateway.registry.borrow_mut().expire_lapsed(now_ms) {
+                self.gateway.on_registry_change(&change, 0);
+            }
+            let Some(term) = self.membership.acting_term() else {
+                continue;
+            };
+            self.act(term);
+            let every_ms = super::peers::report_every(self.gateway.host_count()).as_millis();
+            if now_ms >= digests_at_ms {
+                digests_at_ms = now_ms + every_ms as u64;
+                self.send_digests(term);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/demand.rs
@@ -0,0 +1,71 @@
+//! What callers asked this host for, by model and adapter.
+//!
+//! Counters only grow, so that a report that is lost costs nothing but time.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::balance::Weights;
+use crate::core::ids::{AdapterId, ModelId, ServiceId};
+
+/// Model of a service.
+pub type ServiceModel = (ServiceId, ModelId);
+
+/// Demand for one model at one host.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ModelCounts {
+    /// Requests that arrived since the start of the process.
+    #[serde(rename = "a")]
+    pub asked: u32,
+    /// Requests that were refused since the start of the process.
+    #[serde(rename = "f")]
+    pub refused: u32,
+    /// Requests that run.
+    #[serde(rename = "r")]
+    pub running: u32,
+    /// Requests that wait.
+    #[serde(rename = "w")]
+    pub waiting: u32,
+}
+
+/// Counters of one host.
+#[derive(Clone, Debug, Default)]
+pub struct DemandBook {
+    models: BTreeMap<ServiceModel, ModelCounts>,
+    asked_adapters: BTreeMap<(ServiceModel, AdapterId), u64>,
+}
+
+impl DemandBook {
+    /// Counts an arrival.
+    pub fn on_asked(&mut self, now_ms: u64, service: &ServiceId, weights: &Weights) {
+        let key = (service.clone(), weights.model.clone());
+        self.models.entry(key.clone()).or_default().asked += 1;
+        if let Some(adapter) = &weights.adapter {
+            self.asked_adapters.insert((key, adapter.clone()), now_ms);
+        }
+    }
+
+    /// Changes the counts of a model.
+    pub fn update(
+        &mut self,
+        service: &ServiceId,
+        weights: &Weights,
+        change: impl FnOnce(&mut ModelCounts),
+    ) {
+        let key = (service.clone(), weights.model.clone());
+        change(self.models.entry(key).or_default());
+    }
+
+    /// Counts of all models that were ever asked for.
+    pub fn models(&self) -> impl Iterator<Item = (&ServiceModel, &ModelCounts)> {
+        self.models.iter()
+    }
+
+    /// Takes the adapters that were asked for since the last call.
+    pub fn take_asked_adapters(&mut self) -> Vec<(ServiceModel, AdapterId)> {
+        std::mem::take(&mut self.asked_adapters)
+            .into_keys()
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/gateway/orders.rs
@@ -0,0 +1,474 @@
+//! Carries out orders to engines, one after another at each.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::acting::Acting;
+use super::metrics::KindLabel;
+use super::platform::{Authority, EngineControl, EngineReport, Order, OrderReply, Platform};
+use crate::core::engine_book::EngineBook;
+use crate::core::ids::{AdapterId, ModelId, UpstreamId};
+
+/// Orders that wait for one engine at most.
+const MAX_QUEUED: usize = 64;
+/// Time of an adapter's load assumed for each MB, in microseconds.
+const ADAPTER_US_PER_MB: u64 = 300;
+/// Time of an adapter's load beside its size.
+const ADAPTER_BASE: Duration = Duration::from_millis(4);
+/// Pause between two looks at an engine that is busy.
+const BUSY_POLL: Duration = Duration::from_millis(200);
+/// Looks at an engine after which an order under way is given up.
+const MAX_POLLS: u32 = 40;
+/// Time for which an engine gets no further order for a model after one
+/// failed, in milliseconds.
+const BLOCK_MS: u64 = 1_000;
+/// Times that an order is sent.
+const MAX_SENDS: u32 = 3;
+
+/// Orders that wait for one engine.
+#[derive(Debug, Default)]
+pub struct OrderQueue {
+    orders: VecDeque<Order>,
+    current: Option<Order>,
+}
+
+impl OrderQueue {
+    /// True if an order for a model waits or is being sent.
+    pub fn has_model_orders(&self) -> bool {
+        let is_model = |o: &Order| matches!(o, Order::LoadModel(_) | Order::UnloadModel(_));
+        self.current.iter().chain(&self.orders).any(is_model)
+    }
+}
+
+impl<P: Platform> Acting<P> {
+    /// Adds an order for an engine and sees that it is carried out.
+    pub fn enqueue(self: &Rc<Self>, upstream: UpstreamId, order: Order) {
+        let mut orders = self.orders.borrow_mut();
+        let queue = orders.entry(upstream.clone()).or_default();
+        let is_known = queue.orders.contains(&order) || queue.current.as_ref() == Some(&order);
+        if is_known || queue.orders.len() >= MAX_QUEUED {
+            return;
+        }
+        queue.orders.push_back(order);
+        if queue.current.is_some() {
+            return;
+        }
+        queue.current = queue.orders.pop_front();
+        drop(orders);
+        let acting = Rc::clone(self);
+        compio::runtime::spawn(async move { acting.work_off(upstream).await }).detach();
+    }
+
+    async fn work_off(self: Rc<Self>, upstream: UpstreamId) {
+        loop {
+            let current = {
+                let orders = self.orders.borrow();
+                orders.get(&upstream).and_then(|q| q.current.clone())
+            };
+            let Some(order) = current else {
+                return;
+            };
+            self.carry_out_order(&upstream, &order).await;
+            let mut orders = self.orders.borrow_mut();
+            if let Some(queue) = orders.get_mut(&upstream) {
+                queue.current = queue.orders.pop_front();
+                if queue.current.is_none() {
+                    orders.remove(&upstream);
+                    return;
+                }
+            }
+        }
+    }
+
+    async fn carry_out_order(self: &Rc<Self>, upstream: &UpstreamId, order: &Order) {
+        match order {
+            Order::LoadModel(model) => self.load_model(upstream, model).await,
+            Order::UnloadModel(model) => self.unload_model(upstream, model).await,
+            Order::LoadAdapter(model, adapter) => {
+                self.load_adapter(upstream, model, adapter).await;
+            }
+            Order::UnloadAdapter(model, adapter) => {
+                self.unload_adapter(upstream, model, adapter).await;
+            }
+        }
+    }
+
+    fn with_book<T>(
+        &self,
+        upstream: &UpstreamId,
+        act: impl FnOnce(&mut EngineBook) -> T,
+    ) -> Option<T> {
+        let mut state = self.state.borrow_mut();
+        state.engines.get_mut(upstream).map(act)
+    }
+
+    async fn load_model(self: &Rc<Self>, upstream: &UpstreamId, model: &ModelId) {
+        let Some(spec) = self.spec_of(upstream) else {
+            return;
+        };
+        let fits = self.with_book(upstream, |b| b.fits_model(&spec, model));
+        if fits != Some(true) {
+            tracing::info!(event = "order", upstream = %upstream, order = %model, reply = "no_room");
+            return;
+        }
+        let load_ms = self.load_time(&spec, upstream, model).as_millis() as u64;
+        let ready_ms = self.gateway.now_ms() + load_ms;
+        self.with_book(upstream, |b| b.loading = Some((model.clone(), ready_ms)));
+        let order = Order::LoadModel(model.clone());
+        let reply = self.send_order(upstream, &order).await;
+        match reply {
+            OrderReply::Accepted | OrderReply::Holds => {
+                let acting = Rc::clone(self);
+                let upstream = upstream.clone();
+                let model = model.clone();
+                let wait = Duration::from_millis(load_ms);
+                compio::runtime::spawn(async move {
+                    acting.await_model(&upstream, &model, wait).await;
+                })
+                .detach();
+            }
+            OrderReply::Unknown => self.settle_unknown(upstream).await,
+            _ => {
+                self.with_book(upstream, |b| b.loading = None);
+                self.block(upstream);
+            }
+        }
+    }
+
+    /// Waits until a model that is being loaded serves.
+    async fn await_model(self: &Rc<Self>, upstream: &UpstreamId, model: &ModelId, wait: Duration) {
+        compio::time::sleep(wait).await;
+        for _ in 0..MAX_POLLS {
+            let Some(addr) = self.addr_of(upstream) else {
+                return;
+            };
+            if let Some(report) = self.gateway.platform.report(addr).await {
+                let is_same = self.with_book(upstream, |b| b.started_ms == report.started_ms);
+                if is_same != Some(true) {
+                    return;
+                }
+                if report.holds.contains_key(model) || !report.is_busy {
+                    self.adopt(upstream, &report);
+                    return;
+                }
+            }
+            compio::time::sleep(BUSY_POLL).await;
+        }
+        self.with_book(upstream, |b| b.loading = None);
+        self.block(upstream);
+    }
+
+    /// Takes in a report once no order for a model is under way.
+    fn adopt(&self, upstream: &UpstreamId, report: &EngineReport) {
+        let now_ms = self.gateway.now_ms();
+        self.with_book(upstream, |book| {
+            book.loading = None;
+            book.unloading = None;
+            book.last_order_ms = now_ms;
+            let is_newer = report.orders_accepted > book.orders_accepted;
+            book.orders_accepted = book.orders_accepted.max(report.orders_accepted);
+            for (model, adapters) in &report.holds {
+                let held = book.holds.entry(model.clone()).or_default();
+                if is_newer {
+                    held.clone_from(adapters);
+                }
+            }
+            book.holds.retain(|m, _| report.holds.contains_key(m));
+        });
+        self.broadcast_holdings(upstream);
+    }
+
+    async fn unload_model(self: &Rc<Self>, upstream: &UpstreamId, model: &ModelId) {
+        let is_held = self.with_book(upstream, |book| {
+            let is_held = book.holds.remove(model).is_some();
+            if is_held {
+                book.unloading = Some(model.clone());
+            }
+            is_held
+        });
+        if is_held != Some(true) {
+            return;
+        }
+        // Hosts stop to send requests for it before it goes.
+        self.broadcast_holdings(upstream);
+        let order = Order::UnloadModel(model.clone());
+        match self.send_order(upstream, &order).await {
+            OrderReply::Accepted | OrderReply::Holds => self.await_idle(upstream).await,
+            OrderReply::Unknown => self.settle_unknown(upstream).await,
+            _ => {
+                self.with_book(upstream, |book| {
+                    book.unloading = None;
+                    book.holds.entry(model.clone()).or_default();
+                });
+                self.broadcast_holdings(upstream);
+                self.block(upstream);
+            }
+        }
+    }
+
+    /// Waits until an engine is not busy, and takes in what it holds.
+    async fn await_idle(self: &Rc<Self>, upstream: &UpstreamId) {
+        for _ in 0..MAX_POLLS {
+            compio::time::sleep(BUSY_POLL).await;
+            let Some(addr) = self.addr_of(upstream) else {
+                return;
+            };
+            if let Some(report) = self.gateway.platform.report(addr).await {
+                let accepted = self.with_book(upstream, |b| b.orders_accepted);
+                let is_recent = accepted.is_some_and(|n| report.orders_accepted >= n);
+                if is_recent && !report.is_busy {
+                    self.adopt(upstream, &report);
+                    return;
+                }
+            }
+        }
+        self.with_book(upstream, |b| b.unloading = None);
+        self.block(upstream);
+    }
+
+    /// Finds out what became of an order without an answer.
+    async fn settle_unknown(self: &Rc<Self>, upstream: &UpstreamId) {
+        self.await_idle(upstream).await;
+    }
+
+    async fn load_adapter(
+        self: &Rc<Self>,
+        upstream: &UpstreamId,
+        model: &ModelId,
+        adapter: &AdapterId,
+    ) {
+        let Some(spec) = self.spec_of(upstream) else {
+            return;
+        };
+        let is_needed = self.with_book(upstream, |book| {
+            let held = book.holds.get(model);
+            held.is_some_and(|adapters| !adapters.contains(adapter))
+        });
+        if is_needed != Some(true) {
+            return;
+        }
+        let mut evictions = 0;
+        while self.with_book(upstream, |b| b.fits_adapter(&spec, model)) == Some(false) {
+            let victim = {
+                let state = self.state.borrow();
+                let book = state.engines.get(upstream);
+                book.and_then(|b| b.adapter_to_evict(|m, a| state.asked_ms(m, a)))
+            };
+            let Some((m, a)) = victim else {
+                return;
+            };
+            evictions += 1;
+            if evictions > 2 || !self.unload_adapter(upstream, &m, &a).await {
+                return;
+            }
+        }
+        let key = (model.clone(), adapter.clone());
+        let now_ms = self.gateway.now_ms();
+        self.with_book(upstream, |b| b.coming.insert(key.clone(), now_ms));
+        let order = Order::LoadAdapter(model.clone(), adapter.clone());
+        let reply = self.send_order(upstream, &order).await;
+        match reply {
+            OrderReply::Accepted => {
+                let size_mb = spec.models.get(model).map_or(0, |s| s.adapter_mb);
+                let load = ADAPTER_BASE + Duration::from_micros(size_mb * ADAPTER_US_PER_MB);
+                let acting = Rc::clone(self);
+                let upstream = upstream.clone();
+                compio::runtime::spawn(async move {
+                    compio::time::sleep(load).await;
+                    acting.adapter_ready(&upstream, &key);
+                })
+                .detach();
+            }
+            OrderReply::Holds => self.adapter_ready(upstream, &key),
+            OrderReply::Unknown => {
+                // It stays charged until the next report.
+                self.settle_unknown(upstream).await;
+                self.with_book(upstream, |b| b.coming.remove(&key));
+            }
+            _ => {
+                self.with_book(upstream, |b| b.coming.remove(&key));
+            }
+        }
+    }
+
+    fn adapter_ready(&self, upstream: &UpstreamId, key: &(ModelId, AdapterId)) {
+        self.with_book(upstream, |book| {
+            if book.coming.remove(key).is_some()
+                && let Some(adapters) = book.holds.get_mut(&key.0)
+            {
+                adapters.insert(key.1.clone());
+            }
+        });
+        self.broadcast_holdings(upstream);
+    }
+
+    /// Unloads an adapter; false if that failed.
+    async fn unload_adapter(
+        self: &Rc<Self>,
+        upstream: &UpstreamId,
+        model: &ModelId,
+        adapter: &AdapterId,
+    ) -> bool {
+        let key = (model.clone(), adapter.clone());
+        let now_ms = self.gateway.now_ms();
+        let is_held = self.with_book(upstream, |book| {
+            let is_held = book.holds.get_mut(model).is_some_and(|a| a.remove(adapter));
+            if is_held {
+                book.leaving.insert(key.clone(), now_ms);
+            }
+            is_held
+        });
+        if is_held != Some(true) {
+            return false;
+        }
+        self.broadcast_holdings(upstream);
+        let order = Order::UnloadAdapter(model.clone(), adapter.clone());
+        let reply = self.send_order(upstream, &order).await;
+        let is_gone = match reply {
+            OrderReply::Holds => true,
+            OrderReply::Accepted => {
+                self.await_adapter_gone(upstream, model, adapter).await
+            }
+            OrderReply::Unknown => {
+                self.settle_unknown(upstream).await;
+                false
+            }
+            _ => false,
+        };
+        self.with_book(upstream, |book| {
+            book.leaving.remove(&key);
+            if !is_gone && let Some(adapters) = book.holds.get_mut(model) {
+                adapters.insert(adapter.clone());
+            }
+        });
+        if !is_gone {
+            self.broadcast_holdings(upstream);
+        }
+        is_gone
+    }
+
+    async fn await_adapter_gone(
+        &self,
+        upstream: &UpstreamId,
+        model: &ModelId,
+        adapter: &AdapterId,
+    ) -> bool {
+        for _ in 0..MAX_POLLS {
+            compio::time::sleep(BUSY_POLL).await;
+            let Some(addr) = self.addr_of(upstream) else {
+                return false;
+            };
+            let Some(report) = self.gateway.platform.report(addr).await else {
+                continue;
+            };
+            let held = report.holds.get(model);
+            if !held.is_some_and(|a| a.contains(adapter)) {
+                return true;
+            }
+        }
+        false
+    }
+
+    fn addr_of(&self, upstream: &UpstreamId) -> Option<SocketAddr> {
+        let registry = self.gateway.registry.borrow();
+        registry.get(upstream.as_str()).map(|e| e.addr)
+    }
+
+    fn block(&self, upstream: &UpstreamId) {
+        let until_ms = self.gateway.now_ms() + BLOCK_MS;
+        self.with_book(upstream, |b| b.blocked_until_ms = until_ms);
+    }
+
+    /// Sends an order, and again with the right count of orders if the engine
+    /// has accepted more or fewer than known.
+    async fn send_order(self: &Rc<Self>, upstream: &UpstreamId, order: &Order) -> OrderReply {
+        let mut reply = OrderReply::NotSent;
+        for _ in 0..MAX_SENDS {
+            let Some(addr) = self.addr_of(upstream) else {
+                return OrderReply::NotSent;
+            };
+            let Some(fence) = self.membership.acting_term() else {
+                return OrderReply::NotSent;
+            };
+            let after_orders = self.with_book(upstream, |b| b.orders_accepted);
+            let authority = Authority {
+                holder: self.gateway.settings().host.as_str().to_owned(),
+                fence,
+                after_orders: after_orders.unwrap_or(0),
+            };
+            let platform = &self.gateway.platform;
+            reply = platform.order(addr, upstream, order, &authority).await;
+            self.note_order(upstream, order, &authority, reply);
+            match reply {
+                OrderReply::Conflict => {
+                    if !self.learn_count(upstream, addr).await {
+                        return reply;
+                    }
+                }
+                OrderReply::Unknown => {}
+                _ => return reply,
+            }
+        }
+        reply
+    }
+
+    fn note_order(
+        &self,
+        upstream: &UpstreamId,
+        order: &Order,
+        authority: &Authority,
+        reply: OrderReply,
+    ) {
+        let now_ms = self.gateway.now_ms();
+        self.with_book(upstream, |book| {
+            book.last_order_ms = now_ms;
+            let is_immediate = matches!(order, Order::UnloadAdapter(..));
+            if reply == OrderReply::Accepted || (reply == OrderReply::Holds && is_immediate) {
+                book.orders_accepted += 1;
+            }
+        });
+        if reply == OrderReply::Fenced {
+            self.membership.step_down("fenced");
+        }
+        let kind = match order {
+            Order::LoadModel(_) => "load_model",
+            Order::UnloadModel(_) => "unload_model",
+            Order::LoadAdapter(..) => "load_adapter",
+            Order::UnloadAdapter(..) => "unload_adapter",
+        };
+        let orders = &self.gateway.metrics.orders;
+        orders.get_or_create(&KindLabel { kind }).inc();
+        tracing::info!(
+            event = "order",
+            upstream = %upstream,
+            order = %order,
+            fence = authority.fence,
+            after_orders = authority.after_orders,
+            reply = ?reply,
+        );
+    }
+
+    /// Learns how many orders an engine has accepted; false if the count was
+    /// right, so that it refuses for another reason.
+    async fn learn_count(&self, upstream: &UpstreamId, addr: SocketAddr) -> bool {
+        let Some(report) = self.gateway.platform.report(addr).await else {
+            return false;
+        };
+        let learnt = self.with_book(upstream, |book| {
+            let is_new = report.orders_accepted != book.orders_accepted;
+            if is_new && report.started_ms == book.started_ms {
+                book.orders_accepted = report.orders_accepted;
+            }
+            is_new
+        });
+        tracing::info!(
+            event = "order_count",
+            upstream = %upstream,
+            reported = report.orders_accepted,
+            is_busy = report.is_busy,
+        );
+        learnt == Some(true)
+    }
+}
--- /dev/null
+++ b/src/gateway/peers.rs
@@ -0,0 +1,448 @@
+//! Traffic between hosts: small datagrams of CBOR.
+//!
+//! Each host tells the acting host what it has in flight and what callers
+//! asked for; the acting host tells each host what all others have in flight
+//! and what engines hold after its orders. Everything is a statement that a
+//! newer one replaces, so that a lost datagram costs time and nothing else.
+//! That is why these are datagrams and no links that would have to be kept
+//! and watched.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::BufResult;
+use compio::net::UdpSocket;
+use futures_util::FutureExt;
+use serde::{Deserialize, Serialize};
+use tokio_util::sync::CancellationToken;
+
+use super::demand::ModelCounts;
+use super::platform::Platform;
+use super::state::Gateway;
+use crate::core::balance::Weights;
+use crate::core::ids::{AdapterId, HostId, ModelId, ServiceId, UpstreamId};
+use crate::core::load::InFlight;
+use crate::core::registry::Holdings;
+use crate::core::waiting::Lane;
+use crate::kernel::Service;
+
+/// Shortest time between two reports of a host.
+const MIN_REPORT_EVERY: Duration = Duration::from_millis(200);
+/// Time by which each host of the fleet stretches the time between reports,
+/// so that the acting host's work stays bounded.
+const REPORT_STRETCH: Duration = Duration::from_millis(8);
+/// Items in one datagram; keeps it below the usual size of a packet.
+pub const ITEMS_PER_DATAGRAM: usize = 30;
+/// Largest datagram that is read, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
+/// Shortest time between two announcements of the same want, in milliseconds.
+const WANT_EVERY_MS: u64 = 100;
+/// Wants that are remembered.
+const MAX_WANTS: usize = 4_096;
+
+/// Statement of one host to another.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum PeerMessage {
+    /// What a host has in flight and was asked for.
+    #[serde(rename = "r")]
+    Report {
+        /// Host.
+        #[serde(rename = "h")]
+        host: HostId,
+        /// Start of its process; counters begin there.
+        #[serde(rename = "s")]
+        started_ms: u64,
+        /// In flight, by upstream.
+        #[serde(rename = "u", default)]
+        in_flight: Vec<(UpstreamId, InFlight)>,
+        /// Demand, by model.
+        #[serde(rename = "m", default)]
+        models: Vec<(ServiceId, ModelId, ModelCounts)>,
+        /// Adapters asked for since the last report.
+        #[serde(rename = "a", default)]
+        adapters: Vec<(ServiceId, ModelId, AdapterId)>,
+    },
+    /// What all other hosts have in flight.
+    #[serde(rename = "d")]
+    Digest {
+        /// Term of the acting host.
+        #[serde(rename = "t")]
+        term: u64,
+        /// In flight, by upstream.
+        #[serde(rename = "u")]
+        others: Vec<(UpstreamId, InFlight)>,
+    },
+    /// What an engine holds after an order.
+    #[serde(rename = "o")]
+    Holdings {
+        /// Term of the acting host.
+        #[serde(rename = "t")]
+        term: u64,
+        /// Engine.
+        #[serde(rename = "u")]
+        upstream: UpstreamId,
+        /// Start of its incarnation.
+        #[serde(rename = "s")]
+        started_ms: u64,
+        /// Orders that it has accepted.
+        #[serde(rename = "n")]
+        orders_accepted: u64,
+        /// Models and adapters.
+        #[serde(rename = "h")]
+        holds: Holdings,
+    },
+    /// A model is being loaded that nobody holds.
+    #[serde(rename = "l")]
+    Loading {
+        /// Term of the acting host.
+        #[serde(rename = "t")]
+        term: u64,
+        /// Service.
+        #[serde(rename = "s")]
+        service: ServiceId,
+        /// Model.
+        #[serde(rename = "m")]
+        model: ModelId,
+        /// Time until it is likely to be ready, in milliseconds.
+        #[serde(rename = "i")]
+        ready_in_ms: u64,
+    },
+    /// A host has a request for weights that it finds nowhere with room.
+    #[serde(rename = "w")]
+    Want {
+        /// Service.
+        #[serde(rename = "s")]
+        service: ServiceId,
+        /// Model.
+        #[serde(rename = "m")]
+        model: ModelId,
+        /// Adapter.
+        #[serde(rename = "a")]
+        adapter: Option<AdapterId>,
+    },
+}
+
+/// What reaches the acting host.
+pub trait ActingInbox: 'static {
+    /// Takes in a report.
+    fn on_report(
+        &self,
+        host: &HostId,
+        started_ms: u64,
+        in_flight: &[(UpstreamId, InFlight)],
+        models: &[(ServiceId, ModelId, ModelCounts)],
+        adapters: &[(ServiceId, ModelId, AdapterId)],
+    );
+    /// Takes in a want.
+    fn on_want(&self, service: &ServiceId, weights: &Weights);
+}
+
+/// Sending side, shared by all services.
+#[derive(Debug, Default)]
+pub struct PeerSender {
+    socket: RefCell<Option<Rc<UdpSocket>>>,
+    wants: RefCell<HashMap<(ServiceId, Weights), u64>>,
+}
+
+impl PeerSender {
+    /// Sends a message; what is lost is replaced by a later statement.
+    pub fn send(&self, addr: SocketAddr, message: &PeerMessage) -> bool {
+        let Some(socket) = self.socket.borrow().clone() else {
+            return false;
+        };
+        let mut bytes = Vec::with_capacity(512);
+        if let Err(error) = ciborium::into_writer(message, &mut bytes) {
+            tracing::error!(event = "peers", %error, "cannot encode");
+            return false;
+        }
+        compio::runtime::spawn(async move {
+            let BufResult(sent, _) = socket.send_to(bytes, addr).await;
+            if let Err(error) = sent {
+                tracing::debug!(event = "peers", %addr, %error, "not sent");
+            }
+        })
+        .detach();
+        true
+    }
+}
+
+/// Service that carries messages between hosts.
+#[derive(Debug)]
+pub struct PeerLink<P: Platform, A: ActingInbox> {
+    gateway: Rc<Gateway<P>>,
+    inbox: A,
+    socket: Rc<UdpSocket>,
+    reported: RefCell<Vec<UpstreamId>>,
+    reported_models: RefCell<HashMap<(ServiceId, ModelId), ModelCounts>>,
+}
+
+impl<P: Platform, A: ActingInbox> PeerLink<P, A> {
+    /// Service on a bound socket.
+    pub fn new(gateway: Rc<Gateway<P>>, inbox: A, socket: UdpSocket) -> Self {
+        let socket = Rc::new(socket);
+        *gateway.peer_sender.socket.borrow_mut() = Some(Rc::clone(&socket));
+        Self {
+            gateway,
+            inbox,
+            socket,
+            reported: RefCell::default(),
+            reported_models: RefCell::default(),
+        }
+    }
+
+    async fn receive(&self) {
+        let mut buffer = Vec::with_capacity(MAX_DATAGRAM_BYTES);
+        loop {
+            buffer.clear();
+            let BufResult(received, filled) = self.socket.recv_from(buffer).await;
+            buffer = filled;
+            match received {
+                Ok((length, _)) => {
+                    let datagram = &buffer[..length.min(buffer.len())];
+                    match ciborium::from_reader::<PeerMessage, _>(datagram) {
+                        Ok(message) => self.take(message),
+                        Err(error) => {
+                            tracing::warn!(event = "peers", %error, "datagram cannot be decoded");
+                        }
+                    }
+                }
+                Err(error) => {
+                    tracing::debug!(event = "peers", %error, "not received");
+                    compio::time::sleep(Duration::from_millis(10)).await;
+                }
+            }
+        }
+    }
+
+    fn take(&self, message: PeerMessage) {
+        let gateway = &self.gateway;
+        let now_ms = gateway.now_ms();
+        match message {
+            PeerMessage::Report {
+                host,
+                started_ms,
+                in_flight,
+                models,
+                adapters,
+            } => self
+                .inbox
+                .on_report(&host, started_ms, &in_flight, &models, &adapters),
+            PeerMessage::Want {
+                service,
+                model,
+                adapter,
+            } => self.inbox.on_want(&service, &Weights { model, adapter }),
+            PeerMessage::Digest { term, others } => {
+                if !gateway.is_current_term(term) {
+                    return;
+                }
+                let mut loads = gateway.loads.borrow_mut();
+                for (id, others) in &others {
+                    loads.set_others(now_ms, id, *others);
+                }
+                drop(loads);
+                gateway.places.borrow().wake();
+            }
+            PeerMessage::Holdings {
+                term,
+                upstream,
+                started_ms,
+                orders_accepted,
+                holds,
+            } => {
+                if gateway.is_current_term(term) {
+                    gateway.take_holdings(&upstream, started_ms, orders_accepted, &holds);
+                }
+            }
+            PeerMessage::Loading {
+                term,
+                service,
+                model,
+                ready_in_ms,
+            } => {
+                if gateway.is_current_term(term) {
+                    gateway.take_loading(service, model, ready_in_ms);
+                }
+            }
+        }
+    }
+
+    /// Tells the acting host what changed since the last report.
+    fn report(&self) {
+        let gateway = &self.gateway;
+        let acting = gateway.acting.borrow().clone();
+        let Some(acting) = acting else {
+            return;
+        };
+        let in_flight = self.changed_loads();
+        let models = self.changed_models();
+        let asked = gateway.demand.borrow_mut().take_asked_adapters();
+        let adapters: Vec<_> = asked
+            .into_iter()
+            .map(|((service, model), adapter)| (service, model, adapter))
+            .collect();
+        let host = gateway.settings().host.clone();
+        let started_ms = gateway.clock.started_ms();
+        if acting.host == host {
+            self.inbox
+                .on_report(&host, started_ms, &in_flight, &models, &adapters);
+            return;
+        }
+        let parts = in_flight
+            .len()
+            .max(models.len())
+            .max(adapters.len())
+            .div_ceil(ITEMS_PER_DATAGRAM)
+            .max(1);
+        for part in 0..parts {
+            let message = PeerMessage::Report {
+                host: host.clone(),
+                started_ms,
+                in_flight: chunk(&in_flight, part),
+                models: chunk(&models, part),
+                adapters: chunk(&adapters, part),
+            };
+            gateway.send_peer(acting.addr, &message);
+        }
+    }
+
+    /// Loads that are not zero, and those that have become zero.
+    fn changed_loads(&self) -> Vec<(UpstreamId, InFlight)> {
+        let loads = self.gateway.loads.borrow();
+        let mut now: Vec<(UpstreamId, InFlight)> =
+            loads.local().map(|(id, load)| (id.clone(), load)).collect();
+        let mut reported = self.reported.borrow_mut();
+        let ended = reported.iter().filter(|id| !now.iter().any(|(n, _)| n == *id));
+        let ended: Vec<_> = ended.map(|id| (id.clone(), InFlight::default())).collect();
+        *reported = now.iter().map(|(id, _)| id.clone()).collect();
+        now.extend(ended);
+        now
+    }
+
+    fn changed_models(&self) -> Vec<(ServiceId, ModelId, ModelCounts)> {
+        let gateway = &self.gateway;
+        let waiting = gateway.places.borrow().waiting_by_lane();
+        let demand = gateway.demand.borrow();
+        let mut reported = self.reported_models.borrow_mut();
+        let mut changed = Vec::new();
+        for ((service, model), counts) in demand.models() {
+            let lane = Lane {
+                service: service.clone(),
+                model: Some(model.clone()),
+            };
+            let counts = ModelCounts {
+                waiting: waiting.get(&lane).copied().unwrap_or(0),
+                ..*counts
+            };
+            let key = (service.clone(), model.clone());
+            let is_busy = counts.running + counts.waiting > 0;
+            if is_busy || reported.get(&key) != Some(&counts) {
+                reported.insert(key, counts);
+                changed.push((service.clone(), model.clone(), counts));
+            }
+        }
+        changed
+    }
+}
+
+/// Time between two reports of a host.
+pub fn report_every(hosts: usize) -> Duration {
+    MIN_REPORT_EVERY.max(REPORT_STRETCH * hosts as u32)
+}
+
+/// Part of a list that goes into one datagram.
+pub fn chunk<T: Clone>(items: &[T], part: usize) -> Vec<T> {
+    let from = (part * ITEMS_PER_DATAGRAM).min(items.len());
+    let to = (from + ITEMS_PER_DATAGRAM).min(items.len());
+    items[from..to].to_vec()
+}
+
+impl<P: Platform> Gateway<P> {
+    /// Sends a message to another host.
+    pub fn send_peer(&self, addr: SocketAddr, message: &PeerMessage) {
+        if self.peer_sender.send(addr, message) {
+            self.metrics.peer_datagrams.inc();
+        }
+    }
+
+    /// True if a statement comes from the host that acts now.
+    fn is_current_term(&self, term: u64) -> bool {
+        let acting = self.acting.borrow();
+        // A statement of a later term comes before the store's listing.
+        acting.as_ref().is_none_or(|a| term >= a.term)
+    }
+
+    /// Takes in what an engine holds after an order.
+    pub fn take_holdings(
+        &self,
+        upstream: &UpstreamId,
+        started_ms: u64,
+        orders_accepted: u64,
+        holds: &Holdings,
+    ) {
+        let now_ms = self.now_ms();
+        let mut registry = self.registry.borrow_mut();
+        let id = upstream.as_str();
+        if registry.observe_holdings(now_ms, id, started_ms, orders_accepted, holds) {
+            drop(registry);
+            self.places.borrow().wake();
+        }
+    }
+
+    /// Takes in that a model is being loaded.
+    pub fn take_loading(&self, service: ServiceId, model: ModelId, ready_in_ms: u64) {
+        let lane = Lane {
+            service,
+            model: Some(model),
+        };
+        let at_ms = self.now_ms() + ready_in_ms;
+        self.places.borrow_mut().ready_at_ms.insert(lane, at_ms);
+    }
+
+    /// Tells the acting host that weights are wanted.
+    pub fn announce_want(&self, service: &ServiceId, weights: &Weights) {
+        let Some(acting) = self.acting.borrow().clone() else {
+            return;
+        };
+        let now_ms = self.now_ms();
+        let mut wants = self.peer_sender.wants.borrow_mut();
+        if wants.len() > MAX_WANTS {
+            wants.clear();
+        }
+        let key = (service.clone(), weights.clone());
+        let last_ms = wants.get(&key).copied().unwrap_or(0);
+        if now_ms < last_ms + WANT_EVERY_MS {
+            return;
+        }
+        wants.insert(key, now_ms);
+        drop(wants);
+        let message = PeerMessage::Want {
+            service: service.clone(),
+            model: weights.model.clone(),
+            adapter: weights.adapter.clone(),
+        };
+        self.send_peer(acting.addr, &message);
+    }
+}
+
+impl<P: Platform, A: ActingInbox> Service for PeerLink<P, A> {
+    const NAME: &'static str = "gateway-peers";
+
+    async fn run(self: Rc<Self>, cancel: CancellationToken) {
+        let receiving = compio::runtime::spawn({
+            let link = Rc::clone(&self);
+            async move { link.receive().await }
+        });
+        loop {
+            futures_util::select_biased! {
+                () = cancel.cancelled().fuse() => break,
+                () = compio::time::sleep(report_every(self.gateway.host_count())).fuse() => {}
+            }
+            self.report();
+        }
+        drop(receiving);
+    }
+}
--- /dev/null
+++ b/src/gateway/place.rs
@@ -0,0 +1,452 @@
+//! Finds an upstream for a request, now or after a wait at this host.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use tokio::sync::{Notify, oneshot};
+use tokio_util::sync::CancellationToken;
+
+use super::call::Job;
+use super::platform::Platform;
+use super::state::Gateway;
+use crate::core::balance::{Allowed, NoUpstream, Weights, choose};
+use crate::core::catalog::ModelSpec;
+use crate::core::ids::ServiceId;
+use crate::core::load::{AttemptEnd, Sent};
+use crate::core::registry::Registry;
+use crate::core::waiting::{Lane, Outlook, Verdict, WaitQueue, Waiter, admit, spread_retry_after};
+use crate::kernel::Service;
+
+/// Wait predicted for an adapter that is loaded on demand, in milliseconds:
+/// the way to the acting host and back, and the load.
+const ADAPTER_WAIT_MS: u64 = 80;
+/// Time until an order for a model that nobody holds reaches its engine, in
+/// milliseconds.
+const ORDER_WAIT_MS: u64 = 300;
+/// Wait predicted when no upstream is listed, in milliseconds.
+const NONE_LISTED_WAIT_MS: u64 = 1_000;
+/// Share of a caller's patience that it may spend waiting here; the rest is
+/// for the upstream.
+const PATIENCE_SHARE: f64 = 0.7;
+/// Longest pause between two passes while requests wait.
+const MAX_PASS_PAUSE: Duration = Duration::from_millis(200);
+
+/// Waiting requests and the tasks behind them.
+#[derive(Debug, Default)]
+pub struct Places {
+    queue: WaitQueue,
+    tickets: HashMap<u64, Ticket>,
+    next_ticket: u64,
+    wake: Rc<Notify>,
+    /// When models that are being loaded will be ready.
+    pub ready_at_ms: HashMap<Lane, u64>,
+}
+
+/// Upstream for a request that waited, already counted there, or why none.
+type Offer = Result<Sent, NoUpstream>;
+
+#[derive(Debug)]
+struct Ticket(oneshot::Sender<Offer>);
+
+impl Places {
+    /// Requests that wait, by lane.
+    pub fn waiting_by_lane(&self) -> HashMap<Lane, u32> {
+        self.queue.by_lane()
+    }
+
+    /// Number of waiting requests.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Lets waiting requests look for room again.
+    pub fn wake(&self) {
+        if !self.queue.is_empty() {
+            self.wake.notify_one();
+        }
+    }
+}
+
+/// Request in flight at an upstream; counted until dropped.
+#[derive(Debug)]
+pub struct InFlight<P: Platform> {
+    gateway: Rc<Gateway<P>>,
+    /// Where and when it was sent.
+    pub sent: Sent,
+    service: ServiceId,
+    weights: Option<Weights>,
+    end: AttemptEnd,
+}
+
+impl<P: Platform> InFlight<P> {
+    fn new(gateway: &Rc<Gateway<P>>, job: &Job, sent: Sent) -> Self {
+        gateway.metrics.in_flight.inc();
+        if let Some(weights) = &job.need.weights {
+            let mut demand = gateway.demand.borrow_mut();
+            demand.update(&job.need.service, weights, |c| c.running += 1);
+        }
+        Self {
+            gateway: Rc::clone(gateway),
+            sent,
+            service: job.need.service.clone(),
+            weights: job.need.weights.clone(),
+            end: AttemptEnd::Neutral,
+        }
+    }
+
+    /// Counts the answer's head, or the first event of a stream.
+    pub fn first_answer(&mut self) {
+        let now_ms = self.gateway.now_ms();
+        let mut loads = self.gateway.loads.borrow_mut();
+        loads.on_first_answer(now_ms, &mut self.sent);
+    }
+
+    /// Counts what the upstream sent since.
+    pub fn heard(&self) {
+        let now_ms = self.gateway.now_ms();
+        let mut loads = self.gateway.loads.borrow_mut();
+        loads.on_heard(now_ms, self.sent.upstream.as_str());
+    }
+
+    /// Ends the attempt.
+    pub fn end(mut self, end: AttemptEnd) {
+        self.end = end;
+    }
+}
+
+impl<P: Platform> Drop for InFlight<P> {
+    fn drop(&mut self) {
+        let now_ms = self.gateway.now_ms();
+        let mut loads = self.gateway.loads.borrow_mut();
+        loads.on_end(now_ms, &self.sent, self.end);
+        drop(loads);
+        if let Some(weights) = &self.weights {
+            let mut demand = self.gateway.demand.borrow_mut();
+            demand.update(&self.service, weights, |c| c.running -= 1);
+        }
+        self.gateway.metrics.in_flight.dec();
+        self.gateway.places.borrow().wake();
+    }
+}
+
+/// Why a request found no place.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct NoPlace {
+    /// Reason.
+    pub reason: NoUpstream,
+    /// Predicted time until there would be one.
+    pub outlook_ms: u64,
+    /// Time to come back.
+    pub retry_after_ms: u64,
+}
+
+/// Removes a waiting request whose task ends early.
+struct WaitGuard<P: Platform> {
+    gateway: Rc<Gateway<P>>,
+    ticket: u64,
+    offer: Option<oneshot::Receiver<Offer>>,
+}
+
+impl<P: Platform> Drop for WaitGuard<P> {
+    fn drop(&mut self) {
+        let Some(mut offer) = self.offer.take() else {
+            return;
+        };
+        let mut places = self.gateway.places.borrow_mut();
+        if places.tickets.remove(&self.ticket).is_some() {
+            places.queue.remove(self.ticket);
+        }
+        drop(places);
+        if let Ok(Ok(sent)) = offer.try_recv() {
+            let now_ms = self.gateway.now_ms();
+            let mut loads = self.gateway.loads.borrow_mut();
+            loads.on_end(now_ms, &sent, AttemptEnd::Neutral);
+        }
+    }
+}
+
+impl<P: Platform> Gateway<P> {
+    /// Finds an upstream for a request, or tells when to come back.
+    pub async fn place(
+        self: &Rc<Self>,
+        job: &Job,
+        allowed: &Allowed,
+    ) -> Result<InFlight<P>, NoPlace> {
+        let now_ms = self.now_ms();
+        let lane = Lane::of(&job.need);
+        let due_ms = self.due_ms(job);
+        let ahead = {
+            let places = self.places.borrow();
+            places.queue.ahead_of(now_ms, &lane, job.priority, due_ms)
+        };
+        let found = if ahead > 0 {
+            Err(NoUpstream::Full)
+        } else {
+            self.choose_now(job, allowed)
+        };
+        let reason = match found {
+            Ok(sent) => return Ok(InFlight::new(self, job, sent)),
+            Err(reason) => reason,
+        };
+        let outlook = Outlook {
+            reason,
+            wait_ms: self.predicted_wait_ms(job, &lane, reason, ahead),
+        };
+        let give_up_ms = self.give_up_ms(job, reason, due_ms);
+        let waiting = self.places.borrow().queue.len();
+        let useful_ms = give_up_ms.saturating_sub(now_ms);
+        let verdict = admit(waiting, outlook, useful_ms, &mut self.rng.borrow_mut());
+        if let Verdict::Refuse { retry_after_ms } = verdict {
+            return Err(NoPlace {
+                reason,
+                outlook_ms: outlook.wait_ms,
+                retry_after_ms,
+            });
+        }
+        let waiter = Waiter {
+            ticket: 0,
+            need: job.need.clone(),
+            allowed: allowed.clone(),
+            priority: job.priority,
+            arrived_ms: job.arrived_ms,
+            due_ms,
+            give_up_ms,
+        };
+        self.wait(job, &lane, waiter).await
+    }
+
+    /// Latest departure with which the answer is likely to be in time.
+    fn due_ms(&self, job: &Job) -> u64 {
+        let read_ms = self.expected_answer_ms(job);
+        let objective_ms = job.objective.as_millis() as u64;
+        job.arrived_ms + objective_ms.saturating_sub(read_ms)
+    }
+
+    /// Time to the first answer once a request is sent.
+    fn expected_answer_ms(&self, job: &Job) -> u64 {
+        let loads = self.loads.borrow();
+        let registry = self.registry.borrow();
+        let entries = registry.of_service(&job.need.service);
+        let known = entries
+            .filter_map(|e| loads.get(e.id.as_str()))
+            .map(crate::core::load::Load::first_answer_ms)
+            .filter(|ms| *ms > 0.0);
+        let (sum_ms, count) = known.fold((0.0, 0_u32), |(sum, n), ms| (sum + ms, n + 1));
+        if count == 0 { 0 } else { (sum_ms / f64::from(count)) as u64 }
+    }
+
+    fn give_up_ms(&self, job: &Job, reason: NoUpstream, due_ms: u64) -> u64 {
+        let patience_ms = job.patience.as_millis() as f64 * PATIENCE_SHARE;
+        let last_ms = (job.arrived_ms + patience_ms as u64).min(job.ends_ms);
+        match reason {
+            NoUpstream::NoModel | NoUpstream::NoAdapter => last_ms,
+            _ => due_ms.max(job.arrived_ms + 1).min(last_ms),
+        }
+    }
+
+    fn predicted_wait_ms(&self, job: &Job, lane: &Lane, reason: NoUpstream, ahead: usize) -> u64 {
+        match reason {
+            NoUpstream::NoModel => self.load_wait_ms(job, lane),
+            NoUpstream::NoAdapter => ADAPTER_WAIT_MS,
+            NoUpstream::NoneListed | NoUpstream::AllTried => NONE_LISTED_WAIT_MS,
+            NoUpstream::Full | NoUpstream::Failing => {
+                let places = self.places.borrow();
+                places.queue.predicted_wait_ms(lane, ahead)
+            }
+        }
+    }
+
+    /// Time until a model that no upstream holds is ready somewhere.
+    fn load_wait_ms(&self, job: &Job, lane: &Lane) -> u64 {
+        let now_ms = self.now_ms();
+        let ready_at_ms = self.places.borrow().ready_at_ms.get(lane).copied();
+        if let Some(ready_at_ms) = ready_at_ms.filter(|at| *at > now_ms) {
+            return ready_at_ms - now_ms;
+        }
+        let Some(weights) = &job.need.weights else {
+            return NONE_LISTED_WAIT_MS;
+        };
+        let registry = self.registry.borrow();
+        let load = job.model.as_ref().map(|spec| fastest_load(&registry, job, weights, spec));
+        ORDER_WAIT_MS + load.map_or(NONE_LISTED_WAIT_MS, |l| l.as_millis() as u64)
+    }
+
+    fn choose_now(&self, job: &Job, allowed: &Allowed) -> Result<Sent, NoUpstream> {
+        let now_ms = self.now_ms();
+        let settings = self.settings();
+        let chosen = choose(
+            now_ms,
+            &self.registry.borrow(),
+            &self.loads.borrow(),
+            &settings.zone,
+            &job.need,
+            allowed,
+            &mut self.rng.borrow_mut(),
+        )?;
+        let mut loads = self.loads.borrow_mut();
+        Ok(loads.on_sent(now_ms, &chosen, job.need.demand))
+    }
+
+    async fn wait(
+        self: &Rc<Self>,
+        job: &Job,
+        lane: &Lane,
+        mut waiter: Waiter,
+    ) -> Result<InFlight<P>, NoPlace> {
+        let (sender, receiver) = oneshot::channel();
+        let started_ms = self.now_ms();
+        let ticket = {
+            let mut places = self.places.borrow_mut();
+            places.next_ticket += 1;
+            waiter.ticket = places.next_ticket;
+            let ticket = waiter.ticket;
+            places.tickets.insert(ticket, Ticket(sender));
+            places.queue.push(waiter);
+            places.wake.notify_one();
+            ticket
+        };
+        if let Some(weights) = &job.need.weights {
+            self.announce_want(&job.need.service, weights);
+        }
+        let mut guard = WaitGuard {
+            gateway: Rc::clone(self),
+            ticket,
+            offer: Some(receiver),
+        };
+        let offer = match guard.offer.as_mut() {
+            Some(receiver) => receiver.await,
+            None => return Err(self.gave_up(job, lane, NoUpstream::Full)),
+        };
+        guard.offer = None;
+        let waited_ms = self.now_ms().saturating_sub(started_ms);
+        self.metrics.wait_s.observe(waited_ms as f64 / 1000.0);
+        match offer {
+            Ok(Ok(sent)) => Ok(InFlight::new(self, job, sent)),
+            Ok(Err(reason)) => Err(self.gave_up(job, lane, reason)),
+            // The queue never drops a ticket without an offer.
+            Err(_) => Err(self.gave_up(job, lane, NoUpstream::Full)),
+        }
+    }
+
+    fn gave_up(&self, job: &Job, lane: &Lane, reason: NoUpstream) -> NoPlace {
+        let ahead = self.places.borrow().queue.len();
+        let outlook_ms = self.predicted_wait_ms(job, lane, reason, ahead);
+        NoPlace {
+            reason,
+            outlook_ms,
+            retry_after_ms: spread_retry_after(outlook_ms, &mut self.rng.borrow_mut()),
+        }
+    }
+
+    /// Lets all waiting requests that find room leave.
+    fn pass(&self) {
+        let now_ms = self.now_ms();
+        let settings = self.settings();
+        let mut sent: HashMap<u64, Sent> = HashMap::new();
+        let mut places = self.places.borrow_mut();
+        let registry = self.registry.borrow();
+        let pass = places.queue.pass(now_ms, |waiter| {
+            let mut loads = self.loads.borrow_mut();
+            let chosen = choose(
+                now_ms,
+                &registry,
+                &loads,
+                &settings.zone,
+                &waiter.need,
+                &waiter.allowed,
+                &mut self.rng.borrow_mut(),
+            )?;
+            let counted = loads.on_sent(now_ms, &chosen, waiter.need.demand);
+            sent.insert(waiter.ticket, counted);
+            Ok(chosen)
+        });
+        let mut offers = Vec::new();
+        for (ticket, _) in pass.sent {
+            if let (Some(Ticket(sender)), Some(sent)) =
+                (places.tickets.remove(&ticket), sent.remove(&ticket))
+            {
+                offers.push((sender, Ok(sent)));
+            }
+        }
+        for (ticket, reason) in pass.given_up {
+            if let Some(Ticket(sender)) = places.tickets.remove(&ticket) {
+                offers.push((sender, Err(reason)));
+            }
+        }
+        self.metrics.waiting.set(places.queue.len() as i64);
+        drop(places);
+        for (sender, offer) in offers {
+            // A receiver that has gone removes its ticket first.
+            if let Err(Ok(sent)) = sender.send(offer) {
+                let mut loads = self.loads.borrow_mut();
+                loads.on_end(now_ms, &sent, AttemptEnd::Neutral);
+            }
+        }
+    }
+}
+
+/// Shortest time in which some upstream can load a model.
+fn fastest_load(
+    registry: &Registry,
+    job: &Job,
+    weights: &Weights,
+    spec: &ModelSpec,
+) -> Duration {
+    let entries = || {
+        let entries = registry.of_service(&job.need.service);
+        entries.filter(|e| !e.is_draining)
+    };
+    if entries().any(|e| e.in_memory.contains(&weights.model)) {
+        spec.memory_load
+    } else if entries().any(|e| e.on_disk.contains(&weights.model)) {
+        spec.disk_load
+    } else {
+        spec.store_load
+    }
+}
+
+/// Service that lets waiting requests leave.
+#[derive(Debug)]
+pub struct Placer<P: Platform> {
+    gateway: Rc<Gateway<P>>,
+}
+
+impl<P: Platform> Placer<P> {
+    /// Service over the shared state.
+    pub fn new(gateway: Rc<Gateway<P>>) -> Self {
+        Self { gateway }
+    }
+
+    fn pause(&self) -> Duration {
+        let now_ms = self.gateway.now_ms();
+        let next_ms = self.gateway.places.borrow().queue.next_give_up_ms();
+        let until_ms = next_ms.map_or(u64::MAX, |at| at.saturating_sub(now_ms).max(1));
+        MAX_PASS_PAUSE.min(Duration::from_millis(until_ms))
+    }
+}
+
+impl<P: Platform> Service for Placer<P> {
+    const NAME: &'static str = "gateway-placer";
+
+    async fn run(self: Rc<Self>, cancel: CancellationToken) {
+        let wake = Rc::clone(&self.gateway.places.borrow().wake);
+        loop {
+            let is_idle = self.gateway.places.borrow().queue.is_empty();
+            if is_idle {
+                futures_util::select_biased! {
+                    () = cancel.cancelled().fuse() => return,
+                    () = wake.notified().fuse() => {}
+                }
+            } else {
+                let timeout = compio::time::timeout(self.pause(), wake.notified());
+                futures_util::select_biased! {
+                    () = cancel.cancelled().fuse() => return,
+                    _ = timeout.fuse() => {}
+                }
+            }
+            self.gateway.pass();
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/settings.rs
@@ -0,0 +1,109 @@
+//! Settings of a host on a platform, read from a JSON file.
+//!
+//! All findings are reported together, each with its path and reason.
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde_with::{DurationMilliSeconds, serde_as};
+
+use crate::core::config::{Finding, Findings};
+use crate::core::ids::{HostId, ZoneId};
+use crate::settings::BadSettings;
+
+/// Settings of one host.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct GatewaySettings {
+    /// Name of this host.
+    pub host: HostId,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Address of this machine.
+    pub ip: IpAddr,
+    /// Address for callers.
+    pub caller_addr: SocketAddr,
+    /// Address of the readiness probe.
+    pub ready_addr: SocketAddr,
+    /// First of the ports for traffic between hosts.
+    pub peer_port: u16,
+    /// Address of the platform's store.
+    pub store_addr: SocketAddr,
+    /// Memory of the process in MB.
+    pub memory_mb: u64,
+    /// Descriptors of the process.
+    pub max_descriptors: usize,
+    /// True if engines refuse orders with a lower fencing number.
+    pub engines_check_fences: bool,
+    /// Least time between orders of two hosts to one engine, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "order_lease_ms")]
+    pub order_lease: Duration,
+    /// Time from the signal to stop until the process is killed.
+    pub stop_grace_s: f64,
+    /// Retries that all hosts may make, as a share of the requests.
+    pub retry_share: f64,
+    /// Retries that all hosts may make beyond that share.
+    pub retry_slack: u32,
+    /// Time over which retries are counted, in seconds.
+    pub retry_window_s: f64,
+    /// Time over which loads from the weight store are counted, in seconds.
+    pub load_window_s: f64,
+    /// Smallest time to live of a lease, in milliseconds.
+    pub min_lease_ms: u64,
+}
+
+/// Longest time in settings, in seconds.
+const MAX_TIME_S: f64 = 3_600.0;
+
+impl GatewaySettings {
+    /// Parses and checks settings.
+    pub fn parse(json: &[u8]) -> Result<Self, Vec<Finding>> {
+        let settings: Self = serde_json::from_slice(json).map_err(|e| {
+            vec![Finding {
+                path: ".".into(),
+                problem: e.to_string(),
+            }]
+        })?;
+        let mut findings = Findings::default();
+        settings.check(&mut findings);
+        findings.into_result(settings)
+    }
+
+    fn check(&self, findings: &mut Findings) {
+        findings.expect(!self.host.as_str().is_empty(), "host", "must not be empty");
+        findings.expect(!self.zone.as_str().is_empty(), "zone", "must not be empty");
+        let is_apart = self.caller_addr != self.ready_addr;
+        findings.expect(is_apart, "ready_addr", "is the same as caller_addr");
+        findings.expect(self.peer_port > 0, "peer_port", "must be at least 1");
+        findings.expect(self.memory_mb > 0, "memory_mb", "must be at least 1");
+        let times = [
+            ("stop_grace_s", self.stop_grace_s),
+            ("retry_window_s", self.retry_window_s),
+            ("load_window_s", self.load_window_s),
+        ];
+        for (path, time_s) in times {
+            let is_valid = time_s > 0.0 && time_s <= MAX_TIME_S;
+            findings.expect(is_valid, path, "must be over 0 and at most 3600");
+        }
+        let is_share = (0.0..=1.0).contains(&self.retry_share);
+        findings.expect(is_share, "retry_share", "must be from 0 to 1");
+    }
+}
+
+/// Reads settings from a file.
+pub fn load(file: &Path) -> Result<GatewaySettings, BadSettings> {
+    let bad = |findings| BadSettings {
+        file: file.to_owned(),
+        findings,
+    };
+    let json = std::fs::read(file).map_err(|e| {
+        bad(vec![Finding {
+            path: ".".into(),
+            problem: format!("cannot be read: {e}"),
+        }])
+    })?;
+    GatewaySettings::parse(&json).map_err(bad)
+}
--- a/src/services/callers.rs
+++ b/src/services/callers.rs
@@ -25,7 +25,7 @@
 use crate::core::outcome::{Outcome, Reason, Refusal};
 use crate::core::timeline::{EventKind, Subject};
 use crate::edge::body::{self, Answer, ReadError};
-use crate::edge::body_reader::BodyReader;
+use crate::edge::body_reader::{BODY_BUDGET_BYTES, BodyLimits, BodyReader};
 use crate::edge::caller::{
     Whole, bearer_token, deadline, idempotency_key, refusal_answer, set_outcome, sha256,
     unauthorized,
@@ -86,11 +86,18 @@
             claims,
             listener: RefCell::new(Some(listener)),
             numbers: Cell::new(0),
-            bodies: BodyReader::new(&host.settings),
+            bodies: BodyReader::new(BODY_BUDGET_BYTES),
             host,
         }
     }
 
+    fn body_limits(&self) -> BodyLimits {
+        BodyLimits {
+            max_bytes: self.host.settings.max_body_bytes,
+            timeout: self.host.settings.body_timeout,
+        }
+    }
+
     fn next_request_id(&self) -> String {
         let number = self.numbers.get() + 1;
         self.numbers.set(number);
@@ -176,7 +183,7 @@
         caller: Caller,
         request: Request<Incoming>,
     ) -> Result<Answer, Box<(Caller, Refusal)>> {
-        let (bytes, _share) = match self.bodies.read(request).await {
+        let (bytes, _share) = match self.bodies.read(request, self.body_limits()).await {
             Ok(body) => body,
             Err(refusal) => return Err(Box::new((caller, refusal))),
         };
@@ -290,7 +297,7 @@
                 return Err(refusal);
             }
         };
-        let (bytes, _share) = self.bodies.read(request).await?;
+        let (bytes, _share) = self.bodies.read(request, self.body_limits()).await?;
         job.body = bytes;
         let Some(key) = key.filter(|_| !job.is_idempotent) else {
             return self.run_service(&job).await;
--- a/src/services/stream.rs
+++ b/src/services/stream.rs
@@ -60,7 +60,7 @@
     on_end: E,
 ) -> Answer {
     let (sender, body) = Channel::new(BUFFERED_EVENTS);
-    let mut answer = Response::new(Either::Right(body));
+    let mut answer = Response::new(Either::Right(body.into()));
     let headers = answer.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
     headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -371,7 +371,7 @@
             let (sender, channel) = Channel::new(4);
             let first = resume_after.map_or(0, |id| id + 1);
             compio::runtime::spawn(self.stream(chat, running, sender, first)).detach();
-            let mut answer = Response::new(Either::Right(channel));
+            let mut answer = Response::new(Either::Right(channel.into()));
             let kind = HeaderValue::from_static("text/event-stream");
             answer.headers_mut().insert(CONTENT_TYPE, kind);
             answer
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -28,7 +28,7 @@
 pub fn broken_off() -> Answer {
     let (sender, channel) = Channel::new(1);
     sender.abort(Truncated);
-    Response::new(Either::Right(channel))
+    Response::new(Either::Right(channel.into()))
 }
 
 /// Sends a request with a JSON body and parses the answer.
--- a/standins/src/kv.rs
+++ b/standins/src/kv.rs
@@ -177,7 +177,7 @@
         }
         let (sender, channel) = Channel::new(16);
         compio::runtime::spawn(self.report_changes(watch.create_request, sender)).detach();
-        Ok(Response::new(Either::Right(channel)))
+        Ok(Response::new(Either::Right(channel.into())))
     }
 
     async fn report_changes(self: Rc<Self>, watch: WatchCreate, mut to: Sender<Bytes, Truncated>) {
