Number listings by their own count, orders by the engine's

Change: each is decoded into a field of its own; the book learns the count from a report; an order without an answer stays charged.

--- a/src/core/engine_book.rs
+++ b/src/core/engine_book.rs
@@ -11,17 +11,30 @@
 use super::ids::{AdapterId, ModelId};
 use super::registry::{Entry, Holdings};
 
-/// Time after the last order from which a listing with the same count of
-/// orders is believed, in milliseconds; listings lag by a heartbeat or two.
+/// Time after the last order from which a listing is believed, in
+/// milliseconds; listings lag by a heartbeat or two.
 const LISTING_LAG_MS: u64 = 3_500;
+/// Time by which a report may lag, in milliseconds.
+const REPORT_LAG_MS: u64 = 600;
+
+/// Part of an engine's report that the book takes in.
+#[derive(Clone, Copy, Debug)]
+pub struct Reported<'a> {
+    /// Orders accepted since the start.
+    pub orders_accepted: u64,
+    /// Models and adapters ready for requests.
+    pub holds: &'a Holdings,
+    /// Adapters that are being loaded.
+    pub coming: &'a [(ModelId, AdapterId)],
+}
 
 /// One engine.
 #[derive(Clone, Debug, Default)]
 pub struct EngineBook {
     /// Start of the incarnation.
     pub started_ms: u64,
-    /// Orders accepted since the start.
-    pub orders_accepted: u64,
+    /// Orders accepted since the start; unknown until the engine reports.
+    pub orders_accepted: Option<u64>,
     /// Models and adapters ready for requests.
     pub holds: Holdings,
     /// Model that is being loaded or may be, and when it is likely ready.
@@ -30,6 +43,8 @@
     pub unloading: Option<ModelId>,
     /// Adapters that are being loaded or may be.
     pub coming: BTreeMap<(ModelId, AdapterId), u64>,
+    /// Adapters among them whose order had no answer.
+    pub uncertain: Vec<(ModelId, AdapterId)>,
     /// Adapters that are being unloaded or may be.
     pub leaving: BTreeMap<(ModelId, AdapterId), u64>,
     /// Time of the last order.
@@ -43,7 +58,6 @@
     pub fn new(entry: &Entry) -> Self {
         Self {
             started_ms: entry.started_ms,
-            orders_accepted: entry.orders_accepted,
             holds: entry.holds.clone(),
             ..Self::default()
         }
@@ -55,18 +69,48 @@
             *self = Self::new(entry);
             return true;
         }
-        let is_newer = entry.orders_accepted > self.orders_accepted;
-        let is_settled = entry.orders_accepted == self.orders_accepted
-            && now_ms > self.last_order_ms + LISTING_LAG_MS
-            && self.is_quiet();
-        if !is_newer && !is_settled {
+        let is_settled = now_ms > self.last_order_ms + LISTING_LAG_MS && self.is_quiet();
+        if !is_settled || self.holds == entry.holds {
             return false;
         }
-        self.orders_accepted = entry.orders_accepted;
-        let is_changed = self.holds != entry.holds;
         self.holds.clone_from(&entry.holds);
-        self.coming.retain(|(m, a), _| !has(&entry.holds, m, a));
-        is_changed
+        true
+    }
+
+    /// Takes in a report; what was ordered a moment ago may not be in it yet.
+    pub fn take_report(&mut self, report: &Reported<'_>, now_ms: u64) {
+        let is_recent = now_ms < self.last_order_ms + REPORT_LAG_MS;
+        let known = self.orders_accepted;
+        let is_newer = known.is_none_or(|known| report.orders_accepted > known);
+        self.orders_accepted = Some(known.unwrap_or(0).max(report.orders_accepted));
+        if !is_newer && is_recent {
+            return;
+        }
+        let loading = self.loading.as_ref().map(|(m, _)| m);
+        let mut holds = report.holds.clone();
+        if let Some(model) = &self.unloading {
+            holds.remove(model);
+        }
+        if loading.is_some_and(|m| holds.contains_key(m)) {
+            self.loading = None;
+        }
+        for (model, adapters) in &mut holds {
+            adapters.retain(|a| !self.leaving.contains_key(&(model.clone(), a.clone())));
+        }
+        self.holds = holds;
+        self.coming.retain(|(m, a), _| !has(&self.holds, m, a));
+        for key in report.coming {
+            self.coming.entry(key.clone()).or_insert(now_ms);
+        }
+    }
+
+    /// Notes that an order was accepted: those before it that had no answer
+    /// cannot take effect any more.
+    pub fn on_accepted(&mut self) {
+        self.orders_accepted = self.orders_accepted.map(|n| n + 1);
+        for key in std::mem::take(&mut self.uncertain) {
+            self.coming.remove(&key);
+        }
     }
 
     /// True if no order is under way or may be.
--- a/src/core/registry.rs
+++ b/src/core/registry.rs
@@ -34,8 +34,8 @@
     pub is_draining: bool,
     /// Start of the incarnation, in milliseconds since the epoch.
     pub started_ms: u64,
-    /// Orders accepted since the start.
-    pub orders_accepted: u64,
+    /// Number of this statement of the upstream about itself.
+    pub beat: u64,
     /// Models and adapters ready for requests.
     pub holds: Holdings,
     /// Models whose weights are in host memory.
@@ -45,14 +45,6 @@
 }
 
 impl Entry {
-    /// True if `other` is an older statement about the same upstream; at the
-    /// same count of orders, unless `other` was stated by the acting host.
-    fn is_newer_than(&self, other: &Self, is_stated: bool) -> bool {
-        let own = (self.started_ms, self.orders_accepted);
-        let others = (other.started_ms, other.orders_accepted);
-        own > others || (own == others && !is_stated)
-    }
-
     /// True if requests for the model, and its adapter if one is named, can
     /// run here.
     pub fn has(&self, model: &ModelId, adapter: Option<&AdapterId>) -> bool {
@@ -77,16 +69,19 @@
     Holdings(UpstreamId),
 }
 
-/// Time for which the acting host's statement goes before a listing with the
-/// same count of orders, in milliseconds; listings follow within a heartbeat
-/// or two.
-const STATEMENT_HOLDS_MS: u64 = 3_000;
+/// Time for which the acting host's statement goes before listings, in
+/// milliseconds; upstreams list anew about once a second, and listings are
+/// read with some delay.
+const STATEMENT_HOLDS_MS: u64 = 2_500;
+
+/// Place of a statement of an acting host among all of them.
+pub type StatementNumber = (u64, u64);
 
 /// All listed upstreams.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     entries: BTreeMap<UpstreamId, Entry>,
-    stated_ms: BTreeMap<UpstreamId, u64>,
+    stated: BTreeMap<UpstreamId, (StatementNumber, u64)>,
     lapsed_until_ms: BTreeMap<UpstreamId, u64>,
 }
 
@@ -124,18 +119,18 @@
             self.entries.insert(entry.id.clone(), entry);
             return Some(RegistryChange::Added(id));
         };
-        if entry.started_ms < old.started_ms {
-            // A late statement of an earlier incarnation.
+        if (entry.started_ms, entry.beat) < (old.started_ms, old.beat) {
+            // A late statement, perhaps of an earlier incarnation.
             return None;
         }
         let is_restarted = entry.started_ms > old.started_ms;
         let starts_draining = entry.is_draining && !old.is_draining;
-        let stated_ms = self.stated_ms.get(&entry.id).copied().unwrap_or(0);
-        let is_stated = now_ms < stated_ms + STATEMENT_HOLDS_MS;
-        if !is_restarted && !entry.is_newer_than(old, is_stated) {
+        let stated_ms = self.stated.get(&entry.id).map_or(0, |(_, at_ms)| *at_ms);
+        if is_restarted {
+            self.stated.remove(&entry.id);
+        } else if now_ms < stated_ms + STATEMENT_HOLDS_MS {
             // A statement of the acting host overtook the listing.
             entry.holds.clone_from(&old.holds);
-            entry.orders_accepted = old.orders_accepted;
         }
         let is_moved = entry.holds != old.holds;
         self.entries.insert(entry.id.clone(), entry);
@@ -148,23 +143,24 @@
         }
     }
 
-    /// Takes in what the acting host knows an upstream to hold after an order.
+    /// Takes in what the acting host knows an upstream to hold after an order;
+    /// true if that is new.
     pub fn observe_holdings(
         &mut self,
         now_ms: u64,
         id: &str,
         started_ms: u64,
-        orders_accepted: u64,
+        number: StatementNumber,
         holds: &Holdings,
     ) -> bool {
         let Some(entry) = self.entries.get_mut(id) else {
             return false;
         };
-        if entry.started_ms != started_ms || entry.orders_accepted > orders_accepted {
+        let last = self.stated.get(id).map(|(number, _)| *number);
+        if entry.started_ms != started_ms || last.is_some_and(|last| last >= number) {
             return false;
         }
-        entry.orders_accepted = orders_accepted;
-        self.stated_ms.insert(entry.id.clone(), now_ms);
+        self.stated.insert(entry.id.clone(), (number, now_ms));
         let is_moved = entry.holds != *holds;
         if is_moved {
             entry.holds.clone_from(holds);
@@ -182,7 +178,7 @@
             return Some(RegistryChange::Lapsed(id));
         }
         self.entries.remove(&id);
-        self.stated_ms.remove(&id);
+        self.stated.remove(&id);
         self.lapsed_until_ms.remove(&id);
         Some(RegistryChange::Removed(id))
     }
--- a/src/gateway/acting.rs
+++ b/src/gateway/acting.rs
@@ -77,6 +77,7 @@
     store_loads: f64,
     store_loads_at_ms: u64,
     term: u64,
+    statements: u64,
 }
 
 impl ActingState {
@@ -316,21 +317,23 @@
 
     /// Tells all hosts what an engine holds.
     pub fn broadcast_holdings(&self, upstream: &UpstreamId) {
-        let state = self.state.borrow();
+        let mut state = self.state.borrow_mut();
+        state.statements += 1;
+        let (term, number) = (state.term, state.statements);
         let Some(book) = state.engines.get(upstream) else {
             return;
         };
         let message = PeerMessage::Holdings {
-            term: state.term,
+            term,
             upstream: upstream.clone(),
             started_ms: book.started_ms,
-            orders_accepted: book.orders_accepted,
+            number,
             holds: book.holds.clone(),
         };
         self.broadcast(&message);
-        let (started_ms, accepted) = (book.started_ms, book.orders_accepted);
+        let started_ms = book.started_ms;
         self.gateway
-            .take_holdings(upstream, started_ms, accepted, &book.holds);
+            .take_holdings(upstream, started_ms, (term, number), &book.holds);
     }
 
     /// Tells each host what all others have in flight.
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -7,8 +7,8 @@
 
 use super::acting::Acting;
 use super::metrics::KindLabel;
-use super::platform::{Authority, EngineControl, EngineReport, Order, OrderReply, Platform};
-use crate::core::engine_book::EngineBook;
+use super::platform::{Authority, EngineReport, Order, OrderReply, Platform};
+use crate::core::engine_book::{EngineBook, Reported};
 use crate::core::ids::{AdapterId, ModelId, UpstreamId};
 
 /// Orders that wait for one engine at most.
@@ -166,16 +166,10 @@
         self.with_book(upstream, |book| {
             book.loading = None;
             book.unloading = None;
+            // Nothing is under way, so that nothing can be missing.
+            book.last_order_ms = 0;
+            book.take_report(&reported(report), now_ms);
             book.last_order_ms = now_ms;
-            let is_newer = report.orders_accepted > book.orders_accepted;
-            book.orders_accepted = book.orders_accepted.max(report.orders_accepted);
-            for (model, adapters) in &report.holds {
-                let held = book.holds.entry(model.clone()).or_default();
-                if is_newer {
-                    held.clone_from(adapters);
-                }
-            }
-            book.holds.retain(|m, _| report.holds.contains_key(m));
         });
         self.broadcast_holdings(upstream);
     }
@@ -217,7 +211,7 @@
             };
             if let Some(report) = self.gateway.platform.report(addr).await {
                 let accepted = self.with_book(upstream, |b| b.orders_accepted);
-                let is_recent = accepted.is_some_and(|n| report.orders_accepted >= n);
+                let is_recent = accepted.flatten().is_none_or(|n| report.orders_accepted >= n);
                 if is_recent && !report.is_busy {
                     self.adopt(upstream, &report);
                     return;
@@ -282,10 +276,9 @@
                 .detach();
             }
             OrderReply::Holds => self.adapter_ready(upstream, &key),
+            // It stays charged until the next order is accepted.
             OrderReply::Unknown => {
-                // It stays charged until the next report.
-                self.settle_unknown(upstream).await;
-                self.with_book(upstream, |b| b.coming.remove(&key));
+                self.with_book(upstream, |b| b.uncertain.push(key));
             }
             _ => {
                 self.with_book(upstream, |b| b.coming.remove(&key));
@@ -392,11 +385,17 @@
             let Some(fence) = self.membership.acting_term() else {
                 return OrderReply::NotSent;
             };
-            let after_orders = self.with_book(upstream, |b| b.orders_accepted);
+            let known = self.with_book(upstream, |b| b.orders_accepted).flatten();
+            let Some(after_orders) = known else {
+                if !self.learn_count(upstream, addr).await {
+                    return OrderReply::NotSent;
+                }
+                continue;
+            };
             let authority = Authority {
                 holder: self.gateway.settings().host.as_str().to_owned(),
                 fence,
-                after_orders: after_orders.unwrap_or(0),
+                after_orders,
             };
             let platform = &self.gateway.platform;
             reply = platform.order(addr, upstream, order, &authority).await;
@@ -426,7 +425,7 @@
             book.last_order_ms = now_ms;
             let is_immediate = matches!(order, Order::UnloadAdapter(..));
             if reply == OrderReply::Accepted || (reply == OrderReply::Holds && is_immediate) {
-                book.orders_accepted += 1;
+                book.on_accepted();
             }
         });
         if reply == OrderReply::Fenced {
@@ -456,19 +455,30 @@
         let Some(report) = self.gateway.platform.report(addr).await else {
             return false;
         };
+        let now_ms = self.gateway.now_ms();
         let learnt = self.with_book(upstream, |book| {
-            let is_new = report.orders_accepted != book.orders_accepted;
-            if is_new && report.started_ms == book.started_ms {
-                book.orders_accepted = report.orders_accepted;
+            let known = book.orders_accepted;
+            if report.started_ms != book.started_ms {
+                return false;
             }
-            is_new
+            book.take_report(&reported(&report), now_ms);
+            book.orders_accepted != known
         });
         tracing::info!(
             event = "order_count",
             upstream = %upstream,
             reported = report.orders_accepted,
             is_busy = report.is_busy,
+            learnt,
         );
         learnt == Some(true)
     }
 }
+
+fn reported(report: &EngineReport) -> Reported<'_> {
+    Reported {
+        orders_accepted: report.orders_accepted,
+        holds: &report.holds,
+        coming: &report.coming,
+    }
+}
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -25,7 +25,7 @@
 use crate::core::balance::Weights;
 use crate::core::ids::{AdapterId, HostId, ModelId, ServiceId, UpstreamId};
 use crate::core::load::InFlight;
-use crate::core::registry::Holdings;
+use crate::core::registry::{Holdings, StatementNumber};
 use crate::core::waiting::Lane;
 use crate::kernel::Service;
 
@@ -87,9 +87,9 @@
         /// Start of its incarnation.
         #[serde(rename = "s")]
         started_ms: u64,
-        /// Orders that it has accepted.
+        /// Number of the statement within the term.
         #[serde(rename = "n")]
-        orders_accepted: u64,
+        number: u64,
         /// Models and adapters.
         #[serde(rename = "h")]
         holds: Holdings,
@@ -250,11 +250,11 @@
                 term,
                 upstream,
                 started_ms,
-                orders_accepted,
+                number,
                 holds,
             } => {
                 if gateway.is_current_term(term) {
-                    gateway.take_holdings(&upstream, started_ms, orders_accepted, &holds);
+                    gateway.take_holdings(&upstream, started_ms, (term, number), &holds);
                 }
             }
             PeerMessage::Loading {
@@ -380,13 +380,13 @@
         &self,
         upstream: &UpstreamId,
         started_ms: u64,
-        orders_accepted: u64,
+        number: StatementNumber,
         holds: &Holdings,
     ) {
         let now_ms = self.now_ms();
         let mut registry = self.registry.borrow_mut();
         let id = upstream.as_str();
-        if registry.observe_holdings(now_ms, id, started_ms, orders_accepted, holds) {
+        if registry.observe_holdings(now_ms, id, started_ms, number, holds) {
             drop(registry);
             self.places.borrow().wake();
         }
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -176,6 +176,8 @@
     pub is_busy: bool,
     /// Models and adapters ready for requests.
     pub holds: Holdings,
+    /// Adapters that are being loaded.
+    pub coming: Vec<(ModelId, AdapterId)>,
     /// Models whose weights are in host memory.
     pub in_memory: BTreeSet<ModelId>,
     /// Models whose weights are on disk.
