Tell loads between hosts at once and pace prompts by the streams' pauses

Change: hosts of a small fleet state their loads to each other within 20 ms; an engine with prompts to read for 60 % of the longest pause gets no more, the request waits at the host.

--- a/src/core/balance.rs
+++ b/src/core/balance.rs
@@ -5,8 +5,9 @@
 //! other is a few tenths of a second old. Candidates are compared by the time
 //! until they are likely to answer, with some noise, so that hosts with the
 //! same knowledge do not all choose the same one. An upstream whose batch is
-//! full is no candidate; the request waits at the host instead, where it can
-//! be reordered or refused.
+//! full, or that has prompts to read for as long as its streams may pause, is
+//! no candidate; the request waits at the host instead, where it can be
+//! reordered or refused.
 
 use super::ids::{AdapterId, ModelId, ServiceId, UpstreamId, ZoneId};
 use super::load::{Demand, Load, LoadBook};
@@ -51,6 +52,9 @@
     pub demand: Demand,
     /// Tokens that one engine's cache holds.
     pub cache_tokens: u64,
+    /// Longest time for which prompts may be read at one engine at a stretch,
+    /// in milliseconds; the streams that run there pause meanwhile.
+    pub max_read_ms: f64,
 }
 
 /// Why no upstream was chosen.
@@ -193,6 +197,12 @@
     if total.requests >= entry.slots {
         return false;
     }
+    if total.unread_tokens > 0 {
+        let read_ms = load.predicted_read_ms(now_ms, need.demand.prompt_tokens);
+        if read_ms > need.max_read_ms {
+            return false;
+        }
+    }
     let claimed = total.tokens + need.demand.prompt_tokens + need.demand.output_tokens;
     let limit = need.cache_tokens as f64 * CACHE_SHARE;
     total.requests == 0 || f64::from(claimed) <= limit
--- a/src/core/catalog.rs
+++ b/src/core/catalog.rs
@@ -65,6 +65,8 @@
     pub objective: Duration,
     /// Time after which callers leave if they have seen nothing.
     pub patience: Duration,
+    /// Longest pause between the events of a stream that callers aim for.
+    pub max_pause: Option<Duration>,
     /// Rank; 0 goes first.
     pub priority: u8,
     /// Most upstreams that one request is sent to.
@@ -208,6 +210,13 @@
         &self.routes
     }
 
+    /// Shortest pause that the streams of a service aim for.
+    pub fn shortest_pause(&self, service: &ServiceId) -> Option<Duration> {
+        let leads_there = |r: &&Route| r.backends.iter().any(|b| b.service == *service);
+        let routes = self.routes.iter().filter(leads_there);
+        routes.filter_map(|r| r.max_pause).min()
+    }
+
     /// Services with model engines.
     pub fn engines(&self) -> impl Iterator<Item = (&ServiceId, &EngineSpec)> {
         self.services
--- a/src/core/load.rs
+++ b/src/core/load.rs
@@ -5,7 +5,7 @@
 //! silent while it owes answers, is left out for a while and comes back on
 //! trial, so that no health checks are needed.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -207,6 +207,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct LoadBook {
     loads: HashMap<UpstreamId, Load>,
+    changed: HashSet<UpstreamId>,
 }
 
 impl LoadBook {
@@ -234,6 +235,7 @@
         }
         let unread_ahead = load.total(now_ms).unread_tokens;
         load.local = load.local.plus(in_flight(demand, true));
+        self.changed.insert(id.clone());
         Sent {
             upstream: id.clone(),
             demand,
@@ -251,6 +253,10 @@
         let load = self.entry(&sent.upstream);
         let unread = sent.demand.prompt_tokens;
         load.local.unread_tokens = load.local.unread_tokens.saturating_sub(unread);
+        if unread > 0 {
+            self.changed.insert(sent.upstream.clone());
+        }
+        let load = self.entry(&sent.upstream);
         let took_ms = now_ms.saturating_sub(sent.sent_ms) as f64;
         smooth(&mut load.first_answer_ms, took_ms.max(0.5));
         let ahead = sent.unread_ahead + unread;
@@ -271,6 +277,8 @@
     pub fn on_end(&mut self, now_ms: u64, sent: &Sent, end: AttemptEnd) {
         let load = self.entry(&sent.upstream);
         load.local = load.local.minus(in_flight(sent.demand, sent.is_unread));
+        self.changed.insert(sent.upstream.clone());
+        let load = self.entry(&sent.upstream);
         match end {
             AttemptEnd::Answered => {
                 let took_ms = now_ms.saturating_sub(sent.sent_ms) as f64;
@@ -290,6 +298,16 @@
         load.others_at_ms = now_ms;
     }
 
+    /// Takes the upstreams whose local load changed since the last call.
+    pub fn take_changed(&mut self) -> Vec<(UpstreamId, InFlight)> {
+        let changed = std::mem::take(&mut self.changed);
+        let local = |id: UpstreamId| {
+            let load = self.loads.get(&id).map(|l| l.local);
+            (id, load.unwrap_or_default())
+        };
+        changed.into_iter().map(local).collect()
+    }
+
     /// Upstreams with requests of this host in flight.
     pub fn local(&self) -> impl Iterator<Item = (&UpstreamId, InFlight)> {
         self.loads
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -17,6 +17,7 @@
 pub mod load;
 pub mod membership;
 pub mod outcome;
+pub mod peer_loads;
 pub mod placement;
 pub mod registry;
 pub mod rendezvous;
--- a/src/gateway/acting.rs
+++ b/src/gateway/acting.rs
@@ -11,7 +11,7 @@
 
 use super::demand::{ModelCounts, ServiceModel};
 use super::membership::Membership;
-use super::peers::{ActingInbox, PeerMessage, chunk};
+use super::peers::{ActingInbox, MAX_DIRECT_HOSTS, PeerMessage, chunk};
 use super::platform::{Order, Platform};
 use super::state::Gateway;
 use crate::core::balance::Weights;
@@ -41,7 +41,6 @@
 struct HostReport {
     started_ms: u64,
     at_ms: u64,
-    in_flight: HashMap<UpstreamId, InFlight>,
     models: HashMap<ServiceModel, ModelCounts>,
 }
 
@@ -87,19 +86,6 @@
         self.asked_adapters.get(&key).copied().unwrap_or(0)
     }
 
-    fn totals(&self, now_ms: u64) -> HashMap<UpstreamId, InFlight> {
-        let mut totals: HashMap<UpstreamId, InFlight> = HashMap::new();
-        let fresh = self
-            .hosts
-            .values()
-            .filter(|h| now_ms < h.at_ms + REPORT_EXPIRES_MS);
-        for (id, load) in fresh.flat_map(|h| &h.in_flight) {
-            let total = totals.entry(id.clone()).or_default();
-            *total = total.plus(*load);
-        }
-        totals
-    }
-
     /// Demand for the models of a service.
     fn demand(&mut self, now_ms: u64, service: &ServiceId) -> BTreeMap<ModelId, ModelDemand> {
         let mut demand: BTreeMap<ModelId, ModelDemand> = BTreeMap::new();
@@ -210,7 +196,7 @@
         let now_ms = self.gateway.now_ms();
         let mut state = self.state.borrow_mut();
         state.refill_store_loads(now_ms, spec.store_loads_per_s);
-        let totals = state.totals(now_ms);
+        let totals = self.gateway.peer_loads.borrow().totals(now_ms);
         let demand = state.demand(now_ms, service);
         let registry = self.gateway.registry.borrow();
         let loads = self.gateway.loads.borrow();
@@ -341,16 +327,14 @@
         let gateway = &self.gateway;
         let now_ms = gateway.now_ms();
         let own = gateway.settings().host.clone();
-        let state = self.state.borrow();
-        let totals = state.totals(now_ms);
+        let peer_loads = gateway.peer_loads.borrow();
+        let totals = peer_loads.totals(now_ms);
         let peers = gateway.peers.borrow();
         for (host, peer) in peers.iter() {
-            let reported = state.hosts.get(host);
             let others: Vec<(UpstreamId, InFlight)> = totals
                 .iter()
                 .map(|(id, total)| {
-                    let mine = reported.and_then(|r| r.in_flight.get(id).copied());
-                    (id.clone(), total.minus(mine.unwrap_or_default()))
+                    (id.clone(), total.minus(peer_loads.of_host(host, id)))
                 })
                 .collect();
             if *host == own {
@@ -372,7 +356,7 @@
         let now_ms = self.gateway.now_ms();
         let registry = self.gateway.registry.borrow();
         let state = self.state.borrow();
-        let totals = state.totals(now_ms);
+        let totals = self.gateway.peer_loads.borrow().totals(now_ms);
         let fill = |id: &UpstreamId, slots: u32| {
             let requests = totals.get(id).map_or(0, |t| t.requests);
             f64::from(requests) / f64::from(slots.max(1))
@@ -416,7 +400,6 @@
         &self,
         host: &HostId,
         started_ms: u64,
-        in_flight: &[(UpstreamId, InFlight)],
         models: &[(ServiceId, ModelId, ModelCounts)],
         adapters: &[(ServiceId, ModelId, AdapterId)],
     ) {
@@ -431,13 +414,6 @@
             };
         }
         report.at_ms = now_ms;
-        for (id, load) in in_flight {
-            if load.is_empty() {
-                report.in_flight.remove(id);
-            } else {
-                report.in_flight.insert(id.clone(), *load);
-            }
-        }
         for (service, model, counts) in models {
             let key = (service.clone(), model.clone());
             let old = report.models.insert(key.clone(), *counts);
@@ -503,9 +479,10 @@
                 continue;
             };
             self.act(term);
-            let every_ms = super::peers::report_every(self.gateway.host_count()).as_millis();
-            if now_ms >= digests_at_ms {
-                digests_at_ms = now_ms + every_ms as u64;
+            let hosts = self.gateway.host_count();
+            let every_ms = super::peers::report_every(hosts).as_millis() as u64;
+            if now_ms >= digests_at_ms && hosts > MAX_DIRECT_HOSTS {
+                digests_at_ms = now_ms + every_ms;
                 self.send_digests(term);
             }
         }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -38,6 +38,10 @@
 /// Shortest time for an attempt.
 const MIN_ATTEMPT: Duration = Duration::from_millis(100);
 
+/// Share of the longest pause that reading prompts may take up; the rest is
+/// for the tokens of one event and what other hosts send unseen.
+const READ_SHARE: f64 = 0.6;
+
 /// One request, ready to be sent.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -152,6 +156,9 @@
                 weights,
                 demand: call.demand,
                 cache_tokens: engine.map_or(u64::MAX, |e| e.cache_tokens),
+                max_read_ms: catalog
+                    .shortest_pause(service)
+                    .map_or(f64::MAX, |p| p.as_millis() as f64 * READ_SHARE),
             },
             model,
             priority: route.priority,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,8 +1,9 @@
 //! Traffic between hosts: small datagrams of CBOR.
 //!
-//! Each host tells the acting host what it has in flight and what callers
-//! asked for; the acting host tells each host what all others have in flight
-//! and what engines hold after its orders. Everything is a statement that a
+//! Each host tells all others what it has in flight as soon as that changes,
+//! and the acting host what callers asked for. In a large fleet, loads go to
+//! the acting host only, which tells each host the sum of all others. The
+//! acting host also tells what engines hold after its orders. Everything is a statement that a
 //! newer one replaces, so that a lost datagram costs time and nothing else.
 //! That is why these are datagrams and no links that would have to be kept
 //! and watched.
@@ -34,6 +35,13 @@
 /// Time by which each host of the fleet stretches the time between reports,
 /// so that the acting host's work stays bounded.
 const REPORT_STRETCH: Duration = Duration::from_millis(8);
+/// Hosts up to which each tells all others its loads directly.
+pub const MAX_DIRECT_HOSTS: usize = 16;
+/// Time for which changes of loads are gathered into one datagram; much less
+/// than the time to read a prompt.
+const LOADS_EVERY: Duration = Duration::from_millis(20);
+/// Time between two statements of all loads, in milliseconds.
+const ALL_LOADS_EVERY_MS: u64 = 1_000;
 /// Items in one datagram; keeps it below the usual size of a packet.
 pub const ITEMS_PER_DATAGRAM: usize = 30;
 /// Largest datagram that is read, in bytes.
@@ -46,7 +54,20 @@
 /// Statement of one host to another.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PeerMessage {
-    /// What a host has in flight and was asked for.
+    /// What a host has in flight.
+    #[serde(rename = "f")]
+    Loads {
+        /// Host.
+        #[serde(rename = "h")]
+        host: HostId,
+        /// Start of its process.
+        #[serde(rename = "s")]
+        started_ms: u64,
+        /// In flight, by upstream.
+        #[serde(rename = "u")]
+        in_flight: Vec<(UpstreamId, InFlight)>,
+    },
+    /// What a host was asked for.
     #[serde(rename = "r")]
     Report {
         /// Host.
@@ -55,9 +76,6 @@
         /// Start of its process; counters begin there.
         #[serde(rename = "s")]
         started_ms: u64,
-        /// In flight, by upstream.
-        #[serde(rename = "u", default)]
-        in_flight: Vec<(UpstreamId, InFlight)>,
         /// Demand, by model.
         #[serde(rename = "m", default)]
         models: Vec<(ServiceId, ModelId, ModelCounts)>,
@@ -132,7 +150,6 @@
         &self,
         host: &HostId,
         started_ms: u64,
-        in_flight: &[(UpstreamId, InFlight)],
         models: &[(ServiceId, ModelId, ModelCounts)],
         adapters: &[(ServiceId, ModelId, AdapterId)],
     );
@@ -175,7 +192,6 @@
     gateway: Rc<Gateway<P>>,
     inbox: A,
     socket: Rc<UdpSocket>,
-    reported: RefCell<Vec<UpstreamId>>,
     reported_models: RefCell<HashMap<(ServiceId, ModelId), ModelCounts>>,
 }
 
@@ -188,7 +204,6 @@
             gateway,
             inbox,
             socket,
-            reported: RefCell::default(),
             reported_models: RefCell::default(),
         }
     }
@@ -221,15 +236,17 @@
         let gateway = &self.gateway;
         let now_ms = gateway.now_ms();
         match message {
-            PeerMessage::Report {
+            PeerMessage::Loads {
                 host,
                 started_ms,
                 in_flight,
+            } => gateway.take_loads(&host, started_ms, &in_flight),
+            PeerMessage::Report {
+                host,
+                started_ms,
                 models,
                 adapters,
-            } => self
-                .inbox
-                .on_report(&host, started_ms, &in_flight, &models, &adapters),
+            } => self.inbox.on_report(&host, started_ms, &models, &adapters),
             PeerMessage::Want {
                 service,
                 model,
@@ -270,14 +287,13 @@
         }
     }
 
-    /// Tells the acting host what changed since the last report.
+    /// Tells the acting host what was asked for since the last report.
     fn report(&self) {
         let gateway = &self.gateway;
         let acting = gateway.acting.borrow().clone();
         let Some(acting) = acting else {
             return;
         };
-        let in_flight = self.changed_loads();
         let models = self.changed_models();
         let asked = gateway.demand.borrow_mut().take_asked_adapters();
         let adapters: Vec<_> = asked
@@ -287,21 +303,14 @@
         let host = gateway.settings().host.clone();
         let started_ms = gateway.clock.started_ms();
         if acting.host == host {
-            self.inbox
-                .on_report(&host, started_ms, &in_flight, &models, &adapters);
+            self.inbox.on_report(&host, started_ms, &models, &adapters);
             return;
         }
-        let parts = in_flight
-            .len()
-            .max(models.len())
-            .max(adapters.len())
-            .div_ceil(ITEMS_PER_DATAGRAM)
-            .max(1);
-        for part in 0..parts {
+        let longest = models.len().max(adapters.len());
+        for part in 0..longest.div_ceil(ITEMS_PER_DATAGRAM).max(1) {
             let message = PeerMessage::Report {
                 host: host.clone(),
                 started_ms,
-                in_flight: chunk(&in_flight, part),
                 models: chunk(&models, part),
                 adapters: chunk(&adapters, part),
             };
@@ -309,17 +318,63 @@
         }
     }
 
-    /// Loads that are not zero, and those that have become zero.
-    fn changed_loads(&self) -> Vec<(UpstreamId, InFlight)> {
-        let loads = self.gateway.loads.borrow();
-        let mut now: Vec<(UpstreamId, InFlight)> =
-            loads.local().map(|(id, load)| (id.clone(), load)).collect();
-        let mut reported = self.reported.borrow_mut();
-        let ended = reported.iter().filter(|id| !now.iter().any(|(n, _)| n == *id));
-        let ended: Vec<_> = ended.map(|id| (id.clone(), InFlight::default())).collect();
-        *reported = now.iter().map(|(id, _)| id.clone()).collect();
-        now.extend(ended);
-        now
+    /// States loads: to all other hosts of a small fleet, to the acting host
+    /// of a large one.
+    fn state_loads(&self, in_flight: &[(UpstreamId, InFlight)]) {
+        let gateway = &self.gateway;
+        let host = gateway.settings().host.clone();
+        let started_ms = gateway.clock.started_ms();
+        let acting = gateway.acting.borrow().clone();
+        if acting.as_ref().is_some_and(|a| a.host == host) {
+            gateway.take_loads(&host, started_ms, in_flight);
+        }
+        let addrs: Vec<SocketAddr> = if gateway.host_count() <= MAX_DIRECT_HOSTS {
+            let peers = gateway.peers.borrow();
+            let others = peers.iter().filter(|(h, _)| **h != host);
+            others.map(|(_, p)| p.addr).collect()
+        } else {
+            let other = acting.filter(|a| a.host != host);
+            other.map(|a| a.addr).into_iter().collect()
+        };
+        for part in 0..in_flight.len().div_ceil(ITEMS_PER_DATAGRAM) {
+            let message = PeerMessage::Loads {
+                host: host.clone(),
+                started_ms,
+                in_flight: chunk(in_flight, part),
+            };
+            for addr in &addrs {
+                gateway.send_peer(*addr, &message);
+            }
+        }
+    }
+
+    async fn state_loads_until(&self, cancel: CancellationToken) {
+        let mut all_at_ms = 0;
+        loop {
+            let is_large = self.gateway.host_count() > MAX_DIRECT_HOSTS;
+            let pause = if is_large {
+                report_every(self.gateway.host_count())
+            } else {
+                LOADS_EVERY
+            };
+            futures_util::select_biased! {
+                () = cancel.cancelled().fuse() => return,
+                () = compio::time::sleep(pause).fuse() => {}
+            }
+            let now_ms = self.gateway.now_ms();
+            let changed = self.gateway.loads.borrow_mut().take_changed();
+            if now_ms >= all_at_ms {
+                all_at_ms = now_ms + ALL_LOADS_EVERY_MS;
+                let mut all: Vec<(UpstreamId, InFlight)> = {
+                    let loads = self.gateway.loads.borrow();
+                    loads.local().map(|(id, load)| (id.clone(), load)).collect()
+                };
+                all.extend(changed.into_iter().filter(|(_, load)| load.is_empty()));
+                self.state_loads(&all);
+            } else if !changed.is_empty() {
+                self.state_loads(&changed);
+            }
+        }
     }
 
     fn changed_models(&self) -> Vec<(ServiceId, ModelId, ModelCounts)> {
@@ -375,6 +430,23 @@
         acting.as_ref().is_none_or(|a| term >= a.term)
     }
 
+    /// Takes in what a host has in flight.
+    pub fn take_loads(&self, host: &HostId, started_ms: u64, stated: &[(UpstreamId, InFlight)]) {
+        let now_ms = self.now_ms();
+        let mut peer_loads = self.peer_loads.borrow_mut();
+        peer_loads.observe(now_ms, host, started_ms, stated);
+        if *host == self.settings().host || self.host_count() > MAX_DIRECT_HOSTS {
+            return;
+        }
+        let mut loads = self.loads.borrow_mut();
+        for (id, _) in stated {
+            let own = peer_loads.of_host(&self.settings().host, id);
+            loads.set_others(now_ms, id, peer_loads.total(now_ms, id).minus(own));
+        }
+        drop(loads);
+        self.places.borrow().wake();
+    }
+
     /// Takes in what an engine holds after an order.
     pub fn take_holdings(
         &self,
@@ -436,6 +508,11 @@
             let link = Rc::clone(&self);
             async move { link.receive().await }
         });
+        let stating = compio::runtime::spawn({
+            let link = Rc::clone(&self);
+            let cancel = cancel.clone();
+            async move { link.state_loads_until(cancel).await }
+        });
         loop {
             futures_util::select_biased! {
                 () = cancel.cancelled().fuse() => break,
@@ -444,5 +521,7 @@
             self.report();
         }
         drop(receiving);
+        // It ends with the same token.
+        let _ = stating.await;
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -16,6 +16,7 @@
 use crate::core::catalog::Catalog;
 use crate::core::ids::{HostId, ServiceId};
 use crate::core::load::LoadBook;
+use crate::core::peer_loads::PeerLoads;
 use crate::core::registry::{Registry, RegistryChange};
 use crate::core::retry::RetryBudget;
 use crate::core::routing::Rng;
@@ -76,6 +77,8 @@
     pub peers: RefCell<HashMap<HostId, Peer>>,
     /// Host that gives orders.
     pub acting: RefCell<Option<ActingHost>>,
+    /// What other hosts state to have in flight.
+    pub peer_loads: RefCell<PeerLoads>,
     /// Sends messages to other hosts.
     pub peer_sender: PeerSender,
     /// Noise.
@@ -107,6 +110,7 @@
             demand: RefCell::default(),
             peers: RefCell::default(),
             acting: RefCell::default(),
+            peer_loads: RefCell::default(),
             peer_sender: PeerSender::default(),
             rng: RefCell::new(Rng::new(seed)),
             metrics: GatewayMetrics::default(),
