--- a/src/core/engine_book.rs
+++ b/src/core/engine_book.rs
@@ -5,7 +5,7 @@
 //! ever exceeded. Each order names the count of orders before it: an order
 //! whose answer was lost can run late only until the next one is accepted.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::catalog::EngineSpec;
 use super::ids::{AdapterId, ModelId};
@@ -15,7 +15,7 @@
 /// milliseconds; listings lag by a heartbeat or two.
 const LISTING_LAG_MS: u64 = 3_500;
 /// Time by which a report may lag, in milliseconds.
-const REPORT_LAG_MS: u64 = 600;
+pub const REPORT_LAG_MS: u64 = 400;
 
 /// Part of an engine's report that the book takes in.
 #[derive(Clone, Copy, Debug)]
@@ -39,8 +39,8 @@
     pub holds: Holdings,
     /// Model that is being loaded or may be, and when it is likely ready.
     pub loading: Option<(ModelId, u64)>,
-    /// Model that is being unloaded or may be.
-    pub unloading: Option<ModelId>,
+    /// Model that is being unloaded or may be, with its adapters.
+    pub unloading: Option<(ModelId, BTreeSet<AdapterId>)>,
     /// Adapters that are being loaded or may be.
     pub coming: BTreeMap<(ModelId, AdapterId), u64>,
     /// Adapters among them whose order had no answer.
@@ -77,20 +77,14 @@
         true
     }
 
-    /// Takes in a report; what was ordered a moment ago may not be in it yet.
+    /// Takes in a report that was made after the last order's answer.
     pub fn take_report(&mut self, report: &Reported<'_>, now_ms: u64) {
-        let is_recent = now_ms < self.last_order_ms + REPORT_LAG_MS;
-        let known = self.orders_accepted;
-        let is_newer = known.is_none_or(|known| report.orders_accepted > known);
-        self.orders_accepted = Some(known.unwrap_or(0).max(report.orders_accepted));
-        if !is_newer && is_recent {
-            return;
-        }
-        let loading = self.loading.as_ref().map(|(m, _)| m);
+        self.orders_accepted = Some(report.orders_accepted);
         let mut holds = report.holds.clone();
-        if let Some(model) = &self.unloading {
+        if let Some((model, _)) = &self.unloading {
             holds.remove(model);
         }
+        let loading = self.loading.as_ref().map(|(m, _)| m);
         if loading.is_some_and(|m| holds.contains_key(m)) {
             self.loading = None;
         }
@@ -113,6 +107,12 @@
         }
     }
 
+    /// True if the engine can be given an order now: while a model is loaded
+    /// or unloaded it refuses all others.
+    pub fn takes_orders(&self, now_ms: u64) -> bool {
+        self.loading.is_none() && self.unloading.is_none() && now_ms >= self.blocked_until_ms
+    }
+
     /// True if no order is under way or may be.
     pub fn is_quiet(&self) -> bool {
         self.loading.is_none()
@@ -123,8 +123,9 @@
 
     /// Adapters that occupy a slot or may.
     pub fn adapters_charged(&self) -> usize {
-        let held: usize = self.holds.values().map(std::collections::BTreeSet::len).sum();
-        held + self.coming.len() + self.leaving.len()
+        let held: usize = self.holds.values().map(BTreeSet::len).sum();
+        let unloading = self.unloading.as_ref().map_or(0, |(_, a)| a.len());
+        held + unloading + self.coming.len() + self.leaving.len()
     }
 
     /// Memory that is occupied or may be, in MB.
@@ -138,8 +139,12 @@
             .sum();
         let moving = self.coming.keys().chain(self.leaving.keys());
         let adapters: u64 = moving.map(|(m, _)| adapter_mb(m)).sum();
-        let models = self.loading.iter().map(|(m, _)| m).chain(&self.unloading);
-        held + adapters + models.map(model_mb).sum::<u64>()
+        let loading = self.loading.as_ref().map_or(0, |(m, _)| model_mb(m));
+        let unloading = self
+            .unloading
+            .as_ref()
+            .map_or(0, |(m, a)| model_mb(m) + a.len() as u64 * adapter_mb(m));
+        held + adapters + loading + unloading
     }
 
     /// True if a model fits beside everything that is charged.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 //! daemon, the tests and the model checker drive the same code. Randomness
 //! comes from a seeded generator that the caller passes in.
 
+pub mod adapters;
 pub mod admission;
 pub mod balance;
 pub mod catalog;
--- a/src/gateway/acting.rs
+++ b/src/gateway/acting.rs
@@ -14,6 +14,7 @@
 use super::peers::{ActingInbox, MAX_DIRECT_HOSTS, PeerMessage, chunk};
 use super::platform::{Order, Platform};
 use super::state::Gateway;
+use crate::core::adapters::{Site, choose_site};
 use crate::core::balance::Weights;
 use crate::core::catalog::EngineSpec;
 use crate::core::copies::{ModelDemand, PlannedEngine, Step, plan};
@@ -33,8 +34,6 @@
 const REFUSED_RUN_S: f64 = 2.5;
 /// Loads from the weight store that may be saved up for a burst.
 const SAVED_LOADS: f64 = 3.0;
-/// Fill of a copy's batch above which an adapter is loaded on another copy.
-const ADAPTER_SPREAD_FILL: f64 = 0.7;
 
 /// What one host reported.
 #[derive(Debug, Default)]
@@ -210,12 +209,10 @@
                 .get(entry.id.as_str())
                 .is_some_and(|l| l.is_ejected(now_ms) || l.is_silent(now_ms));
             let has_orders = orders.get(&entry.id).is_some_and(|q| q.has_model_orders());
-            let is_settled = book.loading.is_none() && book.unloading.is_none();
             let takes_orders = !entry.is_draining
                 && !is_failing
                 && !has_orders
-                && is_settled
-                && now_ms >= book.blocked_until_ms;
+                && book.takes_orders(now_ms);
             engines.push(PlannedEngine {
                 id: entry.id.clone(),
                 batch: entry.slots,
@@ -351,18 +348,37 @@
         }
     }
 
-    /// Loads an adapter on the copy of its model with most room.
+    /// Loads an adapter on a copy of its model, if none can serve it.
     fn want_adapter(self: &Rc<Self>, service: &ServiceId, model: &ModelId, adapter: &AdapterId) {
+        let Some(catalog) = self.gateway.catalog() else {
+            return;
+        };
+        let engine = catalog.services.get(service).and_then(|s| s.engine.as_ref());
+        let Some(spec) = engine else {
+            return;
+        };
+        let (ids, sites) = self.adapter_sites(service, spec, model, adapter);
+        if let Some(at) = choose_site(&sites) {
+            let order = Order::LoadAdapter(model.clone(), adapter.clone());
+            self.enqueue(ids[at].clone(), order);
+        }
+    }
+
+    fn adapter_sites(
+        &self,
+        service: &ServiceId,
+        spec: &EngineSpec,
+        model: &ModelId,
+        adapter: &AdapterId,
+    ) -> (Vec<UpstreamId>, Vec<Site>) {
         let now_ms = self.gateway.now_ms();
         let registry = self.gateway.registry.borrow();
+        let loads = self.gateway.loads.borrow();
         let state = self.state.borrow();
         let totals = self.gateway.peer_loads.borrow().totals(now_ms);
-        let fill = |id: &UpstreamId, slots: u32| {
-            let requests = totals.get(id).map_or(0, |t| t.requests);
-            f64::from(requests) / f64::from(slots.max(1))
-        };
-        let mut has_room_already = false;
-        let mut best: Option<(f64, UpstreamId)> = None;
+        let key = (model.clone(), adapter.clone());
+        let mut ids = Vec::new();
+        let mut sites = Vec::new();
         for entry in registry.of_service(service).filter(|e| !e.is_draining) {
             let Some(book) = state.engines.get(&entry.id) else {
                 continue;
@@ -370,28 +386,25 @@
             let Some(adapters) = book.holds.get(model) else {
                 continue;
             };
-            let fill = fill(&entry.id, entry.slots);
-            let key = (model.clone(), adapter.clone());
-            if book.coming.contains_key(&key) {
-                return;
-            }
-            if adapters.contains(adapter) {
-                has_room_already |= fill < ADAPTER_SPREAD_FILL;
+            let load = loads.get(entry.id.as_str());
+            if load.is_some_and(|l| l.is_ejected(now_ms) || l.is_silent(now_ms)) {
                 continue;
             }
-            let crowding = book.adapters_charged() as f64 / 100.0;
-            if best.as_ref().is_none_or(|(least, _)| fill + crowding < *least) {
-                best = Some((fill + crowding, entry.id.clone()));
-            }
-        }
-        drop(state);
-        drop(registry);
-        if has_room_already {
-            return;
-        }
-        if let Some((_, upstream)) = best {
-            self.enqueue(upstream, Order::LoadAdapter(model.clone(), adapter.clone()));
+            let requests = totals.get(&entry.id).map_or(0, |t| t.requests);
+            let slots = spec.adapter_slots as usize;
+            let victim = book.adapter_to_evict(|m, a| state.asked_ms(m, a));
+            let victim_ms = victim.map_or(0, |(m, a)| state.asked_ms(&m, &a));
+            ids.push(entry.id.clone());
+            sites.push(Site {
+                fill: f64::from(requests) / f64::from(entry.slots.max(1)),
+                free_slots: slots.saturating_sub(book.adapters_charged()),
+                victim_idle_ms: now_ms.saturating_sub(victim_ms),
+                is_blocked: !book.takes_orders(now_ms),
+                has_adapter: adapters.contains(adapter),
+                is_coming: book.coming.contains_key(&key),
+            });
         }
+        (ids, sites)
     }
 }
 
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -8,7 +8,7 @@
 use super::acting::Acting;
 use super::metrics::KindLabel;
 use super::platform::{Authority, EngineReport, Order, OrderReply, Platform};
-use crate::core::engine_book::{EngineBook, Reported};
+use crate::core::engine_book::{EngineBook, REPORT_LAG_MS, Reported};
 use crate::core::ids::{AdapterId, ModelId, UpstreamId};
 
 /// Orders that wait for one engine at most.
@@ -19,13 +19,17 @@
 const ADAPTER_BASE: Duration = Duration::from_millis(4);
 /// Pause between two looks at an engine that is busy.
 const BUSY_POLL: Duration = Duration::from_millis(200);
-/// Looks at an engine after which an order under way is given up.
-const MAX_POLLS: u32 = 40;
-/// Time for which an engine gets no further order for a model after one
-/// failed, in milliseconds.
-const BLOCK_MS: u64 = 1_000;
-/// Times that an order is sent.
-const MAX_SENDS: u32 = 3;
+/// Looks at an engine after which an order under way is given up; an unload
+/// waits for the streams that run.
+const MAX_POLLS: u32 = 150;
+/// Time for which an engine gets no further order after one failed, in
+/// milliseconds.
+const BLOCK_MS: u64 = 700;
+/// Times that an order is sent until it is answered; an order without an
+/// answer can run late until a later one is accepted.
+const MAX_SENDS: u32 = 10;
+/// Pause before an order without an answer is sent again.
+const UNKNOWN_PAUSE: Duration = Duration::from_millis(400);
 
 /// Orders that wait for one engine.
 #[derive(Debug, Default)]
@@ -108,6 +112,9 @@
         let Some(spec) = self.spec_of(upstream) else {
             return;
         };
+        if !self.knows_count(upstream).await {
+            return self.block(upstream);
+        }
         let fits = self.with_book(upstream, |b| b.fits_model(&spec, model));
         if fits != Some(true) {
             tracing::info!(event = "order", upstream = %upstream, order = %model, reply = "no_room");
@@ -129,7 +136,8 @@
                 })
                 .detach();
             }
-            OrderReply::Unknown => self.settle_unknown(upstream).await,
+            // It stays charged until another host acts or the engine ends.
+            OrderReply::Unknown => {}
             _ => {
                 self.with_book(upstream, |b| b.loading = None);
                 self.block(upstream);
@@ -166,8 +174,6 @@
         self.with_book(upstream, |book| {
             book.loading = None;
             book.unloading = None;
-            // Nothing is under way, so that nothing can be missing.
-            book.last_order_ms = 0;
             book.take_report(&reported(report), now_ms);
             book.last_order_ms = now_ms;
         });
@@ -176,9 +182,10 @@
 
     async fn unload_model(self: &Rc<Self>, upstream: &UpstreamId, model: &ModelId) {
         let is_held = self.with_book(upstream, |book| {
-            let is_held = book.holds.remove(model).is_some();
-            if is_held {
-                book.unloading = Some(model.clone());
+            let adapters = book.holds.remove(model);
+            let is_held = adapters.is_some();
+            if let Some(adapters) = adapters {
+                book.unloading = Some((model.clone(), adapters));
             }
             is_held
         });
@@ -190,11 +197,12 @@
         let order = Order::UnloadModel(model.clone());
         match self.send_order(upstream, &order).await {
             OrderReply::Accepted | OrderReply::Holds => self.await_idle(upstream).await,
-            OrderReply::Unknown => self.settle_unknown(upstream).await,
+            OrderReply::Unknown => {}
             _ => {
                 self.with_book(upstream, |book| {
-                    book.unloading = None;
-                    book.holds.entry(model.clone()).or_default();
+                    if let Some((model, adapters)) = book.unloading.take() {
+                        book.holds.entry(model).or_insert(adapters);
+                    }
                 });
                 self.broadcast_holdings(upstream);
                 self.block(upstream);
@@ -211,22 +219,16 @@
             };
             if let Some(report) = self.gateway.platform.report(addr).await {
                 let accepted = self.with_book(upstream, |b| b.orders_accepted);
-                let is_recent = accepted.flatten().is_none_or(|n| report.orders_accepted >= n);
+                let is_recent = accepted.flatten() == Some(report.orders_accepted);
                 if is_recent && !report.is_busy {
                     self.adopt(upstream, &report);
                     return;
                 }
             }
         }
-        self.with_book(upstream, |b| b.unloading = None);
         self.block(upstream);
     }
 
-    /// Finds out what became of an order without an answer.
-    async fn settle_unknown(self: &Rc<Self>, upstream: &UpstreamId) {
-        self.await_idle(upstream).await;
-    }
-
     async fn load_adapter(
         self: &Rc<Self>,
         upstream: &UpstreamId,
@@ -243,6 +245,9 @@
         if is_needed != Some(true) {
             return;
         }
+        if !self.knows_count(upstream).await {
+            return self.block(upstream);
+        }
         let mut evictions = 0;
         while self.with_book(upstream, |b| b.fits_adapter(&spec, model)) == Some(false) {
             let victim = {
@@ -324,10 +329,8 @@
             OrderReply::Accepted => {
                 self.await_adapter_gone(upstream, model, adapter).await
             }
-            OrderReply::Unknown => {
-                self.settle_unknown(upstream).await;
-                false
-            }
+            // It occupies its slot until another host acts.
+            OrderReply::Unknown => return false,
             _ => false,
         };
         self.with_book(upstream, |book| {
@@ -374,23 +377,31 @@
         self.with_book(upstream, |b| b.blocked_until_ms = until_ms);
     }
 
-    /// Sends an order, and again with the right count of orders if the engine
-    /// has accepted more or fewer than known.
+    /// Makes sure that the count of an engine's orders is known.
+    async fn knows_count(&self, upstream: &UpstreamId) -> bool {
+        if self.with_book(upstream, |b| b.orders_accepted).flatten().is_some() {
+            return true;
+        }
+        let Some(addr) = self.addr_of(upstream) else {
+            return false;
+        };
+        self.learn(upstream, addr).await == Learnt::Changed
+    }
+
+    /// Sends an order: again while it has no answer, and with the right count
+    /// of orders if the engine has accepted more than known.
     async fn send_order(self: &Rc<Self>, upstream: &UpstreamId, order: &Order) -> OrderReply {
-        let mut reply = OrderReply::NotSent;
+        let mut had_no_answer = false;
         for _ in 0..MAX_SENDS {
             let Some(addr) = self.addr_of(upstream) else {
                 return OrderReply::NotSent;
             };
             let Some(fence) = self.membership.acting_term() else {
-                return OrderReply::NotSent;
+                return if had_no_answer { OrderReply::Unknown } else { OrderReply::NotSent };
             };
             let known = self.with_book(upstream, |b| b.orders_accepted).flatten();
             let Some(after_orders) = known else {
-                if !self.learn_count(upstream, addr).await {
-                    return OrderReply::NotSent;
-                }
-                continue;
+                return OrderReply::NotSent;
             };
             let authority = Authority {
                 holder: self.gateway.settings().host.as_str().to_owned(),
@@ -398,19 +409,31 @@
                 after_orders,
             };
             let platform = &self.gateway.platform;
-            reply = platform.order(addr, upstream, order, &authority).await;
+            let reply = platform.order(addr, upstream, order, &authority).await;
             self.note_order(upstream, order, &authority, reply);
             match reply {
+                OrderReply::Unknown => {
+                    had_no_answer = true;
+                    compio::time::sleep(UNKNOWN_PAUSE).await;
+                }
                 OrderReply::Conflict => {
-                    if !self.learn_count(upstream, addr).await {
-                        return reply;
+                    // A report lags; it must be younger than the refusal.
+                    compio::time::sleep(Duration::from_millis(REPORT_LAG_MS)).await;
+                    match self.learn(upstream, addr).await {
+                        Learnt::Changed => {}
+                        // The earlier order was accepted, its answer lost.
+                        Learnt::Busy if had_no_answer => return OrderReply::Accepted,
+                        Learnt::Busy | Learnt::Nothing => {
+                            self.block(upstream);
+                            return OrderReply::Conflict;
+                        }
                     }
                 }
-                OrderReply::Unknown => {}
+                OrderReply::NotSent if had_no_answer => {}
                 _ => return reply,
             }
         }
-        reply
+        OrderReply::Unknown
     }
 
     fn note_order(
@@ -449,32 +472,49 @@
         );
     }
 
-    /// Learns how many orders an engine has accepted; false if the count was
-    /// right, so that it refuses for another reason.
-    async fn learn_count(&self, upstream: &UpstreamId, addr: SocketAddr) -> bool {
+    /// Learns from an engine's report what it holds and how many orders it has
+    /// accepted.
+    async fn learn(&self, upstream: &UpstreamId, addr: SocketAddr) -> Learnt {
         let Some(report) = self.gateway.platform.report(addr).await else {
-            return false;
+            return Learnt::Nothing;
         };
         let now_ms = self.gateway.now_ms();
         let learnt = self.with_book(upstream, |book| {
-            let known = book.orders_accepted;
             if report.started_ms != book.started_ms {
-                return false;
+                return Learnt::Nothing;
             }
+            let known = book.orders_accepted;
             book.take_report(&reported(&report), now_ms);
-            book.orders_accepted != known
+            if report.is_busy {
+                Learnt::Busy
+            } else if book.orders_accepted == known {
+                Learnt::Nothing
+            } else {
+                Learnt::Changed
+            }
         });
+        let learnt = learnt.unwrap_or(Learnt::Nothing);
         tracing::info!(
             event = "order_count",
             upstream = %upstream,
             reported = report.orders_accepted,
-            is_busy = report.is_busy,
-            learnt,
+            learnt = ?learnt,
         );
-        learnt == Some(true)
+        learnt
     }
 }
 
+/// What a report told.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Learnt {
+    /// The engine is busy with an order.
+    Busy,
+    /// The count of orders is another than known.
+    Changed,
+    /// Nothing new, or no report.
+    Nothing,
+}
+
 fn reported(report: &EngineReport) -> Reported<'_> {
     Reported {
         orders_accepted: report.orders_accepted,
