--- a/src/core/engine_book.rs
+++ b/src/core/engine_book.rs
@@ -11,7 +11,7 @@
 use super::ids::{AdapterId, ModelId};
 use super::registry::{Entry, Holdings};
 
-/// Time after the last order from which a listing is believed, in
+/// Time after the last order or report from which a listing is believed, in
 /// milliseconds; listings lag by a heartbeat or two.
 const LISTING_LAG_MS: u64 = 3_500;
 /// Time by which a report may lag, in milliseconds.
@@ -47,8 +47,8 @@
     pub uncertain: Vec<(ModelId, AdapterId)>,
     /// Adapters that are being unloaded or may be.
     pub leaving: BTreeMap<(ModelId, AdapterId), u64>,
-    /// Time of the last order.
-    pub last_order_ms: u64,
+    /// Time of the last order or report.
+    pub known_ms: u64,
     /// Time until which the engine gets no orders for models.
     pub blocked_until_ms: u64,
 }
@@ -64,13 +64,13 @@
     }
 
     /// Takes in a listing; true if the book changed.
-    pub fn reconcile(&mut self, entry: &Entry, now_ms: u64) -> bool {
+    pub fn reconcile(&mut self, entry: &Entry) -> bool {
         if entry.started_ms != self.started_ms {
             *self = Self::new(entry);
             return true;
         }
-        let is_settled = now_ms > self.last_order_ms + LISTING_LAG_MS && self.is_quiet();
-        if !is_settled || self.holds == entry.holds {
+        let is_later = entry.read_ms > self.known_ms + LISTING_LAG_MS;
+        if !is_later || !self.is_quiet() || self.holds == entry.holds {
             return false;
         }
         self.holds.clone_from(&entry.holds);
@@ -80,6 +80,7 @@
     /// Takes in a report that was made after the last order's answer.
     pub fn take_report(&mut self, report: &Reported<'_>, now_ms: u64) {
         self.orders_accepted = Some(report.orders_accepted);
+        self.known_ms = now_ms;
         let mut holds = report.holds.clone();
         if let Some((model, _)) = &self.unloading {
             holds.remove(model);
--- a/src/core/registry.rs
+++ b/src/core/registry.rs
@@ -36,6 +36,8 @@
     pub started_ms: u64,
     /// Number of this statement of the upstream about itself.
     pub beat: u64,
+    /// When this host read the statement.
+    pub read_ms: u64,
     /// Models and adapters ready for requests.
     pub holds: Holdings,
     /// Models whose weights are in host memory.
@@ -114,6 +116,7 @@
     /// Takes in one written entry.
     pub fn upsert(&mut self, mut entry: Entry, now_ms: u64) -> Option<RegistryChange> {
         self.lapsed_until_ms.remove(&entry.id);
+        entry.read_ms = now_ms;
         let id = entry.id.clone();
         let Some(old) = self.entries.get(&entry.id) else {
             self.entries.insert(entry.id.clone(), entry);
--- a/src/gateway/acting.rs
+++ b/src/gateway/acting.rs
@@ -169,7 +169,7 @@
         for entry in registry.entries() {
             match state.engines.get_mut(&entry.id) {
                 Some(book) => {
-                    book.reconcile(entry, now_ms);
+                    book.reconcile(entry);
                 }
                 None => {
                     state.engines.insert(entry.id.clone(), EngineBook::new(entry));
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -175,7 +175,6 @@
             book.loading = None;
             book.unloading = None;
             book.take_report(&reported(report), now_ms);
-            book.last_order_ms = now_ms;
         });
         self.broadcast_holdings(upstream);
     }
@@ -445,7 +444,7 @@
     ) {
         let now_ms = self.gateway.now_ms();
         self.with_book(upstream, |book| {
-            book.last_order_ms = now_ms;
+            book.known_ms = now_ms;
             let is_immediate = matches!(order, Order::UnloadAdapter(..));
             if reply == OrderReply::Accepted || (reply == OrderReply::Holds && is_immediate) {
                 book.on_accepted();
