--- a/src/core/engine_book.rs
+++ b/src/core/engine_book.rs
@@ -22,6 +22,8 @@
 pub struct Reported<'a> {
     /// Orders accepted since the start.
     pub orders_accepted: u64,
+    /// True while a model is being loaded or unloaded.
+    pub is_busy: bool,
     /// Models and adapters ready for requests.
     pub holds: &'a Holdings,
     /// Adapters that are being loaded.
@@ -79,7 +81,9 @@
 
     /// Takes in a report that was made after the last order's answer.
     pub fn take_report(&mut self, report: &Reported<'_>, now_ms: u64) {
-        self.orders_accepted = Some(report.orders_accepted);
+        // Busy with an order of another host's: what it leads to is not known.
+        let is_foreign = report.is_busy && self.loading.is_none() && self.unloading.is_none();
+        self.orders_accepted = (!is_foreign).then_some(report.orders_accepted);
         self.known_ms = now_ms;
         let mut holds = report.holds.clone();
         if let Some((model, _)) = &self.unloading {
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -428,7 +428,9 @@
                         }
                     }
                 }
-                OrderReply::NotSent if had_no_answer => {}
+                OrderReply::NotSent if had_no_answer => {
+                    compio::time::sleep(UNKNOWN_PAUSE).await;
+                }
                 _ => return reply,
             }
         }
@@ -517,6 +519,7 @@
 fn reported(report: &EngineReport) -> Reported<'_> {
     Reported {
         orders_accepted: report.orders_accepted,
+        is_busy: report.is_busy,
         holds: &report.holds,
         coming: &report.coming,
     }
