--- a/src/core/engine_book.rs
+++ b/src/core/engine_book.rs
@@ -11,8 +11,8 @@
 use super::ids::{AdapterId, ModelId};
 use super::registry::{Entry, Holdings};
 
-/// Time after the last order or report from which a listing is believed, in
-/// milliseconds; listings lag by a heartbeat or two.
+/// Time after the last order or report from which a listing that differs
+/// counts, in milliseconds; listings lag by a heartbeat or two.
 const LISTING_LAG_MS: u64 = 3_500;
 /// Time by which a report may lag, in milliseconds.
 pub const REPORT_LAG_MS: u64 = 400;
@@ -65,18 +65,16 @@
         }
     }
 
-    /// Takes in a listing; true if the book changed.
-    pub fn reconcile(&mut self, entry: &Entry) -> bool {
+    /// Compares with a listing; true if the engine must be asked. A listing
+    /// may be older than an outage of the store that it is read after, so that
+    /// the book never takes in what it says.
+    pub fn differs(&mut self, entry: &Entry) -> bool {
         if entry.started_ms != self.started_ms {
             *self = Self::new(entry);
-            return true;
-        }
-        let is_later = entry.read_ms > self.known_ms + LISTING_LAG_MS;
-        if !is_later || !self.is_quiet() || self.holds == entry.holds {
             return false;
         }
-        self.holds.clone_from(&entry.holds);
-        true
+        let is_later = entry.read_ms > self.known_ms + LISTING_LAG_MS;
+        is_later && self.is_quiet() && self.holds != entry.holds
     }
 
     /// Takes in a report that was made after the last order's answer.
--- a/src/gateway/acting.rs
+++ b/src/gateway/acting.rs
@@ -154,7 +154,7 @@
     }
 
     /// Brings the books in line with the listings.
-    fn reconcile(&self, term: u64) {
+    fn reconcile(self: &Rc<Self>, term: u64) {
         let now_ms = self.gateway.now_ms();
         let registry = self.gateway.registry.borrow();
         let mut state = self.state.borrow_mut();
@@ -166,16 +166,27 @@
             state.store_loads_at_ms = now_ms;
         }
         state.engines.retain(|id, _| registry.get(id.as_str()).is_some());
+        let mut doubtful = Vec::new();
         for entry in registry.entries() {
             match state.engines.get_mut(&entry.id) {
                 Some(book) => {
-                    book.reconcile(entry);
+                    if book.differs(entry) {
+                        // One question a listing is enough.
+                        book.known_ms = now_ms;
+                        doubtful.push(entry.id.clone());
+                    }
                 }
                 None => {
                     state.engines.insert(entry.id.clone(), EngineBook::new(entry));
                 }
             }
         }
+        drop(state);
+        drop(registry);
+        for upstream in doubtful {
+            let acting = Rc::clone(self);
+            compio::runtime::spawn(async move { acting.refresh(&upstream).await }).detach();
+        }
     }
 
     fn act(self: &Rc<Self>, term: u64) {
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -473,6 +473,18 @@
         );
     }
 
+    /// Asks an engine what it holds, unless an order is on its way to it.
+    pub async fn refresh(&self, upstream: &UpstreamId) {
+        let Some(addr) = self.addr_of(upstream) else {
+            return;
+        };
+        if self.orders.borrow().contains_key(upstream) {
+            return;
+        }
+        self.learn(upstream, addr).await;
+        self.broadcast_holdings(upstream);
+    }
+
     /// Learns from an engine's report what it holds and how many orders it has
     /// accepted.
     async fn learn(&self, upstream: &UpstreamId, addr: SocketAddr) -> Learnt {
