Plan copies by the prompts that arrive, where engines have time to read them

Cause: copies followed requests in flight, which the pacing of prompts keeps low; the busiest engine carried 2.5 times the mean while others were idle, and most refusals were for want of room. Change: demand is counted in prompt tokens, with a short and a long average; a model gets a copy where engines have time to read, until none of its requests need to go to an engine that reads over 35 % of the time.

--- a/src/core/copies.rs
+++ b/src/core/copies.rs
@@ -1,8 +1,9 @@
 //! Which models and adapters each engine should hold.
 //!
 //! Answers three load patterns. Demand moves on within seconds: a model that
-//! was quiet gets a share of all traffic, so copies follow the offered load,
-//! not what the present copies let through. Rare models are asked for at
+//! was quiet gets a share of all traffic, so copies follow the prompts that
+//! arrive, not what the present copies let through, and go where engines have
+//! time to read them. Rare models are asked for at
 //! once: a model without a copy goes before everything else. Engines are
 //! lost: their models are loaded elsewhere, by demand. The last copy of a
 //! model is never given up.
@@ -13,22 +14,36 @@
 use super::ids::{ModelId, UpstreamId};
 use super::registry::Holdings;
 
-/// Share of an engine's batch that planned load may fill; above it, answers
-/// slow down and bursts find no room.
-pub const TARGET_FILL: f64 = 0.5;
+/// Share of an engine's time for reading prompts up to which nothing moves;
+/// above it, streams pause and bursts find no room.
+pub const TARGET_USE: f64 = 0.35;
+/// Difference of use between engines that is worth a load.
+pub const WORTHWHILE_USE: f64 = 0.12;
+/// Use by a model below which it gets no further copy; a request now and then
+/// finds room anywhere.
+const LEAST_USE: f64 = 0.03;
 /// Time without a request after which a model's extra copies may go, in
 /// milliseconds.
 pub const IDLE_AFTER_MS: u64 = 3_000;
 /// Time after a request for which a model without a copy is wanted, in
 /// milliseconds; callers come back within it.
 pub const WANTED_FOR_MS: u64 = 12_000;
+/// Use that a second of loading must save to be worth it; a load from the
+/// weight store takes most of the time for which demand stays.
+const USE_PER_LOAD_S: f64 = 0.02;
+/// Use that the unload of a model which is in use must save.
+const USE_PER_BUSY_VICTIM: f64 = 0.10;
+/// Rounds in which demand settles on the copies; more change little.
+const SETTLE_ROUNDS: usize = 6;
+/// Steps of one plan at most.
+const MAX_STEPS: usize = 32;
 
 /// Offered load of one model over the whole fleet.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ModelDemand {
-    /// Requests that run, wait or were refused a moment ago: the batch places
-    /// that would serve all of them.
-    pub offered: f64,
+    /// Use of one engine's time for reading prompts that would serve all
+    /// requests; 1 is all of it.
+    pub engine_use: f64,
     /// Time of the newest request.
     pub last_asked_ms: u64,
 }
@@ -38,18 +53,12 @@
 pub struct PlannedEngine {
     /// Name.
     pub id: UpstreamId,
-    /// Requests that run together.
-    pub batch: u32,
-    /// Requests in flight.
-    pub in_flight: u32,
     /// True if it takes orders now: in service, healthy, no order under way.
     pub takes_orders: bool,
     /// True if its copies count: in service and not failing.
     pub is_serving: bool,
     /// Models and adapters held, and those being loaded.
     pub holds: Holdings,
-    /// Model that is being loaded.
-    pub loading: Option<ModelId>,
     /// Models in host memory.
     pub in_memory: BTreeSet<ModelId>,
     /// Models on disk.
@@ -100,6 +109,8 @@
     demand: &'a BTreeMap<ModelId, ModelDemand>,
     /// Engines that hold or load each model.
     holders: BTreeMap<&'a ModelId, Vec<usize>>,
+    /// Use of each engine once demand has settled.
+    engine_use: Vec<f64>,
     is_free: Vec<bool>,
     store_loads: u32,
     steps: Vec<Step>,
@@ -121,16 +132,19 @@
                 }
             }
         }
-        Self {
+        let mut planner = Self {
             now_ms,
             spec,
             engines,
             demand,
             holders,
+            engine_use: Vec::new(),
             is_free: engines.iter().map(|e| e.takes_orders).collect(),
             store_loads,
             steps: Vec::new(),
-        }
+        };
+        planner.settle();
+        planner
     }
 
     fn copies(&self, model: &ModelId) -> usize {
@@ -146,11 +160,49 @@
         asked_ms == 0 || self.now_ms.saturating_sub(asked_ms) > IDLE_AFTER_MS
     }
 
-    /// Copies that carry a model's offered load with room to spare.
-    fn wanted_copies(&self, model: &ModelId) -> usize {
-        let offered = self.demand_of(model).offered;
-        let per_copy = f64::from(self.spec.batch) * TARGET_FILL;
-        ((offered / per_copy).ceil() as usize).max(1)
+    /// Spreads each model's demand over its copies as routing does: where it
+    /// meets less of the others'.
+    fn settle(&mut self) {
+        let active: Vec<(f64, &Vec<usize>)> = self
+            .holders
+            .iter()
+            .map(|(m, holders)| (self.demand_of(m).engine_use, holders))
+            .filter(|(engine_use, holders)| *engine_use > 0.0 && !holders.is_empty())
+            .collect();
+        let mut shares: Vec<Vec<f64>> = active
+            .iter()
+            .map(|(u, holders)| vec![u / holders.len() as f64; holders.len()])
+            .collect();
+        let mut total = vec![0.0; self.engines.len()];
+        for _ in 0..SETTLE_ROUNDS {
+            total.fill(0.0);
+            for ((_, holders), shares) in active.iter().zip(&shares) {
+                for (&e, share) in holders.iter().zip(shares) {
+                    total[e] += share;
+                }
+            }
+            for ((u, holders), shares) in active.iter().zip(&mut shares) {
+                // What each engine would have left without this model.
+                let room = |e: usize, own: f64| (1.5 - (total[e] - own)).max(0.05);
+                let rooms: Vec<f64> = holders
+                    .iter()
+                    .zip(shares.iter())
+                    .map(|(&e, own)| room(e, *own).powi(2))
+                    .collect();
+                let sum: f64 = rooms.iter().sum();
+                for (share, room) in shares.iter_mut().zip(rooms) {
+                    *share = u * room / sum;
+                }
+            }
+        }
+        self.engine_use = total;
+    }
+
+    /// Use of the engine where a model's requests fare best.
+    fn best_use(&self, model: &ModelId) -> f64 {
+        let holders = self.holders.get(model).into_iter().flatten();
+        let uses = holders.map(|&e| self.engine_use[e]);
+        uses.fold(f64::MAX, f64::min)
     }
 
     /// Loads models that are asked for and have no copy.
@@ -166,44 +218,51 @@
             .map(|(m, _)| m)
             .collect();
         missing.sort_by(|a, b| {
-            let offered = |m: &ModelId| self.demand_of(m).offered;
-            offered(b).total_cmp(&offered(a)).then_with(|| a.cmp(b))
+            let engine_use = |m: &ModelId| self.demand_of(m).engine_use;
+            engine_use(b)
+                .total_cmp(&engine_use(a))
+                .then_with(|| a.cmp(b))
         });
         for model in missing {
             self.add_copy(model, true);
         }
     }
 
-    /// Adds copies of models whose offered load exceeds what theirs carry,
-    /// the most overloaded first.
+    /// Adds copies of models whose requests fare badly wherever they go.
     fn add_for_load(&mut self) {
-        let mut short: Vec<(f64, &ModelId)> = self
-            .demand
-            .keys()
-            .filter(|m| self.spec.models.contains_key(*m) && self.copies(m) > 0)
-            .filter(|m| self.copies(m) < self.wanted_copies(m))
-            .map(|m| (self.demand_of(m).offered / self.copies(m) as f64, m))
-            .collect();
-        short.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(b.1)));
-        for (_, model) in short {
-            let lacking = self.wanted_copies(model) - self.copies(model);
-            for _ in 0..lacking {
-                if !self.add_copy(model, false) {
-                    break;
-                }
+        let mut tried: BTreeSet<&ModelId> = BTreeSet::new();
+        while self.steps.len() < MAX_STEPS {
+            let worst = self
+                .demand
+                .iter()
+                .filter(|(m, d)| d.engine_use > LEAST_USE && !tried.contains(m))
+                .filter(|(m, _)| self.spec.models.contains_key(*m) && self.copies(m) > 0)
+                .map(|(m, _)| (self.best_use(m), m))
+                .filter(|(best_use, _)| *best_use > TARGET_USE)
+                .max_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
+            let Some((_, model)) = worst else {
+                return;
+            };
+            if !self.add_copy(model, false) {
+                tried.insert(model);
             }
         }
     }
 
-    /// Loads a model where that is fastest and costs least; false if nowhere.
+    /// Loads a model where that helps most; false if nowhere.
     fn add_copy(&mut self, model: &'a ModelId, is_missing: bool) -> bool {
         let best = (0..self.engines.len())
             .filter(|&e| self.is_free[e] && !self.engines[e].holds.contains_key(model))
+            .filter(|&e| is_missing || !self.is_from_store(e, model) || self.store_loads > 0)
             .filter_map(|e| Some((e, self.victims(e, model, is_missing)?)))
-            .min_by_key(|(e, victims)| self.cost_ms(*e, model, victims));
-        let Some((e, victims)) = best else {
+            .map(|(e, victims)| (self.cost(e, model, &victims), e, victims))
+            .min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
+        let Some((cost, e, victims)) = best else {
             return false;
         };
+        if !is_missing && cost + WORTHWHILE_USE > self.best_use(model) {
+            return false;
+        }
         let engine = &self.engines[e];
         let is_from_store = self.is_from_store(e, model);
         if victims.is_empty() && is_from_store {
@@ -232,6 +291,7 @@
         }
         self.holders.entry(model).or_default().push(e);
         self.steps.push(step);
+        self.settle();
         true
     }
 
@@ -240,10 +300,10 @@
         !engine.in_memory.contains(model) && !engine.on_disk.contains(model)
     }
 
-    /// Time until the copy serves, with the load that it competes with.
-    fn cost_ms(&self, e: usize, model: &ModelId, victims: &[&ModelId]) -> u64 {
+    /// Use that a new copy meets, with what its load costs.
+    fn cost(&self, e: usize, model: &ModelId, victims: &[&ModelId]) -> f64 {
         let engine = &self.engines[e];
-        let load = self.spec.models.get(model).map_or(0, |spec| {
+        let load_s = self.spec.models.get(model).map_or(0.0, |spec| {
             let time = if engine.in_memory.contains(model) {
                 spec.memory_load
             } else if engine.on_disk.contains(model) {
@@ -251,11 +311,10 @@
             } else {
                 spec.store_load
             };
-            time.as_millis() as u64
+            time.as_secs_f64()
         });
-        let fill_ms = 4_000 * u64::from(engine.in_flight) / u64::from(engine.batch.max(1));
-        let unload_ms = 300 * victims.len() as u64;
-        load + fill_ms + unload_ms
+        let busy = victims.iter().filter(|m| !self.is_idle(m)).count();
+        self.engine_use[e] + load_s * USE_PER_LOAD_S + busy as f64 * USE_PER_BUSY_VICTIM
     }
 
     /// Models to unload so that another fits; `None` if too few may go.
@@ -275,7 +334,11 @@
             .keys()
             .filter(|m| self.can_spare(m, is_missing))
             .collect();
-        spare.sort_by_key(|m| (!self.is_idle(m), self.demand_of(m).offered as u64));
+        spare.sort_by(|a, b| {
+            let key = |m: &ModelId| (!self.is_idle(m), self.share(m));
+            let (a, b) = (key(a), key(b));
+            a.0.cmp(&b.0).then_with(|| a.1.total_cmp(&b.1))
+        });
         let mut victims = Vec::new();
         for model in spare {
             if free_mb >= needed_mb {
@@ -306,7 +369,12 @@
         if self.is_idle(model) {
             return true;
         }
-        let keeps = copies - 1;
-        is_for_missing || keeps >= self.wanted_copies(model)
+        // The other copies must be able to carry on.
+        is_for_missing || self.demand_of(model).engine_use / ((copies - 1) as f64) < TARGET_USE
+    }
+
+    /// Use by one copy of a model.
+    fn share(&self, model: &ModelId) -> f64 {
+        self.demand_of(model).engine_use / self.copies(model).max(1) as f64
     }
 }
--- a/src/core/load.rs
+++ b/src/core/load.rs
@@ -182,6 +182,12 @@
     *value += (sample - *value) * SMOOTHING;
 }
 
+/// Time to read one prompt token at an upstream that does little else, in
+/// microseconds.
+pub fn fastest_token_us<'a>(loads: impl Iterator<Item = &'a Load>) -> f64 {
+    loads.map(|l| l.token_us).fold(INITIAL_TOKEN_US, f64::min)
+}
+
 /// What one request adds to the load of its upstream.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Demand {
--- a/src/gateway/acting.rs
+++ b/src/gateway/acting.rs
@@ -20,18 +20,15 @@
 use crate::core::copies::{ModelDemand, PlannedEngine, Step, plan};
 use crate::core::engine_book::EngineBook;
 use crate::core::ids::{AdapterId, HostId, ModelId, ServiceId, UpstreamId};
-use crate::core::load::InFlight;
+use crate::core::load::{InFlight, fastest_token_us};
 use crate::kernel::Service;
 
 /// Time between two plans.
 const PLAN_EVERY: Duration = Duration::from_millis(200);
-/// Time after which a host's report does not count any more, in milliseconds.
-const REPORT_EXPIRES_MS: u64 = 2_500;
-/// Time over which refusals are averaged, in milliseconds.
-const REFUSALS_OVER_MS: f64 = 1_500.0;
-/// Time that a refused request would have run, in seconds; turns refusals a
-/// second into batch places.
-const REFUSED_RUN_S: f64 = 2.5;
+/// Time over which demand that rises is averaged, in milliseconds.
+const RECENT_MS: f64 = 1_200.0;
+/// Time over which demand that falls is averaged, in milliseconds.
+const LASTING_MS: f64 = 4_000.0;
 /// Loads from the weight store that may be saved up for a burst.
 const SAVED_LOADS: f64 = 3.0;
 
@@ -39,28 +36,49 @@
 #[derive(Debug, Default)]
 struct HostReport {
     started_ms: u64,
-    at_ms: u64,
     models: HashMap<ServiceModel, ModelCounts>,
 }
 
 /// Demand for one model over all hosts.
 #[derive(Clone, Copy, Debug, Default)]
 struct ModelTrack {
-    refused_per_s: f64,
-    refused_at_ms: u64,
+    /// Tokens a second, averaged over a short and a long time.
+    recent: Rate,
+    lasting: Rate,
     last_asked_ms: u64,
 }
 
+/// Rate that decays with time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rate {
+    per_s: f64,
+    at_ms: u64,
+}
+
+impl Rate {
+    fn add(&mut self, now_ms: u64, amount: f64, over_ms: f64) {
+        self.per_s = self.get(now_ms, over_ms) + amount * 1000.0 / over_ms;
+        self.at_ms = now_ms;
+    }
+
+    fn get(&self, now_ms: u64, over_ms: f64) -> f64 {
+        let passed_ms = now_ms.saturating_sub(self.at_ms) as f64;
+        self.per_s * (-passed_ms / over_ms).exp()
+    }
+}
+
 impl ModelTrack {
-    fn decay(&mut self, now_ms: u64) {
-        let passed_ms = now_ms.saturating_sub(self.refused_at_ms) as f64;
-        self.refused_per_s *= (-passed_ms / REFUSALS_OVER_MS).exp();
-        self.refused_at_ms = now_ms;
+    fn on_asked(&mut self, now_ms: u64, prompt_tokens: u64) {
+        let tokens = prompt_tokens as f64;
+        self.recent.add(now_ms, tokens, RECENT_MS);
+        self.lasting.add(now_ms, tokens, LASTING_MS);
+        self.last_asked_ms = now_ms;
     }
 
-    fn on_refused(&mut self, now_ms: u64, count: u32) {
-        self.decay(now_ms);
-        self.refused_per_s += f64::from(count) * 1000.0 / REFUSALS_OVER_MS;
+    /// Tokens a second that are likely to come.
+    fn tokens_per_s(&self, now_ms: u64) -> f64 {
+        let recent = self.recent.get(now_ms, RECENT_MS);
+        recent.max(self.lasting.get(now_ms, LASTING_MS))
     }
 }
 
@@ -86,27 +104,21 @@
     }
 
     /// Demand for the models of a service.
-    fn demand(&mut self, now_ms: u64, service: &ServiceId) -> BTreeMap<ModelId, ModelDemand> {
-        let mut demand: BTreeMap<ModelId, ModelDemand> = BTreeMap::new();
-        for ((of, model), track) in &mut self.tracks {
-            if of == service {
-                track.decay(now_ms);
-                let entry = demand.entry(model.clone()).or_default();
-                entry.last_asked_ms = track.last_asked_ms;
-                entry.offered = track.refused_per_s * REFUSED_RUN_S;
-            }
-        }
-        let fresh = self
-            .hosts
-            .values()
-            .filter(|h| now_ms < h.at_ms + REPORT_EXPIRES_MS);
-        for ((of, model), counts) in fresh.flat_map(|h| &h.models) {
-            if of == service {
-                let entry = demand.entry(model.clone()).or_default();
-                entry.offered += f64::from(counts.running + counts.waiting);
-            }
-        }
-        demand
+    fn demand(
+        &self,
+        now_ms: u64,
+        service: &ServiceId,
+        token_us: f64,
+    ) -> BTreeMap<ModelId, ModelDemand> {
+        let tracks = self.tracks.iter().filter(|((of, _), _)| of == service);
+        let demand = tracks.map(|((_, model), track)| {
+            let demand = ModelDemand {
+                engine_use: track.tokens_per_s(now_ms) * token_us / 1e6,
+                last_asked_ms: track.last_asked_ms,
+            };
+            (model.clone(), demand)
+        });
+        demand.collect()
     }
 
     fn refill_store_loads(&mut self, now_ms: u64, per_s: f64) {
@@ -206,11 +218,12 @@
         let now_ms = self.gateway.now_ms();
         let mut state = self.state.borrow_mut();
         state.refill_store_loads(now_ms, spec.store_loads_per_s);
-        let totals = self.gateway.peer_loads.borrow().totals(now_ms);
-        let demand = state.demand(now_ms, service);
         let registry = self.gateway.registry.borrow();
         let loads = self.gateway.loads.borrow();
         let orders = self.orders.borrow();
+        let known = registry.of_service(service).filter_map(|e| loads.get(e.id.as_str()));
+        let token_us = fastest_token_us(known);
+        let demand = state.demand(now_ms, service, token_us);
         let mut engines = Vec::new();
         for entry in registry.of_service(service) {
             let Some(book) = state.engines.get(&entry.id) else {
@@ -226,12 +239,9 @@
                 && book.takes_orders(now_ms);
             engines.push(PlannedEngine {
                 id: entry.id.clone(),
-                batch: entry.slots,
-                in_flight: totals.get(&entry.id).map_or(0, |t| t.requests),
                 takes_orders,
                 is_serving: !entry.is_draining && !is_failing,
                 holds: book.planned_holdings(),
-                loading: book.loading.as_ref().map(|(m, _)| m.clone()),
                 in_memory: entry.in_memory.clone(),
                 on_disk: entry.on_disk.clone(),
             });
@@ -437,17 +447,14 @@
                 ..HostReport::default()
             };
         }
-        report.at_ms = now_ms;
         for (service, model, counts) in models {
             let key = (service.clone(), model.clone());
             let old = report.models.insert(key.clone(), *counts);
             let old = old.unwrap_or_default();
-            let track = state.tracks.entry(key).or_default();
             if counts.asked > old.asked {
-                track.last_asked_ms = now_ms;
-            }
-            if counts.refused > old.refused {
-                track.on_refused(now_ms, counts.refused - old.refused);
+                let tokens = counts.prompt_tokens.saturating_sub(old.prompt_tokens);
+                let track = state.tracks.entry(key).or_default();
+                track.on_asked(now_ms, tokens);
             }
         }
         for (_, model, adapter) in adapters {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -183,7 +183,8 @@
         if let Some(weights) = &job.need.weights {
             let now_ms = self.now_ms();
             let mut demand = self.demand.borrow_mut();
-            demand.on_asked(now_ms, &job.need.service, weights);
+            let tokens = job.need.demand.prompt_tokens;
+            demand.on_asked(now_ms, &job.need.service, weights, tokens);
         }
         let mut attempts = Attempts::default();
         let end = loop {
@@ -379,17 +380,14 @@
             End::TimedOut => (504, "unknown", "timed_out", None),
         };
         if outcome == "not_run" {
-            self.count_refused(job);
+            self.announce_refused(job);
         }
         self.log_end(job, attempts, outcome, reason, status, None);
         self.own_answer(status, reason, Some(&job.request_id), retry_after_ms)
     }
 
-    fn count_refused(&self, job: &Job) {
+    fn announce_refused(&self, job: &Job) {
         if let Some(weights) = &job.need.weights {
-            let mut demand = self.demand.borrow_mut();
-            demand.update(&job.need.service, weights, |c| c.refused += 1);
-            drop(demand);
             self.announce_want(&job.need.service, weights);
         }
     }
--- a/src/gateway/demand.rs
+++ b/src/gateway/demand.rs
@@ -18,15 +18,9 @@
     /// Requests that arrived since the start of the process.
     #[serde(rename = "a")]
     pub asked: u32,
-    /// Requests that were refused since the start of the process.
-    #[serde(rename = "f")]
-    pub refused: u32,
-    /// Requests that run.
-    #[serde(rename = "r")]
-    pub running: u32,
-    /// Requests that wait.
-    #[serde(rename = "w")]
-    pub waiting: u32,
+    /// Prompt tokens of those requests.
+    #[serde(rename = "t")]
+    pub prompt_tokens: u64,
 }
 
 /// Counters of one host.
@@ -38,23 +32,20 @@
 
 impl DemandBook {
     /// Counts an arrival.
-    pub fn on_asked(&mut self, now_ms: u64, service: &ServiceId, weights: &Weights) {
-        let key = (service.clone(), weights.model.clone());
-        self.models.entry(key.clone()).or_default().asked += 1;
-        if let Some(adapter) = &weights.adapter {
-            self.asked_adapters.insert((key, adapter.clone()), now_ms);
-        }
-    }
-
-    /// Changes the counts of a model.
-    pub fn update(
+    pub fn on_asked(
         &mut self,
+        now_ms: u64,
         service: &ServiceId,
         weights: &Weights,
-        change: impl FnOnce(&mut ModelCounts),
+        prompt_tokens: u32,
     ) {
         let key = (service.clone(), weights.model.clone());
-        change(self.models.entry(key).or_default());
+        let counts = self.models.entry(key.clone()).or_default();
+        counts.asked += 1;
+        counts.prompt_tokens += u64::from(prompt_tokens);
+        if let Some(adapter) = &weights.adapter {
+            self.asked_adapters.insert((key, adapter.clone()), now_ms);
+        }
     }
 
     /// Counts of all models that were ever asked for.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -377,26 +377,15 @@
         }
     }
 
+    /// Demand that has grown since the last report.
     fn changed_models(&self) -> Vec<(ServiceId, ModelId, ModelCounts)> {
-        let gateway = &self.gateway;
-        let waiting = gateway.places.borrow().waiting_by_lane();
-        let demand = gateway.demand.borrow();
+        let demand = self.gateway.demand.borrow();
         let mut reported = self.reported_models.borrow_mut();
         let mut changed = Vec::new();
-        for ((service, model), counts) in demand.models() {
-            let lane = Lane {
-                service: service.clone(),
-                model: Some(model.clone()),
-            };
-            let counts = ModelCounts {
-                waiting: waiting.get(&lane).copied().unwrap_or(0),
-                ..*counts
-            };
-            let key = (service.clone(), model.clone());
-            let is_busy = counts.running + counts.waiting > 0;
-            if is_busy || reported.get(&key) != Some(&counts) {
-                reported.insert(key, counts);
-                changed.push((service.clone(), model.clone(), counts));
+        for (key, counts) in demand.models() {
+            if reported.get(key) != Some(counts) {
+                reported.insert(key.clone(), *counts);
+                changed.push((key.0.clone(), key.1.clone(), *counts));
             }
         }
         changed
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -13,7 +13,6 @@
 use super::state::Gateway;
 use crate::core::balance::{Allowed, NoUpstream, Weights, choose};
 use crate::core::catalog::ModelSpec;
-use crate::core::ids::ServiceId;
 use crate::core::load::{AttemptEnd, Sent};
 use crate::core::registry::Registry;
 use crate::core::waiting::{Lane, Outlook, Verdict, WaitQueue, Waiter, admit, spread_retry_after};
@@ -75,23 +74,15 @@
     gateway: Rc<Gateway<P>>,
     /// Where and when it was sent.
     pub sent: Sent,
-    service: ServiceId,
-    weights: Option<Weights>,
     end: AttemptEnd,
 }
 
 impl<P: Platform> InFlight<P> {
-    fn new(gateway: &Rc<Gateway<P>>, job: &Job, sent: Sent) -> Self {
+    fn new(gateway: &Rc<Gateway<P>>, sent: Sent) -> Self {
         gateway.metrics.in_flight.inc();
-        if let Some(weights) = &job.need.weights {
-            let mut demand = gateway.demand.borrow_mut();
-            demand.update(&job.need.service, weights, |c| c.running += 1);
-        }
         Self {
             gateway: Rc::clone(gateway),
             sent,
-            service: job.need.service.clone(),
-            weights: job.need.weights.clone(),
             end: AttemptEnd::Neutral,
         }
     }
@@ -122,10 +113,6 @@
         let mut loads = self.gateway.loads.borrow_mut();
         loads.on_end(now_ms, &self.sent, self.end);
         drop(loads);
-        if let Some(weights) = &self.weights {
-            let mut demand = self.gateway.demand.borrow_mut();
-            demand.update(&self.service, weights, |c| c.running -= 1);
-        }
         self.gateway.metrics.in_flight.dec();
         self.gateway.places.borrow().wake();
     }
@@ -187,7 +174,7 @@
             self.choose_now(job, allowed)
         };
         let reason = match found {
-            Ok(sent) => return Ok(InFlight::new(self, job, sent)),
+            Ok(sent) => return Ok(InFlight::new(self, sent)),
             Err(reason) => reason,
         };
         let outlook = Outlook {
@@ -323,7 +310,7 @@
         let waited_ms = self.now_ms().saturating_sub(started_ms);
         self.metrics.wait_s.observe(waited_ms as f64 / 1000.0);
         match offer {
-            Ok(Ok(sent)) => Ok(InFlight::new(self, job, sent)),
+            Ok(Ok(sent)) => Ok(InFlight::new(self, sent)),
             Ok(Err(reason)) => Err(self.gave_up(job, lane, reason)),
             // The queue never drops a ticket without an offer.
             Err(_) => Err(self.gave_up(job, lane, NoUpstream::Full)),
