Learn the count of orders before any order, unloads too

Cause: after a change of the acting host every unload failed unsent until another order had asked the engine; hot models kept one copy for 20 s.

--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -87,6 +87,10 @@
     }
 
     async fn carry_out_order(self: &Rc<Self>, upstream: &UpstreamId, order: &Order) {
+        // What a former acting host ordered shows in the engine's report.
+        if !self.knows_count(upstream).await {
+            return self.block(upstream);
+        }
         match order {
             Order::LoadModel(model) => self.load_model(upstream, model).await,
             Order::UnloadModel(model) => self.unload_model(upstream, model).await,
@@ -112,9 +116,6 @@
         let Some(spec) = self.spec_of(upstream) else {
             return;
         };
-        if !self.knows_count(upstream).await {
-            return self.block(upstream);
-        }
         let fits = self.with_book(upstream, |b| b.fits_model(&spec, model));
         if fits != Some(true) {
             tracing::info!(event = "order", upstream = %upstream, order = %model, reply = "no_room");
@@ -244,9 +245,6 @@
         if is_needed != Some(true) {
             return;
         }
-        if !self.knows_count(upstream).await {
-            return self.block(upstream);
-        }
         let mut evictions = 0;
         while self.with_book(upstream, |b| b.fits_adapter(&spec, model)) == Some(false) {
             let victim = {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -186,6 +186,17 @@
         let useful_ms = give_up_ms.saturating_sub(now_ms);
         let verdict = admit(waiting, outlook, useful_ms, &mut self.rng.borrow_mut());
         if let Verdict::Refuse { retry_after_ms } = verdict {
+            tracing::info!(
+                event = "turned_away",
+                request = job.request_id,
+                reason = reason.as_str(),
+                outlook_ms = outlook.wait_ms,
+                useful_ms,
+                ahead,
+                waiting,
+                copies = self.copies_of(job),
+                retry_after_ms,
+            );
             return Err(NoPlace {
                 reason,
                 outlook_ms: outlook.wait_ms,
@@ -204,6 +215,17 @@
         self.wait(job, &lane, waiter).await
     }
 
+    /// Upstreams that hold the model of a request.
+    fn copies_of(&self, job: &Job) -> usize {
+        let registry = self.registry.borrow();
+        let entries = registry.of_service(&job.need.service);
+        let weights = job.need.weights.as_ref();
+        let holds = |e: &&crate::core::registry::Entry| {
+            !e.is_draining && weights.is_none_or(|w| e.has(&w.model, None))
+        };
+        entries.filter(holds).count()
+    }
+
     /// Latest departure with which the answer is likely to be in time.
     fn due_ms(&self, job: &Job) -> u64 {
         let read_ms = self.expected_answer_ms(job);
