--- a/src/core/copies.rs
+++ b/src/core/copies.rs
@@ -30,7 +30,7 @@
 pub const WANTED_FOR_MS: u64 = 12_000;
 /// Use that a second of loading must save to be worth it; a load from the
 /// weight store takes most of the time for which demand stays.
-const USE_PER_LOAD_S: f64 = 0.02;
+const USE_PER_LOAD_S: f64 = 0.05;
 /// Use that the unload of a model which is in use must save.
 const USE_PER_BUSY_VICTIM: f64 = 0.10;
 /// Rounds in which demand settles on the copies; more change little.
--- a/src/gateway/acting.rs
+++ b/src/gateway/acting.rs
@@ -27,6 +27,9 @@
 const PLAN_EVERY: Duration = Duration::from_millis(200);
 /// Time over which demand that rises is averaged, in milliseconds.
 const RECENT_MS: f64 = 1_200.0;
+/// Time for which demand that rises is taken to go on rising, in milliseconds;
+/// about half of the time of a load.
+const AHEAD_MS: f64 = 4_000.0;
 /// Time over which demand that falls is averaged, in milliseconds.
 const LASTING_MS: f64 = 4_000.0;
 /// Loads from the weight store that may be saved up for a burst.
@@ -75,10 +78,13 @@
         self.last_asked_ms = now_ms;
     }
 
-    /// Tokens a second that are likely to come.
+    /// Tokens a second that are likely to come while a copy loads: a rise goes
+    /// on for a while, a fall may be chance.
     fn tokens_per_s(&self, now_ms: u64) -> f64 {
         let recent = self.recent.get(now_ms, RECENT_MS);
-        recent.max(self.lasting.get(now_ms, LASTING_MS))
+        let lasting = self.lasting.get(now_ms, LASTING_MS);
+        let rise = (recent - lasting).max(0.0) / (LASTING_MS - RECENT_MS);
+        recent.max(lasting) + rise * AHEAD_MS
     }
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -175,7 +175,18 @@
             RegistryChange::Holdings(id) => ("holdings", id),
         };
         if !matches!(change, RegistryChange::Holdings(_)) {
-            tracing::info!(event = "upstream", upstream = %id, change = what, revision);
+            let registry = self.registry.borrow();
+            let entry = registry.get(id.as_str());
+            tracing::info!(
+                event = "upstream",
+                upstream = %id,
+                change = what,
+                revision,
+                service = entry.map_or("", |e| e.service.as_str()),
+                models = entry.map_or(0, |e| e.holds.len()),
+                in_memory = entry.map_or(0, |e| e.in_memory.len()),
+                on_disk = entry.map_or(0, |e| e.on_disk.len()),
+            );
         }
         if let RegistryChange::Removed(id) = change {
             self.loads.borrow_mut().forget(id);
