End the process when a service panics; borrow the registry once

Change: the changes are collected first; a panic is logged and ends the process, which the platform starts again.

--- a/src/gateway/acting.rs
+++ b/src/gateway/acting.rs
@@ -509,8 +509,9 @@
             }
             self.gateway.pool.sweep();
             let now_ms = self.gateway.now_ms();
-            for change in self.gateway.registry.borrow_mut().expire_lapsed(now_ms) {
-                self.gateway.on_registry_change(&change, 0);
+            let expired = self.gateway.registry.borrow_mut().expire_lapsed(now_ms);
+            for change in &expired {
+                self.gateway.on_registry_change(change, 0);
             }
             let Some(term) = self.membership.acting_term() else {
                 continue;
--- a/src/gateway/logs.rs
+++ b/src/gateway/logs.rs
@@ -42,11 +42,22 @@
             .with_target(false)
             .with_env_filter(filter);
         logs.with_writer(self.clone()).init();
+        self.log_panics();
         if let Err(error) = set_nonblocking() {
             tracing::warn!(event = "logs", %error, "standard output may block");
         }
     }
 
+    /// Logs a panic before the process ends by it.
+    fn log_panics(&self) {
+        let buffer = self.clone();
+        std::panic::set_hook(Box::new(move |panic| {
+            let place = panic.location().map(ToString::to_string);
+            tracing::error!(event = "panic", place, message = %panic, "a bug ends the process");
+            buffer.write_out();
+        }));
+    }
+
     /// Lines dropped so far.
     pub fn dropped_lines(&self) -> u64 {
         self.lock().dropped_lines
