Keep new copies, ignore chance in demand, ask all engines when a term begins

Change: each engine reports before it gets orders; the budget is taken when an order is sent; a copy stays 14 s; a rise counts once it exceeds chance. Tried and kept out: missing models before all others.

--- a/src/core/copies.rs
+++ b/src/core/copies.rs
@@ -4,7 +4,7 @@
 //! was quiet gets a share of all traffic, so copies follow the prompts that
 //! arrive, not what the present copies let through, and go where engines have
 //! time to read them. Rare models are asked for at
-//! once: a model without a copy goes before everything else. Engines are
+//! once: a model without a copy counts for more than its requests. Engines are
 //! lost: their models are loaded elsewhere, by demand. The last copy of a
 //! model is never given up.
 
@@ -28,6 +28,9 @@
 /// Time after a request for which a model without a copy is wanted, in
 /// milliseconds; callers come back within it.
 pub const WANTED_FOR_MS: u64 = 12_000;
+/// Use that a model without a copy counts for beside its own; its requests can
+/// go nowhere.
+const MISSING_USE: f64 = 0.15;
 /// Use that a second of loading must save to be worth it; a load from the
 /// weight store takes most of the time for which demand stays.
 const USE_PER_LOAD_S: f64 = 0.05;
@@ -59,6 +62,8 @@
     pub is_serving: bool,
     /// Models and adapters held, and those being loaded.
     pub holds: Holdings,
+    /// Models whose copies here are too new to go.
+    pub fresh: BTreeSet<ModelId>,
     /// Models in host memory.
     pub in_memory: BTreeSet<ModelId>,
     /// Models on disk.
@@ -97,8 +102,7 @@
     store_loads: u32,
 ) -> Vec<Step> {
     let mut planner = Planner::new(now_ms, spec, engines, demand, store_loads);
-    planner.add_missing();
-    planner.add_for_load();
+    planner.add_copies();
     planner.steps
 }
 
@@ -205,45 +209,36 @@
         uses.fold(f64::MAX, f64::min)
     }
 
-    /// Loads models that are asked for and have no copy.
-    fn add_missing(&mut self) {
-        let mut missing: Vec<&ModelId> = self
-            .demand
-            .iter()
-            .filter(|(m, d)| {
-                self.spec.models.contains_key(*m)
-                    && self.copies(m) == 0
-                    && self.now_ms.saturating_sub(d.last_asked_ms) < WANTED_FOR_MS
-            })
-            .map(|(m, _)| m)
-            .collect();
-        missing.sort_by(|a, b| {
-            let engine_use = |m: &ModelId| self.demand_of(m).engine_use;
-            engine_use(b)
-                .total_cmp(&engine_use(a))
-                .then_with(|| a.cmp(b))
-        });
-        for model in missing {
-            self.add_copy(model, true);
+    /// Use that finds no room, by models that are asked for.
+    fn unmet_use(&self, model: &ModelId, demand: &ModelDemand) -> f64 {
+        if self.copies(model) == 0 {
+            let is_wanted = self.now_ms.saturating_sub(demand.last_asked_ms) < WANTED_FOR_MS;
+            return if is_wanted { demand.engine_use + MISSING_USE } else { 0.0 };
+        }
+        let best_use = self.best_use(model);
+        if demand.engine_use <= LEAST_USE || best_use <= TARGET_USE {
+            return 0.0;
         }
+        demand.engine_use * (best_use - TARGET_USE) / best_use
     }
 
-    /// Adds copies of models whose requests fare badly wherever they go.
-    fn add_for_load(&mut self) {
+    /// Adds copies of models whose requests find no room, or fare badly
+    /// wherever they go; those with most such requests first.
+    fn add_copies(&mut self) {
         let mut tried: BTreeSet<&ModelId> = BTreeSet::new();
         while self.steps.len() < MAX_STEPS {
             let worst = self
                 .demand
                 .iter()
-                .filter(|(m, d)| d.engine_use > LEAST_USE && !tried.contains(m))
-                .filter(|(m, _)| self.spec.models.contains_key(*m) && self.copies(m) > 0)
-                .map(|(m, _)| (self.best_use(m), m))
-                .filter(|(best_use, _)| *best_use > TARGET_USE)
+                .filter(|(m, _)| self.spec.models.contains_key(*m) && !tried.contains(m))
+                .map(|(m, d)| (self.unmet_use(m, d), m))
+                .filter(|(unmet, _)| *unmet > 0.0)
                 .max_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
             let Some((_, model)) = worst else {
                 return;
             };
-            if !self.add_copy(model, false) {
+            let is_missing = self.copies(model) == 0;
+            if !self.add_copy(model, is_missing) {
                 tried.insert(model);
             }
         }
@@ -332,7 +327,7 @@
         let mut spare: Vec<&ModelId> = engine
             .holds
             .keys()
-            .filter(|m| self.can_spare(m, is_missing))
+            .filter(|m| !engine.fresh.contains(*m) && self.can_spare(e, m, is_missing))
             .collect();
         spare.sort_by(|a, b| {
             let key = |m: &ModelId| (!self.is_idle(m), self.share(m));
@@ -360,17 +355,18 @@
         all_mb.min(left_mb)
     }
 
-    /// True if one copy of a model may go for another.
-    fn can_spare(&self, model: &ModelId, is_for_missing: bool) -> bool {
-        let copies = self.copies(model);
-        if copies < 2 {
+    /// True if the copy of a model at an engine may go for another's.
+    fn can_spare(&self, e: usize, model: &ModelId, is_for_missing: bool) -> bool {
+        if self.copies(model) < 2 {
             return false;
         }
-        if self.is_idle(model) {
+        if self.is_idle(model) || is_for_missing {
             return true;
         }
-        // The other copies must be able to carry on.
-        is_for_missing || self.demand_of(model).engine_use / ((copies - 1) as f64) < TARGET_USE
+        // The other copies must be able to take over what this one serves.
+        let others = self.holders[model].iter().filter(|&&h| h != e);
+        let room: f64 = others.map(|&h| (TARGET_USE - self.engine_use[h]).max(0.0)).sum();
+        self.share(model) < room
     }
 
     /// Use by one copy of a model.
--- a/src/core/engine_book.rs
+++ b/src/core/engine_book.rs
@@ -14,6 +14,9 @@
 /// Time after the last order or report from which a listing that differs
 /// counts, in milliseconds; listings lag by a heartbeat or two.
 const LISTING_LAG_MS: u64 = 3_500;
+/// Time after its order for which a copy stays, in milliseconds; a load from
+/// the weight store takes most of it.
+const FRESH_MS: u64 = 14_000;
 /// Time by which a report may lag, in milliseconds.
 pub const REPORT_LAG_MS: u64 = 400;
 
@@ -49,6 +52,8 @@
     pub uncertain: Vec<(ModelId, AdapterId)>,
     /// Adapters that are being unloaded or may be.
     pub leaving: BTreeMap<(ModelId, AdapterId), u64>,
+    /// When models were ordered here.
+    pub loaded_ms: BTreeMap<ModelId, u64>,
     /// Time of the last order or report.
     pub known_ms: u64,
     /// Time until which the engine gets no orders for models.
@@ -77,6 +82,11 @@
         is_later && self.is_quiet() && self.holds != entry.holds
     }
 
+    /// True if the engine must report before it can be given orders.
+    pub fn must_ask(&self, now_ms: u64) -> bool {
+        self.orders_accepted.is_none() && now_ms >= self.blocked_until_ms
+    }
+
     /// Takes in a report that was made after the last order's answer.
     pub fn take_report(&mut self, report: &Reported<'_>, now_ms: u64) {
         // Busy with an order of another host's: what it leads to is not known.
@@ -110,10 +120,13 @@
         }
     }
 
-    /// True if the engine can be given an order now: while a model is loaded
-    /// or unloaded it refuses all others.
+    /// True if the engine can be given an order now: it has reported, and no
+    /// model is loaded or unloaded, during which it refuses all others.
     pub fn takes_orders(&self, now_ms: u64) -> bool {
-        self.loading.is_none() && self.unloading.is_none() && now_ms >= self.blocked_until_ms
+        self.orders_accepted.is_some()
+            && self.loading.is_none()
+            && self.unloading.is_none()
+            && now_ms >= self.blocked_until_ms
     }
 
     /// True if no order is under way or may be.
@@ -176,6 +189,13 @@
             .map(|(m, a)| (m.clone(), a.clone()))
     }
 
+    /// Models that came so lately that they stay for now.
+    pub fn fresh(&self, now_ms: u64) -> BTreeSet<ModelId> {
+        let is_fresh = |at_ms: &u64| now_ms < at_ms + FRESH_MS;
+        let fresh = self.loaded_ms.iter().filter(|(_, at)| is_fresh(at));
+        fresh.map(|(m, _)| m.clone()).collect()
+    }
+
     /// Models that are held or may come.
     pub fn planned_holdings(&self) -> Holdings {
         let mut holds = self.holds.clone();
--- a/src/core/load.rs
+++ b/src/core/load.rs
@@ -21,6 +21,9 @@
 /// milliseconds; events of a running stream are at most tenths of a second
 /// apart.
 pub const SILENT_AFTER_MS: u64 = 900;
+/// Silence after which an engine's models are loaded elsewhere, in
+/// milliseconds; about three heartbeats, after which it is not listed either.
+pub const LOST_AFTER_MS: u64 = 3_000;
 /// Age at which what other hosts have in flight is not known any more, in
 /// milliseconds; several digests were lost by then.
 pub const OTHERS_EXPIRE_MS: u64 = 2_500;
@@ -137,6 +140,13 @@
         self.local.requests > 0 && now_ms.saturating_sub(heard_ms) > SILENT_AFTER_MS
     }
 
+    /// True if the upstream has sent nothing for so long that its models are
+    /// better loaded elsewhere.
+    pub fn seems_lost(&self, now_ms: u64) -> bool {
+        let heard_ms = self.last_heard_ms.max(self.owing_since_ms);
+        self.local.requests > 0 && now_ms.saturating_sub(heard_ms) > LOST_AFTER_MS
+    }
+
     /// Smoothed share of failed answers, from 0 to 1.
     pub fn failure_share(&self) -> f64 {
         self.failure_share
--- a/src/gateway/acting.rs
+++ b/src/gateway/acting.rs
@@ -21,6 +21,7 @@
 use crate::core::engine_book::EngineBook;
 use crate::core::ids::{AdapterId, HostId, ModelId, ServiceId, UpstreamId};
 use crate::core::load::{InFlight, fastest_token_us};
+use crate::core::registry::Entry;
 use crate::kernel::Service;
 
 /// Time between two plans.
@@ -30,8 +31,13 @@
 /// Time for which demand that rises is taken to go on rising, in milliseconds;
 /// about half of the time of a load.
 const AHEAD_MS: f64 = 4_000.0;
+/// Tokens of one prompt; what a request more or less by chance changes.
+const NOISE_TOKENS: f64 = 1_500.0;
 /// Time over which demand that falls is averaged, in milliseconds.
 const LASTING_MS: f64 = 4_000.0;
+/// Time until an engine is asked again that is busy with another host's order
+/// or did not answer, in milliseconds.
+const ASK_AGAIN_MS: u64 = 400;
 /// Loads from the weight store that may be saved up for a burst.
 const SAVED_LOADS: f64 = 3.0;
 
@@ -83,8 +89,9 @@
     fn tokens_per_s(&self, now_ms: u64) -> f64 {
         let recent = self.recent.get(now_ms, RECENT_MS);
         let lasting = self.lasting.get(now_ms, LASTING_MS);
-        let rise = (recent - lasting).max(0.0) / (LASTING_MS - RECENT_MS);
-        recent.max(lasting) + rise * AHEAD_MS
+        let noise = (recent * NOISE_TOKENS * 1000.0 / RECENT_MS).sqrt();
+        let rise = (recent - lasting - noise).max(0.0) / (LASTING_MS - RECENT_MS);
+        recent.min(lasting + noise).max(lasting) + rise * AHEAD_MS
     }
 }
 
@@ -133,9 +140,13 @@
         self.store_loads = (self.store_loads + passed_s * per_s).min(SAVED_LOADS);
     }
 
-    /// Takes a load from the weight store's budget.
-    pub fn take_store_load(&mut self) {
-        self.store_loads -= 1.0;
+    /// Takes a load from the weight store's budget; false if it is spent.
+    pub fn take_store_load(&mut self) -> bool {
+        let is_allowed = self.store_loads >= 1.0;
+        if is_allowed {
+            self.store_loads -= 1.0;
+        }
+        is_allowed
     }
 }
 
@@ -184,19 +195,31 @@
             state.store_loads_at_ms = now_ms;
         }
         state.engines.retain(|id, _| registry.get(id.as_str()).is_some());
+        let catalog = self.gateway.catalog();
+        let is_engine = |entry: &Entry| {
+            let spec = catalog.as_ref().and_then(|c| c.services.get(&entry.service));
+            spec.is_some_and(|s| s.engine.is_some()) && !entry.is_draining
+        };
         let mut doubtful = Vec::new();
         for entry in registry.entries() {
             match state.engines.get_mut(&entry.id) {
                 Some(book) => {
-                    if book.differs(entry) {
+                    if book.must_ask(now_ms) {
+                        book.blocked_until_ms = now_ms + ASK_AGAIN_MS;
+                        doubtful.push(entry.id.clone());
+                    } else if book.differs(entry) {
                         // One question a listing is enough.
                         book.known_ms = now_ms;
                         doubtful.push(entry.id.clone());
                     }
                 }
-                None => {
-                    state.engines.insert(entry.id.clone(), EngineBook::new(entry));
+                None if is_engine(entry) => {
+                    let mut book = EngineBook::new(entry);
+                    book.blocked_until_ms = now_ms + ASK_AGAIN_MS;
+                    state.engines.insert(entry.id.clone(), book);
+                    doubtful.push(entry.id.clone());
                 }
+                None => {}
             }
         }
         drop(state);
@@ -235,19 +258,19 @@
             let Some(book) = state.engines.get(&entry.id) else {
                 continue;
             };
-            let is_failing = loads
-                .get(entry.id.as_str())
-                .is_some_and(|l| l.is_ejected(now_ms) || l.is_silent(now_ms));
+            let load = loads.get(entry.id.as_str());
+            let is_lost = load.is_some_and(|l| l.seems_lost(now_ms));
             let has_orders = orders.get(&entry.id).is_some_and(|q| q.has_model_orders());
             let takes_orders = !entry.is_draining
-                && !is_failing
+                && !is_lost
                 && !has_orders
                 && book.takes_orders(now_ms);
             engines.push(PlannedEngine {
                 id: entry.id.clone(),
                 takes_orders,
-                is_serving: !entry.is_draining && !is_failing,
+                is_serving: !entry.is_draining && !is_lost,
                 holds: book.planned_holdings(),
+                fresh: book.fresh(now_ms),
                 in_memory: entry.in_memory.clone(),
                 on_disk: entry.on_disk.clone(),
             });
@@ -263,9 +286,6 @@
                 model,
                 is_from_store,
             } => {
-                if is_from_store {
-                    self.state.borrow_mut().take_store_load();
-                }
                 tracing::info!(event = "plan", step = "load", upstream = %upstream, model = %model, is_from_store);
                 self.announce_loading(service, spec, &upstream, &model);
                 self.enqueue(upstream, Order::LoadModel(model));
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -121,9 +121,15 @@
             tracing::info!(event = "order", upstream = %upstream, order = %model, reply = "no_room");
             return;
         }
+        if self.is_from_store(upstream, model) && !self.state.borrow_mut().take_store_load() {
+            return;
+        }
         let load_ms = self.load_time(&spec, upstream, model).as_millis() as u64;
         let ready_ms = self.gateway.now_ms() + load_ms;
-        self.with_book(upstream, |b| b.loading = Some((model.clone(), ready_ms)));
+        self.with_book(upstream, |book| {
+            book.loading = Some((model.clone(), ready_ms));
+            book.loaded_ms.insert(model.clone(), ready_ms - load_ms);
+        });
         let order = Order::LoadModel(model.clone());
         let reply = self.send_order(upstream, &order).await;
         match reply {
@@ -146,6 +152,12 @@
         }
     }
 
+    fn is_from_store(&self, upstream: &UpstreamId, model: &ModelId) -> bool {
+        let registry = self.gateway.registry.borrow();
+        let entry = registry.get(upstream.as_str());
+        entry.is_none_or(|e| !e.in_memory.contains(model) && !e.on_disk.contains(model))
+    }
+
     /// Waits until a model that is being loaded serves.
     async fn await_model(self: &Rc<Self>, upstream: &UpstreamId, model: &ModelId, wait: Duration) {
         compio::time::sleep(wait).await;
@@ -479,8 +491,12 @@
         if self.orders.borrow().contains_key(upstream) {
             return;
         }
+        let before = self.with_book(upstream, |b| b.holds.clone());
         self.learn(upstream, addr).await;
-        self.broadcast_holdings(upstream);
+        let is_changed = before != self.with_book(upstream, |b| b.holds.clone());
+        if is_changed {
+            self.broadcast_holdings(upstream);
+        }
     }
 
     /// Learns from an engine's report what it holds and how many orders it has
