--- a/src/core/balance.rs
+++ b/src/core/balance.rs
@@ -129,10 +129,18 @@
                 continue;
             }
         };
-        let zone_ms = if entry.zone == *zone { 0.0 } else { OTHER_ZONE_MS };
+        let zone_ms = if entry.zone == *zone {
+            0.0
+        } else {
+            OTHER_ZONE_MS
+        };
         let noise_ms = (rng.next_u64() % NOISE_MS) as f64 * noise_scale(need);
         let cost_ms = cost_ms + zone_ms + noise_ms;
-        let slot = if is_failing { &mut best_failing } else { &mut best };
+        let slot = if is_failing {
+            &mut best_failing
+        } else {
+            &mut best
+        };
         if slot.is_none_or(|(least_ms, _)| cost_ms < least_ms) {
             *slot = Some((cost_ms, entry));
         }
--- a/src/core/copies.rs
+++ b/src/core/copies.rs
@@ -213,7 +213,11 @@
     fn unmet_use(&self, model: &ModelId, demand: &ModelDemand) -> f64 {
         if self.copies(model) == 0 {
             let is_wanted = self.now_ms.saturating_sub(demand.last_asked_ms) < WANTED_FOR_MS;
-            return if is_wanted { demand.engine_use + MISSING_USE } else { 0.0 };
+            return if is_wanted {
+                demand.engine_use + MISSING_USE
+            } else {
+                0.0
+            };
         }
         let best_use = self.best_use(model);
         if demand.engine_use <= LEAST_USE || best_use <= TARGET_USE {
@@ -365,7 +369,9 @@
         }
         // The other copies must be able to take over what this one serves.
         let others = self.holders[model].iter().filter(|&&h| h != e);
-        let room: f64 = others.map(|&h| (TARGET_USE - self.engine_use[h]).max(0.0)).sum();
+        let room: f64 = others
+            .map(|&h| (TARGET_USE - self.engine_use[h]).max(0.0))
+            .sum();
         self.share(model) < room
     }
 
--- a/src/core/load.rs
+++ b/src/core/load.rs
@@ -214,7 +214,7 @@
     pub upstream: UpstreamId,
     /// Size.
     pub demand: Demand,
-    sent_ms: u64,
+    at_ms: u64,
     unread_ahead: u32,
     is_unread: bool,
 }
@@ -255,7 +255,7 @@
         Sent {
             upstream: id.clone(),
             demand,
-            sent_ms: now_ms,
+            at_ms: now_ms,
             unread_ahead,
             is_unread: true,
         }
@@ -273,7 +273,7 @@
             self.changed.insert(sent.upstream.clone());
         }
         let load = self.entry(&sent.upstream);
-        let took_ms = now_ms.saturating_sub(sent.sent_ms) as f64;
+        let took_ms = now_ms.saturating_sub(sent.at_ms) as f64;
         smooth(&mut load.first_answer_ms, took_ms.max(0.5));
         let ahead = sent.unread_ahead + unread;
         if unread > 0 {
@@ -297,7 +297,7 @@
         let load = self.entry(&sent.upstream);
         match end {
             AttemptEnd::Answered => {
-                let took_ms = now_ms.saturating_sub(sent.sent_ms) as f64;
+                let took_ms = now_ms.saturating_sub(sent.at_ms) as f64;
                 smooth(&mut load.whole_answer_ms, took_ms.max(0.5));
                 load.succeed();
                 load.last_heard_ms = now_ms;
--- a/src/core/registry.rs
+++ b/src/core/registry.rs
@@ -172,7 +172,12 @@
     }
 
     /// Takes in a removal that the store reported while it answered.
-    pub fn remove(&mut self, id: &str, is_after_outage: bool, now_ms: u64) -> Option<RegistryChange> {
+    pub fn remove(
+        &mut self,
+        id: &str,
+        is_after_outage: bool,
+        now_ms: u64,
+    ) -> Option<RegistryChange> {
         let (id, _) = self.entries.get_key_value(id)?;
         let id = id.clone();
         if is_after_outage {
@@ -194,8 +199,10 @@
         now_ms: u64,
     ) -> Vec<RegistryChange> {
         let present: BTreeSet<UpstreamId> = listed.iter().map(|e| e.id.clone()).collect();
-        let mut changes: Vec<RegistryChange> =
-            listed.into_iter().filter_map(|e| self.upsert(e, now_ms)).collect();
+        let mut changes: Vec<RegistryChange> = listed
+            .into_iter()
+            .filter_map(|e| self.upsert(e, now_ms))
+            .collect();
         let missing: Vec<UpstreamId> = self
             .entries
             .keys()
--- a/src/core/retry.rs
+++ b/src/core/retry.rs
@@ -11,17 +11,21 @@
 /// Cost of one retry in the unit of the bucket.
 const RETRY_COST_PERMILLE: u32 = 1000;
 
-/// Token bucket of one team or service.
+/// Token bucket of one team or service; all in thousandths of a retry.
 #[derive(Clone, Debug)]
+#[expect(clippy::struct_field_names, reason = "fields carry their unit")]
 pub struct RetryBudget {
-    tokens_permille: u32,
-    share_permille: u32,
-    max_permille: u32,
+    saved_permille: u32,
+    fill_permille: u32,
+    limit_permille: u32,
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self::new(RETRY_SHARE_PERMILLE, MAX_SAVED_RETRIES * RETRY_COST_PERMILLE)
+        Self::new(
+            RETRY_SHARE_PERMILLE,
+            MAX_SAVED_RETRIES * RETRY_COST_PERMILLE,
+        )
     }
 }
 
@@ -30,35 +34,35 @@
     /// both in thousandths of a retry.
     pub fn new(share_permille: u32, max_permille: u32) -> Self {
         Self {
-            tokens_permille: max_permille,
-            share_permille,
-            max_permille,
+            saved_permille: max_permille,
+            fill_permille: share_permille,
+            limit_permille: max_permille,
         }
     }
 
     /// Changes the maximum; what is saved beyond it is lost.
     pub fn set_max(&mut self, max_permille: u32) {
-        self.max_permille = max_permille;
-        self.tokens_permille = self.tokens_permille.min(max_permille);
+        self.limit_permille = max_permille;
+        self.saved_permille = self.saved_permille.min(max_permille);
     }
 
     /// Retries that are left.
     pub fn left(&self) -> u32 {
-        self.tokens_permille / RETRY_COST_PERMILLE
+        self.saved_permille / RETRY_COST_PERMILLE
     }
 
     /// Counts a first attempt.
     pub fn on_first_attempt(&mut self) {
-        let filled = self.tokens_permille + self.share_permille;
-        self.tokens_permille = filled.min(self.max_permille);
+        let filled = self.saved_permille + self.fill_permille;
+        self.saved_permille = filled.min(self.limit_permille);
     }
 
     /// Takes the cost of one retry; false if the budget is spent.
     pub fn try_retry(&mut self) -> bool {
-        let Some(rest) = self.tokens_permille.checked_sub(RETRY_COST_PERMILLE) else {
+        let Some(rest) = self.saved_permille.checked_sub(RETRY_COST_PERMILLE) else {
             return false;
         };
-        self.tokens_permille = rest;
+        self.saved_permille = rest;
         true
     }
 }
--- a/src/core/waiting.rs
+++ b/src/core/waiting.rs
@@ -127,7 +127,8 @@
     pub fn ahead_of(&self, now_ms: u64, lane: &Lane, priority: u8, due_ms: u64) -> usize {
         let key = order_key(now_ms, priority, due_ms, now_ms);
         let is_ahead = |w: &&Waiter| {
-            order_key(now_ms, w.priority, w.due_ms, w.arrived_ms) <= key && Lane::of(&w.need) == *lane
+            order_key(now_ms, w.priority, w.due_ms, w.arrived_ms) <= key
+                && Lane::of(&w.need) == *lane
         };
         self.waiters.iter().filter(is_ahead).count()
     }
@@ -156,12 +157,20 @@
         let waiters = std::mem::take(&mut self.waiters);
         for waiter in waiters {
             let lane = Lane::of(&waiter.need);
-            let has_adapter = waiter.need.weights.as_ref().is_some_and(|w| w.adapter.is_some());
+            let has_adapter = waiter
+                .need
+                .weights
+                .as_ref()
+                .is_some_and(|w| w.adapter.is_some());
             // A request that found no room blocks those behind it, so that
             // large ones are not passed over for ever.
             let is_blocked = full.contains(&(lane.clone(), has_adapter))
                 || full.contains(&(lane.clone(), false));
-            let found = if is_blocked { Err(NoUpstream::Full) } else { choose(&waiter) };
+            let found = if is_blocked {
+                Err(NoUpstream::Full)
+            } else {
+                choose(&waiter)
+            };
             match found {
                 Ok(upstream) => {
                     self.note_departure(now_ms, lane);
--- a/src/edge/body_reader.rs
+++ b/src/edge/body_reader.rs
@@ -46,9 +46,7 @@
         let used = self.used.get() + bytes;
         if used > budget_bytes {
             let message = "no memory for the body now";
-            return Err(
-                Refusal::not_run(Reason::Overloaded, message).retry_after_ms(BUSY_RETRY_MS)
-            );
+            return Err(Refusal::not_run(Reason::Overloaded, message).retry_after_ms(BUSY_RETRY_MS));
         }
         self.used.set(used);
         self.bytes += bytes;
--- a/src/gateway/acting.rs
+++ b/src/gateway/acting.rs
@@ -11,6 +11,7 @@
 
 use super::demand::{ModelCounts, ServiceModel};
 use super::membership::Membership;
+use super::orders::OrderQueue;
 use super::peers::{ActingInbox, MAX_DIRECT_HOSTS, PeerMessage, chunk};
 use super::platform::{Order, Platform};
 use super::state::Gateway;
@@ -160,7 +161,7 @@
     /// What the acting host knows.
     pub state: RefCell<ActingState>,
     /// Orders that wait for each engine.
-    pub orders: RefCell<HashMap<UpstreamId, super::orders::OrderQueue>>,
+    pub orders: RefCell<HashMap<UpstreamId, OrderQueue>>,
 }
 
 impl<P: Platform> Acting<P> {
@@ -194,10 +195,14 @@
             state.store_loads = 0.0;
             state.store_loads_at_ms = now_ms;
         }
-        state.engines.retain(|id, _| registry.get(id.as_str()).is_some());
+        state
+            .engines
+            .retain(|id, _| registry.get(id.as_str()).is_some());
         let catalog = self.gateway.catalog();
         let is_engine = |entry: &Entry| {
-            let spec = catalog.as_ref().and_then(|c| c.services.get(&entry.service));
+            let spec = catalog
+                .as_ref()
+                .and_then(|c| c.services.get(&entry.service));
             spec.is_some_and(|s| s.engine.is_some()) && !entry.is_draining
         };
         let mut doubtful = Vec::new();
@@ -250,7 +255,9 @@
         let registry = self.gateway.registry.borrow();
         let loads = self.gateway.loads.borrow();
         let orders = self.orders.borrow();
-        let known = registry.of_service(service).filter_map(|e| loads.get(e.id.as_str()));
+        let known = registry
+            .of_service(service)
+            .filter_map(|e| loads.get(e.id.as_str()));
         let token_us = fastest_token_us(known);
         let demand = state.demand(now_ms, service, token_us);
         let mut engines = Vec::new();
@@ -260,11 +267,11 @@
             };
             let load = loads.get(entry.id.as_str());
             let is_lost = load.is_some_and(|l| l.seems_lost(now_ms));
-            let has_orders = orders.get(&entry.id).is_some_and(|q| q.has_model_orders());
-            let takes_orders = !entry.is_draining
-                && !is_lost
-                && !has_orders
-                && book.takes_orders(now_ms);
+            let has_orders = orders
+                .get(&entry.id)
+                .is_some_and(OrderQueue::has_model_orders);
+            let takes_orders =
+                !entry.is_draining && !is_lost && !has_orders && book.takes_orders(now_ms);
             engines.push(PlannedEngine {
                 id: entry.id.clone(),
                 takes_orders,
@@ -377,9 +384,7 @@
         for (host, peer) in peers.iter() {
             let others: Vec<(UpstreamId, InFlight)> = totals
                 .iter()
-                .map(|(id, total)| {
-                    (id.clone(), total.minus(peer_loads.of_host(host, id)))
-                })
+                .map(|(id, total)| (id.clone(), total.minus(peer_loads.of_host(host, id))))
                 .collect();
             if *host == own {
                 let mut loads = gateway.loads.borrow_mut();
@@ -400,7 +405,10 @@
         let Some(catalog) = self.gateway.catalog() else {
             return;
         };
-        let engine = catalog.services.get(service).and_then(|s| s.engine.as_ref());
+        let engine = catalog
+            .services
+            .get(service)
+            .and_then(|s| s.engine.as_ref());
         let Some(spec) = engine else {
             return;
         };
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -145,7 +145,9 @@
         let model = weights
             .as_ref()
             .and_then(|w| engine?.models.get(&w.model).cloned());
-        let time = call.deadline.map_or(route.timeout, |d| d.min(route.timeout));
+        let time = call
+            .deadline
+            .map_or(route.timeout, |d| d.min(route.timeout));
         let target = parts.uri.path_and_query().map_or("/", |t| t.as_str());
         Some(Job {
             request_id: call.request_id,
@@ -190,7 +192,7 @@
         let end = loop {
             let mut in_flight = match self.place(&job, &attempts.allowed).await {
                 Ok(in_flight) => in_flight,
-                Err(no_place) => break self.without_place(&attempts, no_place),
+                Err(no_place) => break Self::without_place(&attempts, no_place),
             };
             let upstream = in_flight.sent.upstream.clone();
             let failure = if job.kind.is_stream() {
@@ -213,7 +215,10 @@
             };
             self.log_failed_attempt(&job, &upstream, &failure);
             in_flight.end(failure.attempt_end());
-            match self.after_failure(&job, &mut attempts, &upstream, failure).await {
+            match self
+                .after_failure(&job, &mut attempts, &upstream, failure)
+                .await
+            {
                 Next::Again => {}
                 Next::End(end) => break end,
             }
@@ -221,7 +226,7 @@
         self.answer_end(&job, &attempts, end)
     }
 
-    fn without_place(&self, attempts: &Attempts, no_place: NoPlace) -> End {
+    fn without_place(attempts: &Attempts, no_place: NoPlace) -> End {
         if let Some(answer) = &attempts.answered {
             return End::Answered(answer.clone());
         }
@@ -262,10 +267,11 @@
                 if attempts.connects < MAX_CONNECTS {
                     return Next::Again;
                 }
-                Next::End(self.ended(attempts, "not_reached"))
+                Next::End(Self::ended(attempts, "not_reached"))
             }
             Failure::NotRun { is_misdirected } => {
-                self.after_refusal(job, attempts, upstream, is_misdirected).await
+                self.after_refusal(job, attempts, upstream, is_misdirected)
+                    .await
             }
             Failure::Unknown | Failure::TimedOut | Failure::Answered(_) => {
                 let is_timeout = matches!(failure, Failure::TimedOut);
@@ -311,13 +317,13 @@
         let left = job.time_left(self.now_ms());
         let may_resend = attempts.resends <= MAX_RESENDS && left > RESEND_PAUSE * 2;
         if !may_resend || !self.try_retry(&job.need.service) {
-            return Next::End(self.ended(attempts, "refused_by_upstream"));
+            return Next::End(Self::ended(attempts, "refused_by_upstream"));
         }
         compio::time::sleep(RESEND_PAUSE).await;
         Next::Again
     }
 
-    fn ended(&self, attempts: &mut Attempts, reason: &'static str) -> End {
+    fn ended(attempts: &mut Attempts, reason: &'static str) -> End {
         match attempts.answered.take() {
             Some(answer) => End::Answered(answer),
             None if attempts.may_have_run => End::Unknown(reason),
@@ -341,7 +347,9 @@
 
     fn retries_left(&self, service: &crate::core::ids::ServiceId) -> u32 {
         let budgets = self.budgets.borrow();
-        budgets.get(service).map_or(0, crate::core::retry::RetryBudget::left)
+        budgets
+            .get(service)
+            .map_or(0, crate::core::retry::RetryBudget::left)
     }
 
     /// Passes a whole answer on.
@@ -361,8 +369,19 @@
             AttemptEnd::Answered
         };
         in_flight.end(end);
-        let outcome = if answer.is_failure() { "failed" } else { "served" };
-        self.log_end(job, attempts, outcome, "answered", answer.status, Some(&upstream));
+        let outcome = if answer.is_failure() {
+            "failed"
+        } else {
+            "served"
+        };
+        self.log_end(
+            job,
+            attempts,
+            outcome,
+            "answered",
+            answer.status,
+            Some(&upstream),
+        );
         answer.into_answer()
     }
 
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -123,7 +123,8 @@
         };
         self.gateway.metrics.ended.get_or_create(&labels).inc();
         let retry_after_ms = (status == 503).then_some(NOT_CONFIGURED_RETRY_MS);
-        self.gateway.own_answer(status, reason, request_id, retry_after_ms)
+        self.gateway
+            .own_answer(status, reason, request_id, retry_after_ms)
     }
 }
 
@@ -205,7 +206,8 @@
             let metrics = &gateway.metrics;
             let calls = super::platform::FleetStore::calls(gateway.platform.store());
             metrics.store_calls.set(calls.cast_signed());
-            metrics.upstreams.set(gateway.registry.borrow().len() as i64);
+            let upstreams = gateway.registry.borrow().len().cast_signed() as i64;
+            metrics.upstreams.set(upstreams);
             body::text(200, metrics.encode())
         } else {
             body::text(404, "no such path\n")
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -232,7 +232,12 @@
         self.step_down("stopping");
         if let Some(held) = self.held.take() {
             let ended = self.gateway.platform.store().end(held.lease).await;
-            tracing::info!(event = "membership", lease = held.lease, ended = ended.is_ok(), "left");
+            tracing::info!(
+                event = "membership",
+                lease = held.lease,
+                ended = ended.is_ok(),
+                "left"
+            );
         }
     }
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -93,15 +93,39 @@
             Unit::Seconds,
             first_answer_s,
         );
-        r.register("requests_in_flight", "Requests in flight", self.in_flight.clone());
-        r.register("requests_waiting", "Requests that wait", self.waiting.clone());
+        r.register(
+            "requests_in_flight",
+            "Requests in flight",
+            self.in_flight.clone(),
+        );
+        r.register(
+            "requests_waiting",
+            "Requests that wait",
+            self.waiting.clone(),
+        );
         r.register("retries", "Retried attempts", self.retries.clone());
-        r.register("streams_resumed", "Streams resumed elsewhere", self.resumed.clone());
+        r.register(
+            "streams_resumed",
+            "Streams resumed elsewhere",
+            self.resumed.clone(),
+        );
         r.register("upstreams", "Listed upstreams", self.upstreams.clone());
-        r.register("config_version", "Configuration in force", self.config_version.clone());
-        r.register("store_calls", "Calls to the store", self.store_calls.clone());
+        r.register(
+            "config_version",
+            "Configuration in force",
+            self.config_version.clone(),
+        );
+        r.register(
+            "store_calls",
+            "Calls to the store",
+            self.store_calls.clone(),
+        );
         r.register("orders", "Orders sent to engines", self.orders.clone());
-        r.register("peer_datagrams", "Datagrams sent to hosts", self.peer_datagrams.clone());
+        r.register(
+            "peer_datagrams",
+            "Datagrams sent to hosts",
+            self.peer_datagrams.clone(),
+        );
         r.register(
             "dropped_log_lines",
             "Log lines dropped for a slow reader",
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -335,9 +335,7 @@
         let reply = self.send_order(upstream, &order).await;
         let is_gone = match reply {
             OrderReply::Holds => true,
-            OrderReply::Accepted => {
-                self.await_adapter_gone(upstream, model, adapter).await
-            }
+            OrderReply::Accepted => self.await_adapter_gone(upstream, model, adapter).await,
             // It occupies its slot until another host acts.
             OrderReply::Unknown => return false,
             _ => false,
@@ -388,7 +386,11 @@
 
     /// Makes sure that the count of an engine's orders is known.
     async fn knows_count(&self, upstream: &UpstreamId) -> bool {
-        if self.with_book(upstream, |b| b.orders_accepted).flatten().is_some() {
+        if self
+            .with_book(upstream, |b| b.orders_accepted)
+            .flatten()
+            .is_some()
+        {
             return true;
         }
         let Some(addr) = self.addr_of(upstream) else {
@@ -406,7 +408,11 @@
                 return OrderReply::NotSent;
             };
             let Some(fence) = self.membership.acting_term() else {
-                return if had_no_answer { OrderReply::Unknown } else { OrderReply::NotSent };
+                return if had_no_answer {
+                    OrderReply::Unknown
+                } else {
+                    OrderReply::NotSent
+                };
             };
             let known = self.with_book(upstream, |b| b.orders_accepted).flatten();
             let Some(after_orders) = known else {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -181,7 +181,7 @@
             reason,
             wait_ms: self.predicted_wait_ms(job, &lane, reason, ahead),
         };
-        let give_up_ms = self.give_up_ms(job, reason, due_ms);
+        let give_up_ms = Self::give_up_ms(job, reason, due_ms);
         let waiting = self.places.borrow().queue.len();
         let useful_ms = give_up_ms.saturating_sub(now_ms);
         let verdict = admit(waiting, outlook, useful_ms, &mut self.rng.borrow_mut());
@@ -243,10 +243,14 @@
             .map(crate::core::load::Load::first_answer_ms)
             .filter(|ms| *ms > 0.0);
         let (sum_ms, count) = known.fold((0.0, 0_u32), |(sum, n), ms| (sum + ms, n + 1));
-        if count == 0 { 0 } else { (sum_ms / f64::from(count)) as u64 }
+        if count == 0 {
+            0
+        } else {
+            (sum_ms / f64::from(count)) as u64
+        }
     }
 
-    fn give_up_ms(&self, job: &Job, reason: NoUpstream, due_ms: u64) -> u64 {
+    fn give_up_ms(job: &Job, reason: NoUpstream, due_ms: u64) -> u64 {
         let patience_ms = job.patience.as_millis() as f64 * PATIENCE_SHARE;
         let last_ms = (job.arrived_ms + patience_ms as u64).min(job.ends_ms);
         match reason {
@@ -278,7 +282,10 @@
             return NONE_LISTED_WAIT_MS;
         };
         let registry = self.registry.borrow();
-        let load = job.model.as_ref().map(|spec| fastest_load(&registry, job, weights, spec));
+        let load = job
+            .model
+            .as_ref()
+            .map(|spec| fastest_load(&registry, job, weights, spec));
         ORDER_WAIT_MS + load.map_or(NONE_LISTED_WAIT_MS, |l| l.as_millis() as u64)
     }
 
@@ -384,7 +391,8 @@
                 offers.push((sender, Err(reason)));
             }
         }
-        self.metrics.waiting.set(places.queue.len() as i64);
+        let waiting = places.queue.len().cast_signed() as i64;
+        self.metrics.waiting.set(waiting);
         drop(places);
         for (sender, offer) in offers {
             // A receiver that has gone removes its ticket first.
@@ -397,12 +405,7 @@
 }
 
 /// Shortest time in which some upstream can load a model.
-fn fastest_load(
-    registry: &Registry,
-    job: &Job,
-    weights: &Weights,
-    spec: &ModelSpec,
-) -> Duration {
+fn fastest_load(registry: &Registry, job: &Job, weights: &Weights, spec: &ModelSpec) -> Duration {
     let entries = || {
         let entries = registry.of_service(&job.need.service);
         entries.filter(|e| !e.is_draining)
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -125,8 +125,14 @@
             whole = end == PartEnd::Whole,
         );
         let status = 200;
-        self.gateway
-            .log_end(&self.job, &self.attempts, outcome, reason, status, Some(&upstream));
+        self.gateway.log_end(
+            &self.job,
+            &self.attempts,
+            outcome,
+            reason,
+            status,
+            Some(&upstream),
+        );
         if end == PartEnd::Broken || end == PartEnd::TimedOut {
             self.sender.abort(Truncated);
         }
@@ -182,10 +188,10 @@
             in_flight.heard();
         }
         self.events += 1;
-        if self.job.kind.may_repeat() {
-            if let Some(id) = last_event_id(events) {
-                self.last_id = Some(id);
-            }
+        if self.job.kind.may_repeat()
+            && let Some(id) = last_event_id(events)
+        {
+            self.last_id = Some(id);
         }
     }
 
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -217,7 +217,11 @@
     front_cancel: &CancellationToken,
     serving: compio::runtime::JoinHandle<()>,
 ) {
-    tracing::info!(event = "stop", in_flight = gateway.metrics.in_flight.get(), "stopping");
+    tracing::info!(
+        event = "stop",
+        in_flight = gateway.metrics.in_flight.get(),
+        "stopping"
+    );
     gateway.stopping.cancel();
     let grace = Duration::from_secs_f64(gateway.settings().stop_grace_s);
     let linger = STOP_LINGER.min(grace / 2);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -144,7 +144,11 @@
     /// Number of hosts, this one included.
     pub fn host_count(&self) -> usize {
         let known = self.peers.borrow().len();
-        if known == 0 { ASSUMED_HOSTS } else { known.max(1) }
+        if known == 0 {
+            ASSUMED_HOSTS
+        } else {
+            known.max(1)
+        }
     }
 
     /// Puts a configuration in force unless a newer one is.
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -260,7 +260,11 @@
                 Err(error) => {
                     let was_up = self.gateway.is_store_up.get();
                     self.gateway.note_store(false, error.as_str());
-                    if was_up { FIRST_RETRY } else { (pause * 2).min(MAX_RETRY) }
+                    if was_up {
+                        FIRST_RETRY
+                    } else {
+                        (pause * 2).min(MAX_RETRY)
+                    }
                 }
             };
             // Hosts that lost the store together do not come back together.
--- /dev/null
+++ b/tests/gateway_load.rs
@@ -0,0 +1,303 @@
+//! How requests are spread, wait and are turned away under load.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use currantcove::core::balance::{Allowed, Need, NoUpstream, Weights, choose};
+use currantcove::core::ids::{AdapterId, ModelId, ServiceId, UpstreamId, ZoneId};
+use currantcove::core::load::{AttemptEnd, Demand, EJECT_AFTER_FAILURES, LoadBook};
+use currantcove::core::registry::{Entry, Registry};
+use currantcove::core::routing::Rng;
+use currantcove::core::waiting::{
+    MAX_RETRY_AFTER_MS, Outlook, Verdict, WaitQueue, Waiter, admit, spread_retry_after,
+};
+
+const SLOTS: u32 = 4;
+
+fn engine(id: &str, adapters: &[&str]) -> Entry {
+    let adapters = adapters.iter().map(|a| AdapterId::new(a)).collect();
+    Entry {
+        id: UpstreamId::new(id),
+        service: ServiceId::new("drafts"),
+        addr: SocketAddr::from(([10, 0, 0, 1], 8000)),
+        zone: ZoneId::new("a"),
+        slots: SLOTS,
+        is_draining: false,
+        started_ms: 1,
+        beat: 1,
+        read_ms: 0,
+        holds: [(ModelId::new("m0"), adapters)].into(),
+        in_memory: BTreeSet::new(),
+        on_disk: BTreeSet::new(),
+    }
+}
+
+fn need(prompt_tokens: u32, adapter: Option<&str>) -> Need {
+    Need {
+        service: ServiceId::new("drafts"),
+        weights: Some(Weights {
+            model: ModelId::new("m0"),
+            adapter: adapter.map(AdapterId::new),
+        }),
+        demand: Demand {
+            prompt_tokens,
+            output_tokens: 100,
+        },
+        cache_tokens: 100_000,
+        max_read_ms: 180.0,
+    }
+}
+
+struct Fleet {
+    registry: Registry,
+    loads: LoadBook,
+    rng: Rng,
+}
+
+fn fleet(entries: Vec<Entry>) -> Fleet {
+    let mut registry = Registry::default();
+    registry.replace(entries, false, 0);
+    Fleet {
+        registry,
+        loads: LoadBook::default(),
+        rng: Rng::new(7),
+    }
+}
+
+impl Fleet {
+    fn choose(&mut self, now_ms: u64, need: &Need, allowed: &Allowed) -> Result<String, NoUpstream> {
+        let zone = ZoneId::new("a");
+        let (registry, loads) = (&self.registry, &self.loads);
+        let chosen = choose(now_ms, registry, loads, &zone, need, allowed, &mut self.rng)?;
+        Ok(chosen.as_str().to_owned())
+    }
+
+    fn send(&mut self, now_ms: u64, id: &str, need: &Need) -> currantcove::core::load::Sent {
+        self.loads.on_sent(now_ms, &UpstreamId::new(id), need.demand)
+    }
+}
+
+#[test]
+fn an_engine_with_a_full_batch_gets_no_more_even_if_it_is_the_only_one() {
+    let mut fleet = fleet(vec![engine("e1", &[])]);
+    let need = need(10, None);
+    for _ in 0..SLOTS {
+        fleet.send(0, "e1", &need);
+    }
+
+    let chosen = fleet.choose(1, &need, &Allowed::default());
+
+    assert_eq!(chosen, Err(NoUpstream::Full));
+}
+
+/// Replays hosts that send prompts to one engine within a tenth of a second:
+/// without the limit all eight were sent at once and the streams that ran
+/// there paused for longer than callers accept.
+#[test]
+fn prompts_to_read_at_one_engine_are_bounded_by_the_streams_pauses() {
+    let mut fleet = fleet(vec![engine("e1", &[])]);
+    let need = need(1_500, None);
+    let mut sent = 0;
+
+    for at_ms in 0..8 {
+        if fleet.choose(at_ms, &need, &Allowed::default()).is_ok() {
+            fleet.send(at_ms, "e1", &need);
+            sent += 1;
+        }
+    }
+
+    assert_eq!(sent, 1, "80 us a token: two prompts take 240 ms");
+}
+
+#[test]
+fn a_prompt_that_alone_takes_longer_than_a_pause_is_still_served() {
+    let mut fleet = fleet(vec![engine("e1", &[])]);
+
+    let chosen = fleet.choose(0, &need(9_000, None), &Allowed::default());
+
+    assert_eq!(chosen, Ok("e1".to_owned()));
+}
+
+#[test]
+fn a_burst_is_spread_over_the_copies() {
+    let mut fleet = fleet(vec![engine("e1", &[]), engine("e2", &[]), engine("e3", &[])]);
+    let need = need(300, None);
+    let mut counts = std::collections::BTreeMap::<String, u32>::new();
+
+    for _ in 0..9 {
+        let id = fleet.choose(0, &need, &Allowed::default()).expect("room");
+        fleet.send(0, &id, &need);
+        *counts.entry(id).or_default() += 1;
+    }
+
+    assert!(counts.values().all(|&n| (2..=4).contains(&n)), "{counts:?}");
+}
+
+#[test]
+fn an_adapter_decides_which_copies_can_serve() {
+    let mut fleet = fleet(vec![engine("e1", &[]), engine("e2", &["a1"])]);
+
+    let chosen = fleet.choose(0, &need(10, Some("a1")), &Allowed::default());
+    let missing = fleet.choose(0, &need(10, Some("a9")), &Allowed::default());
+
+    assert_eq!(chosen, Ok("e2".to_owned()));
+    assert_eq!(missing, Err(NoUpstream::NoAdapter));
+}
+
+#[test]
+fn a_draining_upstream_gets_nothing() {
+    let leaving = Entry {
+        is_draining: true,
+        ..engine("e1", &[])
+    };
+    let mut fleet = fleet(vec![leaving]);
+
+    let chosen = fleet.choose(0, &need(10, None), &Allowed::default());
+
+    assert_eq!(chosen, Err(NoUpstream::NoneListed));
+}
+
+#[test]
+fn an_upstream_that_fails_in_a_row_is_left_out_and_comes_back_on_trial() {
+    let mut fleet = fleet(vec![engine("e1", &[]), engine("e2", &[])]);
+    let need = need(10, None);
+    for _ in 0..EJECT_AFTER_FAILURES {
+        let sent = fleet.send(0, "e1", &need);
+        fleet.loads.on_end(0, &sent, AttemptEnd::Failed);
+    }
+
+    for _ in 0..20 {
+        assert_eq!(fleet.choose(1, &need, &Allowed::default()), Ok("e2".into()));
+    }
+    let only = Allowed {
+        only: vec![UpstreamId::new("e1")],
+        ..Allowed::default()
+    };
+    assert_eq!(fleet.choose(1, &need, &only), Ok("e1".into()), "better than none");
+}
+
+#[test]
+fn an_engine_that_owes_events_and_is_silent_is_avoided() {
+    let mut fleet = fleet(vec![engine("e1", &[]), engine("e2", &[])]);
+    let need = need(10, None);
+    fleet.send(0, "e1", &need);
+
+    for _ in 0..20 {
+        let chosen = fleet.choose(2_000, &need, &Allowed::default());
+        assert_eq!(chosen, Ok("e2".into()));
+    }
+}
+
+#[test]
+fn a_request_that_used_up_its_attempts_goes_back_only_to_where_it_was_refused() {
+    let mut fleet = fleet(vec![engine("e1", &[]), engine("e2", &[])]);
+    let only = Allowed {
+        only: vec![UpstreamId::new("e2")],
+        ..Allowed::default()
+    };
+
+    for _ in 0..20 {
+        assert_eq!(fleet.choose(0, &need(10, None), &only), Ok("e2".into()));
+    }
+}
+
+fn waiter(ticket: u64, priority: u8, arrived_ms: u64, due_ms: u64) -> Waiter {
+    Waiter {
+        ticket,
+        need: need(10, None),
+        allowed: Allowed::default(),
+        priority,
+        arrived_ms,
+        due_ms,
+        give_up_ms: due_ms + 1_000,
+    }
+}
+
+fn order(queue: &mut WaitQueue, now_ms: u64) -> Vec<u64> {
+    let pass = queue.pass(now_ms, |_| Ok(UpstreamId::new("e1")));
+    pass.sent.into_iter().map(|(ticket, _)| ticket).collect()
+}
+
+#[test]
+fn those_that_can_still_be_in_time_leave_first_then_the_late_in_order_of_arrival() {
+    let mut queue = WaitQueue::default();
+    queue.push(waiter(1, 0, 10, 500));
+    queue.push(waiter(2, 0, 0, 600));
+    queue.push(waiter(3, 0, 900, 2_000));
+    queue.push(waiter(4, 0, 950, 1_800));
+
+    assert_eq!(order(&mut queue, 1_000), [4, 3, 2, 1]);
+}
+
+#[test]
+fn a_long_objective_waits_behind_short_ones_until_its_time_comes() {
+    let mut queue = WaitQueue::default();
+    queue.push(waiter(1, 1, 0, 8_000));
+    queue.push(waiter(2, 1, 100, 1_100));
+
+    assert_eq!(order(&mut queue, 200), [2, 1]);
+}
+
+#[test]
+fn a_large_request_without_room_is_not_passed_over_by_those_behind_it() {
+    let mut queue = WaitQueue::default();
+    queue.push(waiter(1, 0, 0, 1_000));
+    queue.push(waiter(2, 0, 10, 1_010));
+
+    let pass = queue.pass(20, |w| {
+        if w.ticket == 1 {
+            Err(NoUpstream::Full)
+        } else {
+            Ok(UpstreamId::new("e1"))
+        }
+    });
+
+    assert!(pass.sent.is_empty());
+    assert_eq!(queue.len(), 2);
+}
+
+#[test]
+fn a_request_whose_time_has_passed_is_given_up_with_the_reason() {
+    let mut queue = WaitQueue::default();
+    queue.push(waiter(1, 0, 0, 1_000));
+
+    let pass = queue.pass(2_000, |_| Err(NoUpstream::NoModel));
+
+    assert_eq!(pass.given_up, [(1, NoUpstream::NoModel)]);
+    assert!(queue.is_empty());
+}
+
+#[test]
+fn what_cannot_be_served_in_time_is_refused_at_once() {
+    let mut rng = Rng::new(1);
+    let outlook = Outlook {
+        reason: NoUpstream::Full,
+        wait_ms: 1_200,
+    };
+
+    let verdict = admit(0, outlook, 800, &mut rng);
+
+    let Verdict::Refuse { retry_after_ms } = verdict else {
+        panic!("{verdict:?}");
+    };
+    assert!(retry_after_ms >= 1_200, "not before the backlog has gone");
+}
+
+#[test]
+fn what_can_be_served_in_time_waits() {
+    let outlook = Outlook {
+        reason: NoUpstream::Full,
+        wait_ms: 300,
+    };
+
+    assert_eq!(admit(3, outlook, 800, &mut Rng::new(1)), Verdict::Wait);
+}
+
+#[test]
+fn callers_do_not_come_back_together() {
+    let mut rng = Rng::new(1);
+    let times: BTreeSet<u64> = (0..50).map(|_| spread_retry_after(2_000, &mut rng)).collect();
+
+    assert!(times.len() > 30);
+    assert!(times.iter().all(|t| (2_000..=MAX_RETRY_AFTER_MS).contains(t)));
+}
