--- a/tests/gateway_load.rs
+++ b/tests/gateway_load.rs
@@ -65,7 +65,12 @@
 }
 
 impl Fleet {
-    fn choose(&mut self, now_ms: u64, need: &Need, allowed: &Allowed) -> Result<String, NoUpstream> {
+    fn choose(
+        &mut self,
+        now_ms: u64,
+        need: &Need,
+        allowed: &Allowed,
+    ) -> Result<String, NoUpstream> {
         let zone = ZoneId::new("a");
         let (registry, loads) = (&self.registry, &self.loads);
         let chosen = choose(now_ms, registry, loads, &zone, need, allowed, &mut self.rng)?;
@@ -73,7 +78,8 @@
     }
 
     fn send(&mut self, now_ms: u64, id: &str, need: &Need) -> currantcove::core::load::Sent {
-        self.loads.on_sent(now_ms, &UpstreamId::new(id), need.demand)
+        self.loads
+            .on_sent(now_ms, &UpstreamId::new(id), need.demand)
     }
 }
 
@@ -120,7 +126,11 @@
 
 #[test]
 fn a_burst_is_spread_over_the_copies() {
-    let mut fleet = fleet(vec![engine("e1", &[]), engine("e2", &[]), engine("e3", &[])]);
+    let mut fleet = fleet(vec![
+        engine("e1", &[]),
+        engine("e2", &[]),
+        engine("e3", &[]),
+    ]);
     let need = need(300, None);
     let mut counts = std::collections::BTreeMap::<String, u32>::new();
 
@@ -173,7 +183,11 @@
         only: vec![UpstreamId::new("e1")],
         ..Allowed::default()
     };
-    assert_eq!(fleet.choose(1, &need, &only), Ok("e1".into()), "better than none");
+    assert_eq!(
+        fleet.choose(1, &need, &only),
+        Ok("e1".into()),
+        "better than none"
+    );
 }
 
 #[test]
@@ -296,8 +310,14 @@
 #[test]
 fn callers_do_not_come_back_together() {
     let mut rng = Rng::new(1);
-    let times: BTreeSet<u64> = (0..50).map(|_| spread_retry_after(2_000, &mut rng)).collect();
+    let times: BTreeSet<u64> = (0..50)
+        .map(|_| spread_retry_after(2_000, &mut rng))
+        .collect();
 
     assert!(times.len() > 30);
-    assert!(times.iter().all(|t| (2_000..=MAX_RETRY_AFTER_MS).contains(t)));
+    assert!(
+        times
+            .iter()
+            .all(|t| (2_000..=MAX_RETRY_AFTER_MS).contains(t))
+    );
 }
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -75,11 +75,12 @@
 
     let changes = registry.replace(Vec::new(), true, 1_000);
 
-    assert_eq!(
-        changes,
-        [RegistryChange::Lapsed(UpstreamId::new("e1"))]
+    assert_eq!(changes, [RegistryChange::Lapsed(UpstreamId::new("e1"))]);
+    assert!(
+        registry
+            .expire_lapsed(1_000 + LAPSE_GRACE_MS - 1)
+            .is_empty()
     );
-    assert!(registry.expire_lapsed(1_000 + LAPSE_GRACE_MS - 1).is_empty());
     assert!(registry.get("e1").is_some());
     let expired = registry.expire_lapsed(1_000 + LAPSE_GRACE_MS);
     assert_eq!(expired, [RegistryChange::Removed(UpstreamId::new("e1"))]);
@@ -111,7 +112,10 @@
     registry.upsert(older, 10);
     registry.upsert(earlier, 20);
 
-    assert_eq!(registry.get("e1").map(|e| &e.holds), Some(&holds(&[("m1", &[])])));
+    assert_eq!(
+        registry.get("e1").map(|e| &e.holds),
+        Some(&holds(&[("m1", &[])]))
+    );
 }
 
 #[test]
@@ -196,7 +200,11 @@
 
 #[test]
 fn a_model_that_is_being_unloaded_still_occupies_its_memory_and_slots() {
-    let mut book = EngineBook::new(&entry("e1", 1, &[("m0", &["a1"]), ("m1", &[]), ("m2", &[])]));
+    let mut book = EngineBook::new(&entry(
+        "e1",
+        1,
+        &[("m0", &["a1"]), ("m1", &[]), ("m2", &[])],
+    ));
     let adapters = book.holds.remove("m0").expect("held");
 
     book.unloading = Some((ModelId::new("m0"), adapters));
