--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use compio::net::UdpSocket;
+use compio::net::{TcpListener, UdpSocket};
 use error_stack::{Report, ResultExt};
 use futures_util::FutureExt;
 use tokio_util::sync::CancellationToken;
@@ -29,7 +29,7 @@
 use super::sync::StoreSync;
 use crate::daemon::DaemonError;
 use crate::edge::server;
-use crate::kernel::{Kernel, NotRegistered};
+use crate::kernel::{Kernel, NotRegistered, Service};
 
 const USAGE: &str = "\
 Runs one host of currantcove on a platform until it is told to stop.
@@ -153,35 +153,12 @@
     platform: P,
     logs: LogBuffer,
 ) -> Result<()> {
-    let listen = async |name, addr: SocketAddr| {
-        let listening = server::listen(addr).await;
-        listening.change_context(DaemonError::Listen(name, addr))
-    };
-    let callers = listen("caller_addr", settings.caller_addr).await?;
-    let probes = listen("ready_addr", settings.ready_addr).await?;
-    let peer_addr: SocketAddr = (settings.ip, settings.peer_port).into();
-    let peers = UdpSocket::bind(peer_addr)
-        .await
-        .change_context(DaemonError::Listen("peer_port", peer_addr))?;
-    tracing::info!(
-        event = "start",
-        host = %settings.host,
-        zone = %settings.zone,
-        version = env!("CARGO_PKG_VERSION"),
-        peer = %peer_addr,
-    );
-    let kernel = Kernel::default();
-    let gateway = kernel.register(Gateway::new(settings, platform));
-    let front = start(&kernel, &gateway, callers, probes, peers);
-    let front = front.change_context(DaemonError::Start)?;
+    let host = RunningHost::start(settings, platform).await?;
     let log_cancel = CancellationToken::new();
     let writing = compio::runtime::spawn(logs.clone().run(log_cancel.clone()));
-    let watching = compio::runtime::spawn(watch_settings(Rc::clone(&gateway), file));
-    let front_cancel = CancellationToken::new();
-    let serving = compio::runtime::spawn(crate::kernel::Service::run(front, front_cancel.clone()));
+    let watching = compio::runtime::spawn(watch_settings(Rc::clone(&host.gateway), file));
     signal(&[SIGTERM, SIGINT]).await;
-    stop(&gateway, &front_cancel, serving).await;
-    kernel.stop().await;
+    host.stop().await;
     drop(watching);
     tracing::info!(event = "stop", "stopped");
     log_cancel.cancel();
@@ -190,11 +167,80 @@
     Ok(())
 }
 
+/// Host whose services run on this thread's loop.
+pub struct RunningHost<P: Platform> {
+    /// Shared state.
+    pub gateway: Rc<Gateway<P>>,
+    /// Address for callers.
+    pub caller_addr: SocketAddr,
+    kernel: Kernel,
+    front_cancel: CancellationToken,
+    serving: compio::runtime::JoinHandle<()>,
+}
+
+impl<P: Platform> RunningHost<P> {
+    /// Listens and starts all services.
+    pub async fn start(settings: GatewaySettings, platform: P) -> Result<Self> {
+        let listen = async |name, addr: SocketAddr| {
+            let listening = server::listen(addr).await;
+            listening.change_context(DaemonError::Listen(name, addr))
+        };
+        let callers = listen("caller_addr", settings.caller_addr).await?;
+        let probes = listen("ready_addr", settings.ready_addr).await?;
+        let peer_addr: SocketAddr = (settings.ip, settings.peer_port).into();
+        let peers = UdpSocket::bind(peer_addr)
+            .await
+            .change_context(DaemonError::Listen("peer_port", peer_addr))?;
+        let caller_addr = callers.local_addr().change_context(DaemonError::Start)?;
+        tracing::info!(
+            event = "start",
+            host = %settings.host,
+            zone = %settings.zone,
+            version = env!("CARGO_PKG_VERSION"),
+            peer = %peer_addr,
+        );
+        let kernel = Kernel::default();
+        let gateway = kernel.register(Gateway::new(settings, platform));
+        let front = start(&kernel, &gateway, callers, probes, peers);
+        let front = front.change_context(DaemonError::Start)?;
+        let front_cancel = CancellationToken::new();
+        let serving = compio::runtime::spawn(Service::run(front, front_cancel.clone()));
+        Ok(Self {
+            gateway,
+            caller_addr,
+            kernel,
+            front_cancel,
+            serving,
+        })
+    }
+
+    /// Stops gracefully, within the grace of the settings.
+    pub async fn stop(self) {
+        let gateway = &self.gateway;
+        let in_flight = gateway.metrics.in_flight.get();
+        tracing::info!(event = "stop", in_flight, "stopping");
+        gateway.stopping.cancel();
+        let grace = Duration::from_secs_f64(gateway.settings().stop_grace_s);
+        let linger = STOP_LINGER.min(grace / 2);
+        compio::time::sleep(linger).await;
+        self.front_cancel.cancel();
+        let left = grace.saturating_sub(linger + STOP_MARGIN);
+        if compio::time::timeout(left, self.serving).await.is_err() {
+            tracing::warn!(
+                event = "stop",
+                in_flight = gateway.metrics.in_flight.get(),
+                "requests are cut off at the end of the grace"
+            );
+        }
+        self.kernel.stop().await;
+    }
+}
+
 fn start<P: Platform>(
     kernel: &Kernel,
     gateway: &Rc<Gateway<P>>,
-    callers: compio::net::TcpListener,
-    probes: compio::net::TcpListener,
+    callers: TcpListener,
+    probes: TcpListener,
     peers: UdpSocket,
 ) -> std::result::Result<Rc<CallFront<P>>, NotRegistered> {
     kernel.register(StoreSync::new(Rc::clone(gateway)));
@@ -212,31 +258,6 @@
     Ok(kernel.register(CallFront::new(Rc::clone(gateway), callers)))
 }
 
-async fn stop<P: Platform>(
-    gateway: &Rc<Gateway<P>>,
-    front_cancel: &CancellationToken,
-    serving: compio::runtime::JoinHandle<()>,
-) {
-    tracing::info!(
-        event = "stop",
-        in_flight = gateway.metrics.in_flight.get(),
-        "stopping"
-    );
-    gateway.stopping.cancel();
-    let grace = Duration::from_secs_f64(gateway.settings().stop_grace_s);
-    let linger = STOP_LINGER.min(grace / 2);
-    compio::time::sleep(linger).await;
-    front_cancel.cancel();
-    let left = grace.saturating_sub(linger + STOP_MARGIN);
-    if compio::time::timeout(left, serving).await.is_err() {
-        tracing::warn!(
-            event = "stop",
-            in_flight = gateway.metrics.in_flight.get(),
-            "requests are cut off at the end of the grace"
-        );
-    }
-}
-
 async fn signal(numbers: &[i32]) {
     let waits = numbers
         .iter()
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -64,7 +64,8 @@
     async fn follow(&self) -> Result<(), KvError> {
         let store = self.gateway.platform.store();
         let snapshot = store.list(P::WATCH_PREFIX).await?;
-        if self.gateway.note_store(true, "read") {
+        // Before the first listing nothing is known that could have lapsed.
+        if self.gateway.note_store(true, "read") && self.gateway.is_listed.get() {
             self.outage_ended_ms.set(self.gateway.now_ms());
         }
         let mut after = snapshot.revision;
