Drop all kept connections to an address once one of them has timed out

Change: a time-out drops the others as well, towards the store, engines and upstreams; changes of the store are gathered for a third of the shortest bound.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -192,7 +192,12 @@
         let response = self.pool.send(addr, request).await.map_err(|e| match e {
             SendError::NotSent => Failure::NotSent,
             SendError::Sent => Failure::Unknown,
-        })?;
+        });
+        if response.is_err() {
+            // Other kept connections are likely to be dead as well.
+            self.pool.forget(addr);
+        }
+        let response = response?;
         let status = response.status().as_u16();
         let id = &job.request_id;
         match self.platform.answer_head(status, response.headers(), id) {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -51,6 +51,14 @@
     pub retry_window_s: f64,
     /// Time over which loads from the weight store are counted, in seconds.
     pub load_window_s: f64,
+    /// Time within which a leaving upstream gets nothing more, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "drain_within_ms")]
+    pub drain_within: Duration,
+    /// Time within which a configuration is in force, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "config_within_ms")]
+    pub config_within: Duration,
     /// Smallest time to live of a lease, in milliseconds.
     pub min_lease_ms: u64,
 }
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -22,8 +22,9 @@
 /// Longest time that the store holds a watch without changes; short enough to
 /// notice a lost answer before a leaving upstream must be left alone.
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
-/// Pause after changes, so that several come with one call.
-const BATCH_PAUSE: Duration = Duration::from_millis(500);
+/// Part of the shortest bound on changes for which they are gathered, so that
+/// several come with one call; the rest is for the calls and a slow loop.
+const BATCH_DIVISOR: u32 = 3;
 /// First pause after an error; doubles.
 const FIRST_RETRY: Duration = Duration::from_millis(100);
 /// Longest pause after errors.
@@ -83,7 +84,9 @@
             }
             self.gateway.places.borrow().wake();
             if !is_quiet {
-                compio::time::sleep(BATCH_PAUSE).await;
+                let settings = self.gateway.settings();
+                let bound = settings.drain_within.min(settings.config_within);
+                compio::time::sleep(bound / BATCH_DIVISOR).await;
             }
         }
     }
