--- a/src/core/waiting.rs
+++ b/src/core/waiting.rs
@@ -4,7 +4,9 @@
 //! some seconds, on some models and not on others. Requests wait here and not
 //! in an engine's queue, since only here can they be reordered or refused.
 //! Those that can still meet their objective go first, the most urgent ahead;
-//! those that cannot follow in order of arrival. A request whose predicted
+//! those that cannot follow in order of arrival. Ahead of all go requests for
+//! weights with which nobody was served for long, so that rare adapters of a
+//! crowded model are not refused for ever. A request whose predicted
 //! wait is too long is refused when it arrives, with the time after which the
 //! backlog will have gone.
 
@@ -68,6 +70,8 @@
     pub due_ms: u64,
     /// Latest departure that is of any use to the caller.
     pub give_up_ms: u64,
+    /// True if its weights were not served for long; it goes before others.
+    pub is_starved: bool,
 }
 
 /// Waiting requests and how fast they leave.
@@ -126,10 +130,7 @@
     /// Requests of a lane that would leave before a new one.
     pub fn ahead_of(&self, now_ms: u64, lane: &Lane, priority: u8, due_ms: u64) -> usize {
         let key = order_key(now_ms, priority, due_ms, now_ms);
-        let is_ahead = |w: &&Waiter| {
-            order_key(now_ms, w.priority, w.due_ms, w.arrived_ms) <= key
-                && Lane::of(&w.need) == *lane
-        };
+        let is_ahead = |w: &&Waiter| waiter_key(now_ms, w) <= key && Lane::of(&w.need) == *lane;
         self.waiters.iter().filter(is_ahead).count()
     }
 
@@ -151,8 +152,7 @@
         if self.waiters.is_empty() {
             return pass;
         }
-        self.waiters
-            .sort_by_key(|w| order_key(now_ms, w.priority, w.due_ms, w.arrived_ms));
+        self.waiters.sort_by_key(|w| waiter_key(now_ms, w));
         let mut full: HashSet<(Lane, bool)> = HashSet::new();
         let waiters = std::mem::take(&mut self.waiters);
         for waiter in waiters {
@@ -210,16 +210,36 @@
     }
 }
 
+/// Place of a waiter in the queue; the lowest leaves first.
+fn waiter_key(now_ms: u64, waiter: &Waiter) -> (Class, u64) {
+    if waiter.is_starved {
+        return (Class::Starved, waiter.arrived_ms);
+    }
+    order_key(now_ms, waiter.priority, waiter.due_ms, waiter.arrived_ms)
+}
+
 /// Those that can meet their objective first, by urgency, then the others.
-fn order_key(now_ms: u64, priority: u8, due_ms: u64, arrived_ms: u64) -> (bool, u64) {
+fn order_key(now_ms: u64, priority: u8, due_ms: u64, arrived_ms: u64) -> (Class, u64) {
     let is_late = now_ms > due_ms;
     if is_late {
-        (true, arrived_ms)
+        (Class::Late, arrived_ms)
     } else {
-        (false, due_ms + u64::from(priority) * PRIORITY_STEP_MS)
+        let urgency_ms = due_ms + u64::from(priority) * PRIORITY_STEP_MS;
+        (Class::InTime, urgency_ms)
     }
 }
 
+/// Classes of waiters, the first to leave first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Class {
+    /// Nobody was served with its weights for long.
+    Starved,
+    /// Can still meet its objective.
+    InTime,
+    /// Cannot.
+    Late,
+}
+
 /// True if waiting cannot help.
 fn is_hopeless(reason: NoUpstream) -> bool {
     matches!(reason, NoUpstream::NoneListed | NoUpstream::AllTried)
--- a/src/gateway/acting.rs
+++ b/src/gateway/acting.rs
@@ -12,13 +12,15 @@
 use super::demand::{ModelCounts, ServiceModel};
 use super::membership::Membership;
 use super::orders::OrderQueue;
-use super::peers::{ActingInbox, MAX_DIRECT_HOSTS, PeerMessage, chunk};
+use super::peer_messages::PeerMessage;
+use super::peers::{ActingInbox, MAX_DIRECT_HOSTS, chunk};
 use super::platform::{Order, Platform};
 use super::state::Gateway;
 use crate::core::adapters::{Site, choose_site};
 use crate::core::balance::Weights;
 use crate::core::catalog::EngineSpec;
 use crate::core::copies::{ModelDemand, PlannedEngine, Step, plan};
+use crate::core::demand_rate::DemandRate;
 use crate::core::engine_book::EngineBook;
 use crate::core::ids::{AdapterId, HostId, ModelId, ServiceId, UpstreamId};
 use crate::core::load::{InFlight, fastest_token_us};
@@ -27,15 +29,6 @@
 
 /// Time between two plans.
 const PLAN_EVERY: Duration = Duration::from_millis(200);
-/// Time over which demand that rises is averaged, in milliseconds.
-const RECENT_MS: f64 = 1_200.0;
-/// Time for which demand that rises is taken to go on rising, in milliseconds;
-/// about half of the time of a load.
-const AHEAD_MS: f64 = 4_000.0;
-/// Tokens of one prompt; what a request more or less by chance changes.
-const NOISE_TOKENS: f64 = 1_500.0;
-/// Time over which demand that falls is averaged, in milliseconds.
-const LASTING_MS: f64 = 4_000.0;
 /// Time until an engine is asked again that is busy with another host's order
 /// or did not answer, in milliseconds.
 const ASK_AGAIN_MS: u64 = 400;
@@ -49,58 +42,11 @@
     models: HashMap<ServiceModel, ModelCounts>,
 }
 
-/// Demand for one model over all hosts.
-#[derive(Clone, Copy, Debug, Default)]
-struct ModelTrack {
-    /// Tokens a second, averaged over a short and a long time.
-    recent: Rate,
-    lasting: Rate,
-    last_asked_ms: u64,
-}
-
-/// Rate that decays with time.
-#[derive(Clone, Copy, Debug, Default)]
-struct Rate {
-    per_s: f64,
-    at_ms: u64,
-}
-
-impl Rate {
-    fn add(&mut self, now_ms: u64, amount: f64, over_ms: f64) {
-        self.per_s = self.get(now_ms, over_ms) + amount * 1000.0 / over_ms;
-        self.at_ms = now_ms;
-    }
-
-    fn get(&self, now_ms: u64, over_ms: f64) -> f64 {
-        let passed_ms = now_ms.saturating_sub(self.at_ms) as f64;
-        self.per_s * (-passed_ms / over_ms).exp()
-    }
-}
-
-impl ModelTrack {
-    fn on_asked(&mut self, now_ms: u64, prompt_tokens: u64) {
-        let tokens = prompt_tokens as f64;
-        self.recent.add(now_ms, tokens, RECENT_MS);
-        self.lasting.add(now_ms, tokens, LASTING_MS);
-        self.last_asked_ms = now_ms;
-    }
-
-    /// Tokens a second that are likely to come while a copy loads: a rise goes
-    /// on for a while, a fall may be chance.
-    fn tokens_per_s(&self, now_ms: u64) -> f64 {
-        let recent = self.recent.get(now_ms, RECENT_MS);
-        let lasting = self.lasting.get(now_ms, LASTING_MS);
-        let noise = (recent * NOISE_TOKENS * 1000.0 / RECENT_MS).sqrt();
-        let rise = (recent - lasting - noise).max(0.0) / (LASTING_MS - RECENT_MS);
-        recent.min(lasting + noise).max(lasting) + rise * AHEAD_MS
-    }
-}
-
 /// State of the acting host.
 #[derive(Debug, Default)]
 pub struct ActingState {
     hosts: HashMap<HostId, HostReport>,
-    tracks: HashMap<ServiceModel, ModelTrack>,
+    tracks: HashMap<ServiceModel, DemandRate>,
     asked_adapters: HashMap<(ModelId, AdapterId), u64>,
     /// Engines by name.
     pub engines: BTreeMap<UpstreamId, EngineBook>,
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -208,6 +208,8 @@
             metrics.store_calls.set(calls.cast_signed());
             let upstreams = gateway.registry.borrow().len().cast_signed() as i64;
             metrics.upstreams.set(upstreams);
+            let dropped = gateway.logs.dropped_lines().cast_signed();
+            metrics.dropped_log_lines.set(dropped);
             body::text(200, metrics.encode())
         } else {
             body::text(404, "no such path\n")
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,7 +4,8 @@
 //! functions of `core`, `exchange` sends it to an upstream, `relay` passes a
 //! stream on. `sync` follows the platform's store, `membership` keeps this
 //! host listed and one host acting, `peers` carries loads and demand between
-//! hosts, `acting` and `orders` place models and adapters.
+//! hosts, `acting` plans and the modules of orders
+//! place models and adapters.
 
 pub mod acting;
 pub mod call;
@@ -14,7 +15,10 @@
 pub mod logs;
 pub mod membership;
 pub mod metrics;
+pub mod order_adapters;
+pub mod order_models;
 pub mod orders;
+pub mod peer_messages;
 pub mod peers;
 pub mod place;
 pub mod platform;
--- /dev/null
+++ b/src/gateway/order_adapters.rs
@@ -0,0 +1,149 @@
+//! Loads and unloads of adapters.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::acting::Acting;
+use super::orders::{BUSY_POLL, MAX_POLLS};
+use super::platform::{Order, OrderReply, Platform};
+use crate::core::ids::{AdapterId, ModelId, UpstreamId};
+
+/// Time of an adapter's load assumed for each MB, in microseconds.
+const ADAPTER_US_PER_MB: u64 = 300;
+/// Time of an adapter's load beside its size.
+const ADAPTER_BASE: Duration = Duration::from_millis(4);
+
+impl<P: Platform> Acting<P> {
+    pub(super) async fn load_adapter(
+        self: &Rc<Self>,
+        upstream: &UpstreamId,
+        model: &ModelId,
+        adapter: &AdapterId,
+    ) {
+        let Some(spec) = self.spec_of(upstream) else {
+            return;
+        };
+        let is_needed = self.with_book(upstream, |book| {
+            let held = book.holds.get(model);
+            held.is_some_and(|adapters| !adapters.contains(adapter))
+        });
+        if is_needed != Some(true) {
+            return;
+        }
+        let mut evictions = 0;
+        while self.with_book(upstream, |b| b.fits_adapter(&spec, model)) == Some(false) {
+            let victim = {
+                let state = self.state.borrow();
+                let book = state.engines.get(upstream);
+                book.and_then(|b| b.adapter_to_evict(|m, a| state.asked_ms(m, a)))
+            };
+            let Some((m, a)) = victim else {
+                return;
+            };
+            evictions += 1;
+            if evictions > 2 || !self.unload_adapter(upstream, &m, &a).await {
+                return;
+            }
+        }
+        let key = (model.clone(), adapter.clone());
+        let now_ms = self.gateway.now_ms();
+        self.with_book(upstream, |b| b.coming.insert(key.clone(), now_ms));
+        let order = Order::LoadAdapter(model.clone(), adapter.clone());
+        let reply = self.send_order(upstream, &order).await;
+        match reply {
+            OrderReply::Accepted => {
+                let size_mb = spec.models.get(model).map_or(0, |s| s.adapter_mb);
+                let load = ADAPTER_BASE + Duration::from_micros(size_mb * ADAPTER_US_PER_MB);
+                let acting = Rc::clone(self);
+                let upstream = upstream.clone();
+                compio::runtime::spawn(async move {
+                    compio::time::sleep(load).await;
+                    acting.adapter_ready(&upstream, &key);
+                })
+                .detach();
+            }
+            OrderReply::Holds => self.adapter_ready(upstream, &key),
+            // It stays charged until the next order is accepted.
+            OrderReply::Unknown => {
+                self.with_book(upstream, |b| b.uncertain.push(key));
+            }
+            _ => {
+                self.with_book(upstream, |b| b.coming.remove(&key));
+            }
+        }
+    }
+
+    fn adapter_ready(&self, upstream: &UpstreamId, key: &(ModelId, AdapterId)) {
+        self.with_book(upstream, |book| {
+            if book.coming.remove(key).is_some()
+                && let Some(adapters) = book.holds.get_mut(&key.0)
+            {
+                adapters.insert(key.1.clone());
+            }
+        });
+        self.broadcast_holdings(upstream);
+    }
+
+    /// Unloads an adapter; false if that failed.
+    pub(super) async fn unload_adapter(
+        self: &Rc<Self>,
+        upstream: &UpstreamId,
+        model: &ModelId,
+        adapter: &AdapterId,
+    ) -> bool {
+        let key = (model.clone(), adapter.clone());
+        let now_ms = self.gateway.now_ms();
+        let is_held = self.with_book(upstream, |book| {
+            let is_held = book.holds.get_mut(model).is_some_and(|a| a.remove(adapter));
+            if is_held {
+                book.leaving.insert(key.clone(), now_ms);
+            }
+            is_held
+        });
+        if is_held != Some(true) {
+            return false;
+        }
+        self.broadcast_holdings(upstream);
+        let order = Order::UnloadAdapter(model.clone(), adapter.clone());
+        let reply = self.send_order(upstream, &order).await;
+        let is_gone = match reply {
+            OrderReply::Holds => true,
+            OrderReply::Accepted => self.await_adapter_gone(upstream, model, adapter).await,
+            // It occupies its slot until another host acts.
+            OrderReply::Unknown => return false,
+            _ => false,
+        };
+        self.with_book(upstream, |book| {
+            book.leaving.remove(&key);
+            if !is_gone && let Some(adapters) = book.holds.get_mut(model) {
+                adapters.insert(adapter.clone());
+            }
+        });
+        if !is_gone {
+            self.broadcast_holdings(upstream);
+        }
+        is_gone
+    }
+
+    async fn await_adapter_gone(
+        &self,
+        upstream: &UpstreamId,
+        model: &ModelId,
+        adapter: &AdapterId,
+    ) -> bool {
+        for _ in 0..MAX_POLLS {
+            compio::time::sleep(BUSY_POLL).await;
+            let Some(addr) = self.addr_of(upstream) else {
+                return false;
+            };
+            let Some(report) = self.gateway.platform.report(addr).await else {
+                continue;
+            };
+            let held = report.holds.get(model);
+            if !held.is_some_and(|a| a.contains(adapter)) {
+                return true;
+            }
+        }
+        false
+    }
+}
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -9,19 +9,15 @@
 use super::metrics::KindLabel;
 use super::platform::{Authority, EngineReport, Order, OrderReply, Platform};
 use crate::core::engine_book::{EngineBook, REPORT_LAG_MS, Reported};
-use crate::core::ids::{AdapterId, ModelId, UpstreamId};
+use crate::core::ids::UpstreamId;
 
 /// Orders that wait for one engine at most.
 const MAX_QUEUED: usize = 64;
-/// Time of an adapter's load assumed for each MB, in microseconds.
-const ADAPTER_US_PER_MB: u64 = 300;
-/// Time of an adapter's load beside its size.
-const ADAPTER_BASE: Duration = Duration::from_millis(4);
 /// Pause between two looks at an engine that is busy.
-const BUSY_POLL: Duration = Duration::from_millis(200);
+pub(super) const BUSY_POLL: Duration = Duration::from_millis(200);
 /// Looks at an engine after which an order under way is given up; an unload
 /// waits for the streams that run.
-const MAX_POLLS: u32 = 150;
+pub(super) const MAX_POLLS: u32 = 150;
 /// Time for which an engine gets no further order after one failed, in
 /// milliseconds.
 const BLOCK_MS: u64 = 700;
@@ -103,7 +99,7 @@
         }
     }
 
-    fn with_book<T>(
+    pub(super) fn with_book<T>(
         &self,
         upstream: &UpstreamId,
         act: impl FnOnce(&mut EngineBook) -> T,
@@ -112,280 +108,18 @@
         state.engines.get_mut(upstream).map(act)
     }
 
-    async fn load_model(self: &Rc<Self>, upstream: &UpstreamId, model: &ModelId) {
-        let Some(spec) = self.spec_of(upstream) else {
-            return;
-        };
-        let fits = self.with_book(upstream, |b| b.fits_model(&spec, model));
-        if fits != Some(true) {
-            tracing::info!(event = "order", upstream = %upstream, order = %model, reply = "no_room");
-            return;
-        }
-        if self.is_from_store(upstream, model) && !self.state.borrow_mut().take_store_load() {
-            return;
-        }
-        let load_ms = self.load_time(&spec, upstream, model).as_millis() as u64;
-        let ready_ms = self.gateway.now_ms() + load_ms;
-        self.with_book(upstream, |book| {
-            book.loading = Some((model.clone(), ready_ms));
-            book.loaded_ms.insert(model.clone(), ready_ms - load_ms);
-        });
-        let order = Order::LoadModel(model.clone());
-        let reply = self.send_order(upstream, &order).await;
-        match reply {
-            OrderReply::Accepted | OrderReply::Holds => {
-                let acting = Rc::clone(self);
-                let upstream = upstream.clone();
-                let model = model.clone();
-                let wait = Duration::from_millis(load_ms);
-                compio::runtime::spawn(async move {
-                    acting.await_model(&upstream, &model, wait).await;
-                })
-                .detach();
-            }
-            // It stays charged until another host acts or the engine ends.
-            OrderReply::Unknown => {}
-            _ => {
-                self.with_book(upstream, |b| b.loading = None);
-                self.block(upstream);
-            }
-        }
-    }
-
-    fn is_from_store(&self, upstream: &UpstreamId, model: &ModelId) -> bool {
-        let registry = self.gateway.registry.borrow();
-        let entry = registry.get(upstream.as_str());
-        entry.is_none_or(|e| !e.in_memory.contains(model) && !e.on_disk.contains(model))
-    }
-
-    /// Waits until a model that is being loaded serves.
-    async fn await_model(self: &Rc<Self>, upstream: &UpstreamId, model: &ModelId, wait: Duration) {
-        compio::time::sleep(wait).await;
-        for _ in 0..MAX_POLLS {
-            let Some(addr) = self.addr_of(upstream) else {
-                return;
-            };
-            if let Some(report) = self.gateway.platform.report(addr).await {
-                let is_same = self.with_book(upstream, |b| b.started_ms == report.started_ms);
-                if is_same != Some(true) {
-                    return;
-                }
-                if report.holds.contains_key(model) || !report.is_busy {
-                    self.adopt(upstream, &report);
-                    return;
-                }
-            }
-            compio::time::sleep(BUSY_POLL).await;
-        }
-        self.with_book(upstream, |b| b.loading = None);
-        self.block(upstream);
-    }
-
-    /// Takes in a report once no order for a model is under way.
-    fn adopt(&self, upstream: &UpstreamId, report: &EngineReport) {
-        let now_ms = self.gateway.now_ms();
-        self.with_book(upstream, |book| {
-            book.loading = None;
-            book.unloading = None;
-            book.take_report(&reported(report), now_ms);
-        });
-        self.broadcast_holdings(upstream);
-    }
-
-    async fn unload_model(self: &Rc<Self>, upstream: &UpstreamId, model: &ModelId) {
-        let is_held = self.with_book(upstream, |book| {
-            let adapters = book.holds.remove(model);
-            let is_held = adapters.is_some();
-            if let Some(adapters) = adapters {
-                book.unloading = Some((model.clone(), adapters));
-            }
-            is_held
-        });
-        if is_held != Some(true) {
-            return;
-        }
-        // Hosts stop to send requests for it before it goes.
-        self.broadcast_holdings(upstream);
-        let order = Order::UnloadModel(model.clone());
-        match self.send_order(upstream, &order).await {
-            OrderReply::Accepted | OrderReply::Holds => self.await_idle(upstream).await,
-            OrderReply::Unknown => {}
-            _ => {
-                self.with_book(upstream, |book| {
-                    if let Some((model, adapters)) = book.unloading.take() {
-                        book.holds.entry(model).or_insert(adapters);
-                    }
-                });
-                self.broadcast_holdings(upstream);
-                self.block(upstream);
-            }
-        }
-    }
-
-    /// Waits until an engine is not busy, and takes in what it holds.
-    async fn await_idle(self: &Rc<Self>, upstream: &UpstreamId) {
-        for _ in 0..MAX_POLLS {
-            compio::time::sleep(BUSY_POLL).await;
-            let Some(addr) = self.addr_of(upstream) else {
-                return;
-            };
-            if let Some(report) = self.gateway.platform.report(addr).await {
-                let accepted = self.with_book(upstream, |b| b.orders_accepted);
-                let is_recent = accepted.flatten() == Some(report.orders_accepted);
-                if is_recent && !report.is_busy {
-                    self.adopt(upstream, &report);
-                    return;
-                }
-            }
-        }
-        self.block(upstream);
-    }
-
-    async fn load_adapter(
-        self: &Rc<Self>,
-        upstream: &UpstreamId,
-        model: &ModelId,
-        adapter: &AdapterId,
-    ) {
-        let Some(spec) = self.spec_of(upstream) else {
-            return;
-        };
-        let is_needed = self.with_book(upstream, |book| {
-            let held = book.holds.get(model);
-            held.is_some_and(|adapters| !adapters.contains(adapter))
-        });
-        if is_needed != Some(true) {
-            return;
-        }
-        let mut evictions = 0;
-        while self.with_book(upstream, |b| b.fits_adapter(&spec, model)) == Some(false) {
-            let victim = {
-                let state = self.state.borrow();
-                let book = state.engines.get(upstream);
-                book.and_then(|b| b.adapter_to_evict(|m, a| state.asked_ms(m, a)))
-            };
-            let Some((m, a)) = victim else {
-                return;
-            };
-            evictions += 1;
-            if evictions > 2 || !self.unload_adapter(upstream, &m, &a).await {
-                return;
-            }
-        }
-        let key = (model.clone(), adapter.clone());
-        let now_ms = self.gateway.now_ms();
-        self.with_book(upstream, |b| b.coming.insert(key.clone(), now_ms));
-        let order = Order::LoadAdapter(model.clone(), adapter.clone());
-        let reply = self.send_order(upstream, &order).await;
-        match reply {
-            OrderReply::Accepted => {
-                let size_mb = spec.models.get(model).map_or(0, |s| s.adapter_mb);
-                let load = ADAPTER_BASE + Duration::from_micros(size_mb * ADAPTER_US_PER_MB);
-                let acting = Rc::clone(self);
-                let upstream = upstream.clone();
-                compio::runtime::spawn(async move {
-                    compio::time::sleep(load).await;
-                    acting.adapter_ready(&upstream, &key);
-                })
-                .detach();
-            }
-            OrderReply::Holds => self.adapter_ready(upstream, &key),
-            // It stays charged until the next order is accepted.
-            OrderReply::Unknown => {
-                self.with_book(upstream, |b| b.uncertain.push(key));
-            }
-            _ => {
-                self.with_book(upstream, |b| b.coming.remove(&key));
-            }
-        }
-    }
-
-    fn adapter_ready(&self, upstream: &UpstreamId, key: &(ModelId, AdapterId)) {
-        self.with_book(upstream, |book| {
-            if book.coming.remove(key).is_some()
-                && let Some(adapters) = book.holds.get_mut(&key.0)
-            {
-                adapters.insert(key.1.clone());
-            }
-        });
-        self.broadcast_holdings(upstream);
-    }
-
-    /// Unloads an adapter; false if that failed.
-    async fn unload_adapter(
-        self: &Rc<Self>,
-        upstream: &UpstreamId,
-        model: &ModelId,
-        adapter: &AdapterId,
-    ) -> bool {
-        let key = (model.clone(), adapter.clone());
-        let now_ms = self.gateway.now_ms();
-        let is_held = self.with_book(upstream, |book| {
-            let is_held = book.holds.get_mut(model).is_some_and(|a| a.remove(adapter));
-            if is_held {
-                book.leaving.insert(key.clone(), now_ms);
-            }
-            is_held
-        });
-        if is_held != Some(true) {
-            return false;
-        }
-        self.broadcast_holdings(upstream);
-        let order = Order::UnloadAdapter(model.clone(), adapter.clone());
-        let reply = self.send_order(upstream, &order).await;
-        let is_gone = match reply {
-            OrderReply::Holds => true,
-            OrderReply::Accepted => self.await_adapter_gone(upstream, model, adapter).await,
-            // It occupies its slot until another host acts.
-            OrderReply::Unknown => return false,
-            _ => false,
-        };
-        self.with_book(upstream, |book| {
-            book.leaving.remove(&key);
-            if !is_gone && let Some(adapters) = book.holds.get_mut(model) {
-                adapters.insert(adapter.clone());
-            }
-        });
-        if !is_gone {
-            self.broadcast_holdings(upstream);
-        }
-        is_gone
-    }
-
-    async fn await_adapter_gone(
-        &self,
-        upstream: &UpstreamId,
-        model: &ModelId,
-        adapter: &AdapterId,
-    ) -> bool {
-        for _ in 0..MAX_POLLS {
-            compio::time::sleep(BUSY_POLL).await;
-            let Some(addr) = self.addr_of(upstream) else {
-                return false;
-            };
-            let Some(report) = self.gateway.platform.report(addr).await else {
-                continue;
-            };
-            let held = report.holds.get(model);
-            if !held.is_some_and(|a| a.contains(adapter)) {
-                return true;
-            }
-        }
-        false
-    }
-
-    fn addr_of(&self, upstream: &UpstreamId) -> Option<SocketAddr> {
+    pub(super) fn addr_of(&self, upstream: &UpstreamId) -> Option<SocketAddr> {
         let registry = self.gateway.registry.borrow();
         registry.get(upstream.as_str()).map(|e| e.addr)
     }
 
-    fn block(&self, upstream: &UpstreamId) {
+    pub(super) fn block(&self, upstream: &UpstreamId) {
         let until_ms = self.gateway.now_ms() + BLOCK_MS;
         self.with_book(upstream, |b| b.blocked_until_ms = until_ms);
     }
 
     /// Makes sure that the count of an engine's orders is known.
-    async fn knows_count(&self, upstream: &UpstreamId) -> bool {
+    pub(super) async fn knows_count(&self, upstream: &UpstreamId) -> bool {
         if self
             .with_book(upstream, |b| b.orders_accepted)
             .flatten()
@@ -401,7 +135,11 @@
 
     /// Sends an order: again while it has no answer, and with the right count
     /// of orders if the engine has accepted more than known.
-    async fn send_order(self: &Rc<Self>, upstream: &UpstreamId, order: &Order) -> OrderReply {
+    pub(super) async fn send_order(
+        self: &Rc<Self>,
+        upstream: &UpstreamId,
+        order: &Order,
+    ) -> OrderReply {
         let mut had_no_answer = false;
         for _ in 0..MAX_SENDS {
             let Some(addr) = self.addr_of(upstream) else {
@@ -548,7 +286,7 @@
     Nothing,
 }
 
-fn reported(report: &EngineReport) -> Reported<'_> {
+pub(super) fn reported(report: &EngineReport) -> Reported<'_> {
     Reported {
         orders_accepted: report.orders_accepted,
         is_busy: report.is_busy,
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -26,6 +26,9 @@
 const ORDER_WAIT_MS: u64 = 300;
 /// Wait predicted when no upstream is listed, in milliseconds.
 const NONE_LISTED_WAIT_MS: u64 = 1_000;
+/// Time without a served request after which weights count as starved, in
+/// milliseconds; callers that ask throughout a day ask about this often.
+const STARVED_AFTER_MS: u64 = 6_000;
 /// Share of a caller's patience that it may spend waiting here; the rest is
 /// for the upstream.
 const PATIENCE_SHARE: f64 = 0.7;
@@ -39,6 +42,8 @@
     tickets: HashMap<u64, Ticket>,
     next_ticket: u64,
     wake: Rc<Notify>,
+    /// When requests for weights were last served.
+    served_ms: HashMap<Weights, u64>,
     /// When models that are being loaded will be ready.
     pub ready_at_ms: HashMap<Lane, u64>,
 }
@@ -55,6 +60,22 @@
         self.queue.by_lane()
     }
 
+    /// Notes that a request for weights was served.
+    pub fn note_served(&mut self, weights: &Weights, now_ms: u64) {
+        match self.served_ms.get_mut(weights) {
+            Some(at_ms) => *at_ms = now_ms,
+            None => {
+                self.served_ms.insert(weights.clone(), now_ms);
+            }
+        }
+    }
+
+    /// True if requests for weights were not served for long.
+    fn is_starved(&self, weights: &Weights, now_ms: u64) -> bool {
+        let served_ms = self.served_ms.get(weights).copied().unwrap_or(0);
+        now_ms.saturating_sub(served_ms) > STARVED_AFTER_MS
+    }
+
     /// Number of waiting requests.
     pub fn waiting(&self) -> usize {
         self.queue.len()
@@ -164,9 +185,16 @@
         let now_ms = self.now_ms();
         let lane = Lane::of(&job.need);
         let due_ms = self.due_ms(job);
-        let ahead = {
+        let weights = job.need.weights.as_ref();
+        let (ahead, is_starved) = {
             let places = self.places.borrow();
-            places.queue.ahead_of(now_ms, &lane, job.priority, due_ms)
+            let is_starved = weights.is_some_and(|w| places.is_starved(w, now_ms));
+            let ahead = if is_starved {
+                0
+            } else {
+                places.queue.ahead_of(now_ms, &lane, job.priority, due_ms)
+            };
+            (ahead, is_starved)
         };
         let found = if ahead > 0 {
             Err(NoUpstream::Full)
@@ -181,7 +209,7 @@
             reason,
             wait_ms: self.predicted_wait_ms(job, &lane, reason, ahead),
         };
-        let give_up_ms = Self::give_up_ms(job, reason, due_ms);
+        let give_up_ms = Self::give_up_ms(job, reason, due_ms, is_starved);
         let waiting = self.places.borrow().queue.len();
         let useful_ms = give_up_ms.saturating_sub(now_ms);
         let verdict = admit(waiting, outlook, useful_ms, &mut self.rng.borrow_mut());
@@ -211,6 +239,7 @@
             arrived_ms: job.arrived_ms,
             due_ms,
             give_up_ms,
+            is_starved,
         };
         self.wait(job, &lane, waiter).await
     }
@@ -250,11 +279,12 @@
         }
     }
 
-    fn give_up_ms(job: &Job, reason: NoUpstream, due_ms: u64) -> u64 {
+    fn give_up_ms(job: &Job, reason: NoUpstream, due_ms: u64, is_starved: bool) -> u64 {
         let patience_ms = job.patience.as_millis() as f64 * PATIENCE_SHARE;
         let last_ms = (job.arrived_ms + patience_ms as u64).min(job.ends_ms);
         match reason {
             NoUpstream::NoModel | NoUpstream::NoAdapter => last_ms,
+            _ if is_starved => last_ms,
             _ => due_ms.max(job.arrived_ms + 1).min(last_ms),
         }
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -110,6 +110,11 @@
                 None => break end,
             }
         };
+        if let (PartEnd::Whole, Some(weights)) = (end, &self.job.need.weights) {
+            let now_ms = self.gateway.now_ms();
+            let mut places = self.gateway.places.borrow_mut();
+            places.note_served(weights, now_ms);
+        }
         let (outcome, reason) = match end {
             PartEnd::Whole => ("served", "answered"),
             PartEnd::CallerGone => ("caller_gone", "caller_gone"),
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -153,7 +153,7 @@
     platform: P,
     logs: LogBuffer,
 ) -> Result<()> {
-    let host = RunningHost::start(settings, platform).await?;
+    let host = RunningHost::start(settings, platform, logs.clone()).await?;
     let log_cancel = CancellationToken::new();
     let writing = compio::runtime::spawn(logs.clone().run(log_cancel.clone()));
     let watching = compio::runtime::spawn(watch_settings(Rc::clone(&host.gateway), file));
@@ -180,7 +180,7 @@
 
 impl<P: Platform> RunningHost<P> {
     /// Listens and starts all services.
-    pub async fn start(settings: GatewaySettings, platform: P) -> Result<Self> {
+    pub async fn start(settings: GatewaySettings, platform: P, logs: LogBuffer) -> Result<Self> {
         let listen = async |name, addr: SocketAddr| {
             let listening = server::listen(addr).await;
             listening.change_context(DaemonError::Listen(name, addr))
@@ -200,7 +200,7 @@
             peer = %peer_addr,
         );
         let kernel = Kernel::default();
-        let gateway = kernel.register(Gateway::new(settings, platform));
+        let gateway = kernel.register(Gateway::new(settings, platform, logs));
         let front = start(&kernel, &gateway, callers, probes, peers);
         let front = front.change_context(DaemonError::Start)?;
         let front_cancel = CancellationToken::new();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -8,6 +8,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::demand::DemandBook;
+use super::logs::LogBuffer;
 use super::metrics::GatewayMetrics;
 use super::peers::PeerSender;
 use super::place::Places;
@@ -85,6 +86,8 @@
     pub rng: RefCell<Rng>,
     /// Metrics.
     pub metrics: GatewayMetrics,
+    /// Log lines on their way out.
+    pub logs: LogBuffer,
     /// True while the store answers.
     pub is_store_up: Cell<bool>,
     /// True once the listings were read.
@@ -95,7 +98,7 @@
 
 impl<P: Platform> Gateway<P> {
     /// State at the start of a process.
-    pub fn new(settings: GatewaySettings, platform: P) -> Self {
+    pub fn new(settings: GatewaySettings, platform: P, logs: LogBuffer) -> Self {
         let clock = Clock::default();
         let seed = crate::core::rendezvous::hash(settings.host.as_str()) ^ clock.started_ms();
         Self {
@@ -114,6 +117,7 @@
             peer_sender: PeerSender::default(),
             rng: RefCell::new(Rng::new(seed)),
             metrics: GatewayMetrics::default(),
+            logs,
             is_store_up: Cell::new(false),
             is_listed: Cell::new(false),
             stopping: CancellationToken::new(),
--- a/tests/gateway_load.rs
+++ b/tests/gateway_load.rs
@@ -224,6 +224,7 @@
         arrived_ms,
         due_ms,
         give_up_ms: due_ms + 1_000,
+        is_starved: false,
     }
 }
 
@@ -252,6 +253,21 @@
     assert_eq!(order(&mut queue, 200), [2, 1]);
 }
 
+/// Replays a crowded model of whose many adapters a few get all the room: in
+/// order of urgency the rare one never left before its time had passed.
+#[test]
+fn weights_that_nobody_was_served_with_for_long_go_first() {
+    let mut queue = WaitQueue::default();
+    queue.push(waiter(1, 0, 0, 300));
+    queue.push(waiter(2, 0, 10, 310));
+    queue.push(Waiter {
+        is_starved: true,
+        ..waiter(3, 2, 20, 900)
+    });
+
+    assert_eq!(order(&mut queue, 100), [3, 1, 2]);
+}
+
 #[test]
 fn a_large_request_without_room_is_not_passed_over_by_those_behind_it() {
     let mut queue = WaitQueue::default();
