--- a/src/core/waiting.rs
+++ b/src/core/waiting.rs
@@ -13,7 +13,7 @@
 use std::collections::{HashMap, HashSet};
 
 use super::balance::{Allowed, Need, NoUpstream};
-use super::ids::{ModelId, ServiceId, UpstreamId};
+use super::ids::{AdapterId, ModelId, ServiceId, UpstreamId};
 use super::routing::Rng;
 
 /// Requests that wait at one host at most; bounds memory and the time of one
@@ -153,19 +153,16 @@
             return pass;
         }
         self.waiters.sort_by_key(|w| waiter_key(now_ms, w));
-        let mut full: HashSet<(Lane, bool)> = HashSet::new();
+        let mut full: HashSet<(Lane, Option<AdapterId>)> = HashSet::new();
         let waiters = std::mem::take(&mut self.waiters);
         for waiter in waiters {
             let lane = Lane::of(&waiter.need);
-            let has_adapter = waiter
-                .need
-                .weights
-                .as_ref()
-                .is_some_and(|w| w.adapter.is_some());
-            // A request that found no room blocks those behind it, so that
-            // large ones are not passed over for ever.
-            let is_blocked = full.contains(&(lane.clone(), has_adapter))
-                || full.contains(&(lane.clone(), false));
+            let weights = waiter.need.weights.as_ref();
+            let adapter = weights.and_then(|w| w.adapter.clone());
+            // A request that found no room blocks those behind it that need
+            // the same copies, so that large ones are not passed over for ever.
+            let is_blocked = full.contains(&(lane.clone(), adapter.clone()))
+                || full.contains(&(lane.clone(), None));
             let found = if is_blocked {
                 Err(NoUpstream::Full)
             } else {
@@ -181,7 +178,7 @@
                 }
                 Err(reason) => {
                     if reason == NoUpstream::Full {
-                        full.insert((lane, has_adapter));
+                        full.insert((lane, adapter));
                     }
                     self.waiters.push(waiter);
                 }
--- a/tests/gateway_load.rs
+++ b/tests/gateway_load.rs
@@ -286,6 +286,29 @@
     assert_eq!(queue.len(), 2);
 }
 
+/// Replays an adapter whose only copy is full: requests for the other adapters
+/// of its model, which other copies hold, waited behind it.
+#[test]
+fn a_full_copy_of_one_adapter_does_not_hold_up_the_others() {
+    let mut queue = WaitQueue::default();
+    let with = |ticket, adapter| Waiter {
+        need: need(10, Some(adapter)),
+        ..waiter(ticket, 0, ticket, 1_000)
+    };
+    queue.push(with(1, "a1"));
+    queue.push(with(2, "a2"));
+
+    let pass = queue.pass(20, |w| {
+        let weights = w.need.weights.as_ref().expect("weights");
+        match weights.adapter.as_ref().map(AdapterId::as_str) {
+            Some("a1") => Err(NoUpstream::Full),
+            _ => Ok(UpstreamId::new("e2")),
+        }
+    });
+
+    assert_eq!(pass.sent, [(2, UpstreamId::new("e2"))]);
+}
+
 #[test]
 fn a_request_whose_time_has_passed_is_given_up_with_the_reason() {
     let mut queue = WaitQueue::default();
