Ask about adapters that stay on their way

Change: an engine is asked about an adapter overdue by a second, and what it does not list any more is not on its way.

--- a/src/core/engine_book.rs
+++ b/src/core/engine_book.rs
@@ -17,6 +17,9 @@
 /// Time after its order for which a copy stays, in milliseconds; a load from
 /// the weight store takes most of it.
 const FRESH_MS: u64 = 14_000;
+/// Time after which an adapter on its way is asked about, in milliseconds;
+/// loads take some hundredths of a second.
+const COMING_OVERDUE_MS: u64 = 1_000;
 /// Time by which a report may lag, in milliseconds.
 pub const REPORT_LAG_MS: u64 = 400;
 
@@ -82,9 +85,19 @@
         is_later && self.is_quiet() && self.holds != entry.holds
     }
 
-    /// True if the engine must report before it can be given orders.
+    /// True if the engine must report: before it can be given orders, and when
+    /// an adapter is on its way for longer than a load takes.
     pub fn must_ask(&self, now_ms: u64) -> bool {
-        self.orders_accepted.is_none() && now_ms >= self.blocked_until_ms
+        let is_overdue = |(key, at_ms): (&(ModelId, AdapterId), &u64)| {
+            now_ms > *at_ms + COMING_OVERDUE_MS && !self.uncertain.contains(key)
+        };
+        let is_due = self.orders_accepted.is_none() || self.coming.iter().any(is_overdue);
+        is_due && now_ms >= self.blocked_until_ms
+    }
+
+    /// True if an adapter is on its way, as far as known for certain.
+    pub fn is_coming(&self, key: &(ModelId, AdapterId)) -> bool {
+        self.coming.contains_key(key) && !self.uncertain.contains(key)
     }
 
     /// Takes in a report that was made after the last order's answer.
@@ -105,7 +118,13 @@
             adapters.retain(|a| !self.leaving.contains_key(&(model.clone(), a.clone())));
         }
         self.holds = holds;
-        self.coming.retain(|(m, a), _| !has(&self.holds, m, a));
+        let (held, uncertain) = (&self.holds, &self.uncertain);
+        self.coming.retain(|key, at_ms| {
+            let may_come = now_ms < *at_ms + REPORT_LAG_MS
+                || report.coming.contains(key)
+                || uncertain.contains(key);
+            may_come && !has(held, &key.0, &key.1)
+        });
         for key in report.coming {
             self.coming.entry(key.clone()).or_insert(now_ms);
         }
--- a/src/gateway/acting.rs
+++ b/src/gateway/acting.rs
@@ -402,7 +402,7 @@
                 victim_idle_ms: now_ms.saturating_sub(victim_ms),
                 is_blocked: !book.takes_orders(now_ms),
                 has_adapter: adapters.contains(adapter),
-                is_coming: book.coming.contains_key(&key),
+                is_coming: book.is_coming(&key),
             });
         }
         (ids, sites)
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -198,6 +198,30 @@
     assert_eq!(book.orders_accepted, Some(2));
 }
 
+/// Replays a change of the acting host while an adapter is on its way: the new
+/// one learnt of it by a report, never of its end, and did not load it again.
+#[test]
+fn an_adapter_that_another_host_ordered_does_not_stay_on_its_way() {
+    let mut book = EngineBook::new(&entry("e1", 1, &[("m0", &[])]));
+    let key = (ModelId::new("m0"), AdapterId::new("a2"));
+    let before = holds(&[("m0", &[])]);
+    let coming = [key.clone()];
+    let report = |held, coming| Reported {
+        orders_accepted: 4,
+        is_busy: false,
+        holds: held,
+        coming,
+    };
+    book.take_report(&report(&before, &coming), 1_000);
+    let was_coming = book.is_coming(&key);
+
+    let must_ask = book.must_ask(5_000);
+    book.take_report(&report(&before, &[]), 5_000);
+
+    assert!(was_coming && must_ask);
+    assert!(!book.is_coming(&key), "it can be ordered again");
+}
+
 #[test]
 fn a_model_that_is_being_unloaded_still_occupies_its_memory_and_slots() {
     let mut book = EngineBook::new(&entry(
