Say each thing once in the gateway, and drop what nothing used

Cause: where weights lie was worked out in five places, an upstream was chosen and counted in two, settings were read and daemons ended in two; the shortest pause was searched over all routes and a request's head copied whole for each request, an engine's specification copied for each order. Change: WeightSource, Gateway::reserve, settings::load_with and from_json, daemon::ended and signal; the pause is kept by the catalogue, specifications are shared; unused settings, counters, fields and a store call are gone. No decision changes; one test names a type that the compiler can no longer guess.

--- a/src/core/catalog.rs
+++ b/src/core/catalog.rs
@@ -4,7 +4,8 @@
 //! go. It replaces the former one as a whole; an older version never follows
 //! a newer one.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::rc::Rc;
 use std::time::Duration;
 
 use super::ids::{ModelId, ServiceId};
@@ -94,6 +95,30 @@
     }
 }
 
+/// Where an engine finds the weights of a model, the fastest first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum WeightSource {
+    /// In its host memory.
+    Memory,
+    /// On its disk.
+    Disk,
+    /// In the weight store.
+    Store,
+}
+
+impl WeightSource {
+    /// Source for a model, by what an engine has outside the accelerator.
+    pub fn of(model: &ModelId, in_memory: &BTreeSet<ModelId>, on_disk: &BTreeSet<ModelId>) -> Self {
+        if in_memory.contains(model) {
+            Self::Memory
+        } else if on_disk.contains(model) {
+            Self::Disk
+        } else {
+            Self::Store
+        }
+    }
+}
+
 /// Model that a service's engines can serve.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ModelSpec {
@@ -111,6 +136,17 @@
     pub memory_load: Duration,
 }
 
+impl ModelSpec {
+    /// Time of a load from a source.
+    pub fn load_time(&self, source: WeightSource) -> Duration {
+        match source {
+            WeightSource::Memory => self.memory_load,
+            WeightSource::Disk => self.disk_load,
+            WeightSource::Store => self.store_load,
+        }
+    }
+}
+
 /// What the engines of a service can hold.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineSpec {
@@ -134,7 +170,7 @@
     /// Connections that one upstream accepts from all hosts together.
     pub max_connections: u32,
     /// Present if the upstreams are model engines.
-    pub engine: Option<EngineSpec>,
+    pub engine: Option<Rc<EngineSpec>>,
 }
 
 /// Bounds of what callers may send.
@@ -159,6 +195,8 @@
     routes: Vec<Route>,
     /// Positions of routes by host, longest prefix first.
     by_host: HashMap<String, Vec<usize>>,
+    /// Shortest pause that the streams of each service aim for.
+    shortest_pauses: HashMap<ServiceId, Duration>,
     /// Services by name.
     pub services: BTreeMap<ServiceId, ServiceSpec>,
     /// Bounds of what callers may send.
@@ -183,10 +221,22 @@
         for positions in by_host.values_mut() {
             positions.sort_by_key(|&p| std::cmp::Reverse(routes[p].prefix.len()));
         }
+        let mut shortest_pauses: HashMap<ServiceId, Duration> = HashMap::new();
+        for route in &routes {
+            let Some(pause) = route.max_pause else {
+                continue;
+            };
+            for backend in &route.backends {
+                let shortest = shortest_pauses.entry(backend.service.clone());
+                let shortest = shortest.or_insert(pause);
+                *shortest = pause.min(*shortest);
+            }
+        }
         Self {
             version,
             routes,
             by_host,
+            shortest_pauses,
             services,
             limits,
         }
@@ -212,15 +262,13 @@
 
     /// Shortest pause that the streams of a service aim for.
     pub fn shortest_pause(&self, service: &ServiceId) -> Option<Duration> {
-        let leads_there = |r: &&Route| r.backends.iter().any(|b| b.service == *service);
-        let routes = self.routes.iter().filter(leads_there);
-        routes.filter_map(|r| r.max_pause).min()
+        self.shortest_pauses.get(service).copied()
     }
 
     /// Services with model engines.
     pub fn engines(&self) -> impl Iterator<Item = (&ServiceId, &EngineSpec)> {
         self.services
             .iter()
-            .filter_map(|(id, service)| Some((id, service.engine.as_ref()?)))
+            .filter_map(|(id, service)| Some((id, service.engine.as_deref()?)))
     }
 }
--- a/src/core/copies.rs
+++ b/src/core/copies.rs
@@ -10,7 +10,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::catalog::EngineSpec;
+use super::catalog::{EngineSpec, WeightSource};
 use super::ids::{ModelId, UpstreamId};
 use super::registry::Holdings;
 
@@ -294,24 +294,20 @@
         true
     }
 
-    fn is_from_store(&self, e: usize, model: &ModelId) -> bool {
+    fn source_of(&self, e: usize, model: &ModelId) -> WeightSource {
         let engine = &self.engines[e];
-        !engine.in_memory.contains(model) && !engine.on_disk.contains(model)
+        WeightSource::of(model, &engine.in_memory, &engine.on_disk)
+    }
+
+    fn is_from_store(&self, e: usize, model: &ModelId) -> bool {
+        self.source_of(e, model) == WeightSource::Store
     }
 
     /// Use that a new copy meets, with what its load costs.
     fn cost(&self, e: usize, model: &ModelId, victims: &[&ModelId]) -> f64 {
-        let engine = &self.engines[e];
-        let load_s = self.spec.models.get(model).map_or(0.0, |spec| {
-            let time = if engine.in_memory.contains(model) {
-                spec.memory_load
-            } else if engine.on_disk.contains(model) {
-                spec.disk_load
-            } else {
-                spec.store_load
-            };
-            time.as_secs_f64()
-        });
+        let spec = self.spec.models.get(model);
+        let load = spec.map(|s| s.load_time(self.source_of(e, model)));
+        let load_s = load.unwrap_or_default().as_secs_f64();
         let busy = victims.iter().filter(|m| !self.is_idle(m)).count();
         self.engine_use[e] + load_s * USE_PER_LOAD_S + busy as f64 * USE_PER_BUSY_VICTIM
     }
--- a/src/core/engine_book.rs
+++ b/src/core/engine_book.rs
@@ -54,7 +54,7 @@
     /// Adapters among them whose order had no answer.
     pub uncertain: Vec<(ModelId, AdapterId)>,
     /// Adapters that are being unloaded or may be.
-    pub leaving: BTreeMap<(ModelId, AdapterId), u64>,
+    pub leaving: BTreeSet<(ModelId, AdapterId)>,
     /// When models were ordered here.
     pub loaded_ms: BTreeMap<ModelId, u64>,
     /// Time of the last order or report.
@@ -115,7 +115,7 @@
             self.loading = None;
         }
         for (model, adapters) in &mut holds {
-            adapters.retain(|a| !self.leaving.contains_key(&(model.clone(), a.clone())));
+            adapters.retain(|a| !self.leaving.contains(&(model.clone(), a.clone())));
         }
         self.holds = holds;
         let (held, uncertain) = (&self.holds, &self.uncertain);
@@ -172,7 +172,7 @@
             .iter()
             .map(|(m, adapters)| model_mb(m) + adapters.len() as u64 * adapter_mb(m))
             .sum();
-        let moving = self.coming.keys().chain(self.leaving.keys());
+        let moving = self.coming.keys().chain(&self.leaving);
         let adapters: u64 = moving.map(|(m, _)| adapter_mb(m)).sum();
         let loading = self.loading.as_ref().map_or(0, |(m, _)| model_mb(m));
         let unloading = self
--- a/src/core/load.rs
+++ b/src/core/load.rs
@@ -87,8 +87,6 @@
     failure_share: f64,
     /// Smoothed time from request to answer or first event.
     first_answer_ms: f64,
-    /// Smoothed time from request to the end of the answer.
-    whole_answer_ms: f64,
     /// Smoothed time to the first event per prompt token ahead.
     token_us: f64,
 }
@@ -106,7 +104,6 @@
             ejected_until_ms: 0,
             failure_share: 0.0,
             first_answer_ms: 0.0,
-            whole_answer_ms: 0.0,
             token_us: INITIAL_TOKEN_US,
         }
     }
@@ -157,11 +154,6 @@
         self.first_answer_ms
     }
 
-    /// Smoothed time to the end of the answer; 0 before the first.
-    pub fn whole_answer_ms(&self) -> f64 {
-        self.whole_answer_ms
-    }
-
     /// Predicted time until a prompt of some tokens is read.
     pub fn predicted_read_ms(&self, now_ms: u64, prompt_tokens: u32) -> f64 {
         let ahead = self.total(now_ms).unread_tokens + prompt_tokens;
@@ -297,8 +289,6 @@
         let load = self.entry(&sent.upstream);
         match end {
             AttemptEnd::Answered => {
-                let took_ms = now_ms.saturating_sub(sent.at_ms) as f64;
-                smooth(&mut load.whole_answer_ms, took_ms.max(0.5));
                 load.succeed();
                 load.last_heard_ms = now_ms;
             }
--- a/src/core/registry.rs
+++ b/src/core/registry.rs
@@ -8,6 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+use super::catalog::WeightSource;
 use super::ids::{AdapterId, ModelId, ServiceId, UpstreamId, ZoneId};
 
 /// Time for which an entry that lapsed during an outage stays in use; living
@@ -47,6 +48,11 @@
 }
 
 impl Entry {
+    /// Where the engine finds the weights of a model.
+    pub fn source_of(&self, model: &ModelId) -> WeightSource {
+        WeightSource::of(model, &self.in_memory, &self.on_disk)
+    }
+
     /// True if requests for the model, and its adapter if one is named, can
     /// run here.
     pub fn has(&self, model: &ModelId, adapter: Option<&AdapterId>) -> bool {
--- a/src/core/waiting.rs
+++ b/src/core/waiting.rs
@@ -13,7 +13,7 @@
 use std::collections::{HashMap, HashSet};
 
 use super::balance::{Allowed, Need, NoUpstream};
-use super::ids::{AdapterId, ModelId, ServiceId, UpstreamId};
+use super::ids::{AdapterId, ModelId, ServiceId};
 use super::routing::Rng;
 
 /// Requests that wait at one host at most; bounds memory and the time of one
@@ -89,10 +89,10 @@
 }
 
 /// What became of a pass over the queue.
-#[derive(Clone, Debug, Default)]
-pub struct Pass {
-    /// Waiters that leave, with their upstream.
-    pub sent: Vec<(u64, UpstreamId)>,
+#[derive(Clone, Debug)]
+pub struct Pass<T> {
+    /// Waiters that leave, with where they go.
+    pub sent: Vec<(u64, T)>,
     /// Waiters whose time has passed, with the reason they found no room.
     pub given_up: Vec<(u64, NoUpstream)>,
 }
@@ -118,15 +118,6 @@
         self.waiters.retain(|w| w.ticket != ticket);
     }
 
-    /// Requests that wait, by lane.
-    pub fn by_lane(&self) -> HashMap<Lane, u32> {
-        let mut counts = HashMap::new();
-        for waiter in &self.waiters {
-            *counts.entry(Lane::of(&waiter.need)).or_default() += 1;
-        }
-        counts
-    }
-
     /// Requests of a lane that would leave before a new one.
     pub fn ahead_of(&self, now_ms: u64, lane: &Lane, priority: u8, due_ms: u64) -> usize {
         let key = order_key(now_ms, priority, due_ms, now_ms);
@@ -143,12 +134,15 @@
 
     /// Lets all leave that find room, in order, and gives up on those whose
     /// time has passed.
-    pub fn pass(
+    pub fn pass<T>(
         &mut self,
         now_ms: u64,
-        mut choose: impl FnMut(&Waiter) -> Result<UpstreamId, NoUpstream>,
-    ) -> Pass {
-        let mut pass = Pass::default();
+        mut choose: impl FnMut(&Waiter) -> Result<T, NoUpstream>,
+    ) -> Pass<T> {
+        let mut pass = Pass {
+            sent: Vec::new(),
+            given_up: Vec::new(),
+        };
         if self.waiters.is_empty() {
             return pass;
         }
@@ -169,9 +163,9 @@
                 choose(&waiter)
             };
             match found {
-                Ok(upstream) => {
+                Ok(place) => {
                     self.note_departure(now_ms, lane);
-                    pass.sent.push((waiter.ticket, upstream));
+                    pass.sent.push((waiter.ticket, place));
                 }
                 Err(reason) if now_ms >= waiter.give_up_ms || is_hopeless(reason) => {
                     pass.given_up.push((waiter.ticket, reason));
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -50,6 +50,11 @@
 Exit codes: 0 stopped as asked, 1 cannot run, 2 wrong usage or settings.
 ";
 
+const SIGINT: i32 = 2;
+const SIGTERM: i32 = 15;
+/// Signals that stop a daemon.
+pub(crate) const STOP_SIGNALS: [i32; 2] = [SIGTERM, SIGINT];
+
 /// Why the daemon cannot run.
 #[derive(Debug)]
 pub enum DaemonError {
@@ -97,15 +102,18 @@
 
 /// Runs the daemon.
 pub fn main(args: impl IntoIterator<Item = OsString>) -> ExitCode {
-    match parse_args(args).and_then(execute) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(report) => {
-            eprintln!("currantcoved: {report:?}");
-            match report.current_context() {
-                DaemonError::Usage | DaemonError::Settings => ExitCode::from(2),
-                DaemonError::Listen(..) | DaemonError::Start => ExitCode::from(1),
-            }
-        }
+    ended("currantcoved", parse_args(args).and_then(execute))
+}
+
+/// Reports why a daemon could not run; its exit code.
+pub(crate) fn ended(name: &str, result: Result<()>) -> ExitCode {
+    let Err(report) = result else {
+        return ExitCode::SUCCESS;
+    };
+    eprintln!("{name}: {report:?}");
+    match report.current_context() {
+        DaemonError::Usage | DaemonError::Settings => ExitCode::from(2),
+        DaemonError::Listen(..) | DaemonError::Start => ExitCode::from(1),
     }
 }
 
@@ -198,7 +206,7 @@
     host.drain();
     futures_util::select_biased! {
         _ = serving.fuse() => {}
-        () = signal().fuse() => tracing::warn!("second signal, stopping at once"),
+        () = signal(&STOP_SIGNALS).fuse() => tracing::warn!("second signal, stopping at once"),
     }
     kernel.stop().await;
     tracing::info!("stopped");
@@ -255,15 +263,16 @@
 /// Waits for a signal or for an operator's request.
 async fn wait_for_stop(host: &Host) {
     futures_util::select_biased! {
-        () = signal().fuse() => {}
+        () = signal(&STOP_SIGNALS).fuse() => {}
         () = host.draining.cancelled().fuse() => {}
     }
 }
 
-async fn signal() {
-    const SIGINT: i32 = 2;
-    const SIGTERM: i32 = 15;
-    let terminate = std::pin::pin!(compio::signal::unix::signal(SIGTERM));
-    let interrupt = std::pin::pin!(compio::signal::unix::signal(SIGINT));
-    futures_util::future::select(terminate, interrupt).await;
+/// Waits for one of some signals.
+pub(crate) async fn signal(numbers: &[i32]) {
+    let waits = numbers
+        .iter()
+        .map(|&n| Box::pin(compio::signal::unix::signal(n)));
+    // A signal that cannot be waited for ends the wait, which is seen at once.
+    let _ = futures_util::future::select_all(waits).await;
 }
--- a/src/edge/body_reader.rs
+++ b/src/edge/body_reader.rs
@@ -6,9 +6,8 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::Request;
 use hyper::body::Incoming;
-use hyper::header::CONTENT_LENGTH;
+use hyper::header::{CONTENT_LENGTH, HeaderMap};
 
 use super::body;
 use crate::core::outcome::{Reason, Refusal};
@@ -72,12 +71,12 @@
     /// Reads a body within its limits; the share is held until it is dropped.
     pub async fn read(
         &self,
-        request: Request<Incoming>,
+        headers: &HeaderMap,
+        mut incoming: Incoming,
         limits: BodyLimits,
     ) -> Result<(Bytes, BodyShare), Refusal> {
-        let announced = request.headers().get(CONTENT_LENGTH);
+        let announced = headers.get(CONTENT_LENGTH);
         let announced: Option<usize> = announced.and_then(|v| v.to_str().ok()?.parse().ok());
-        let mut incoming = request.into_body();
         let result = if announced.is_some_and(|n| n > limits.max_bytes) {
             Err(too_large(limits.max_bytes))
         } else {
--- a/src/gateway/acting.rs
+++ b/src/gateway/acting.rs
@@ -18,7 +18,7 @@
 use super::state::Gateway;
 use crate::core::adapters::{Site, choose_site};
 use crate::core::balance::Weights;
-use crate::core::catalog::EngineSpec;
+use crate::core::catalog::{EngineSpec, WeightSource};
 use crate::core::copies::{ModelDemand, PlannedEngine, Step, plan};
 use crate::core::demand_rate::DemandRate;
 use crate::core::engine_book::EngineBook;
@@ -122,7 +122,7 @@
     }
 
     /// Engine specification of an upstream's service.
-    pub fn spec_of(&self, id: &UpstreamId) -> Option<EngineSpec> {
+    pub fn spec_of(&self, id: &UpstreamId) -> Option<Rc<EngineSpec>> {
         let catalog = self.gateway.catalog()?;
         let registry = self.gateway.registry.borrow();
         let entry = registry.get(id.as_str())?;
@@ -270,20 +270,19 @@
         gateway.take_loading(service.clone(), model.clone(), ready_in_ms);
     }
 
-    /// Time of a load at an engine, by where its weights lie.
-    pub fn load_time(&self, spec: &EngineSpec, upstream: &UpstreamId, model: &ModelId) -> Duration {
+    /// Where an engine finds the weights of a model.
+    pub fn source_of(&self, upstream: &UpstreamId, model: &ModelId) -> WeightSource {
         let registry = self.gateway.registry.borrow();
         let entry = registry.get(upstream.as_str());
-        let Some(size) = spec.models.get(model) else {
-            return Duration::ZERO;
-        };
-        if entry.is_some_and(|e| e.in_memory.contains(model)) {
-            size.memory_load
-        } else if entry.is_some_and(|e| e.on_disk.contains(model)) {
-            size.disk_load
-        } else {
-            size.store_load
-        }
+        entry.map_or(WeightSource::Store, |e| e.source_of(model))
+    }
+
+    /// Time of a load at an engine, by where its weights lie.
+    pub fn load_time(&self, spec: &EngineSpec, upstream: &UpstreamId, model: &ModelId) -> Duration {
+        let size = spec.models.get(model);
+        size.map_or(Duration::ZERO, |s| {
+            s.load_time(self.source_of(upstream, model))
+        })
     }
 
     /// Sends a message to all other hosts.
@@ -291,9 +290,9 @@
         let gateway = &self.gateway;
         let own = gateway.settings().host.clone();
         let peers = gateway.peers.borrow();
-        for (host, peer) in peers.iter() {
+        for (host, addr) in peers.iter() {
             if *host != own {
-                gateway.send_peer(peer.addr, message);
+                gateway.send_peer(*addr, message);
             }
         }
     }
@@ -327,7 +326,7 @@
         let peer_loads = gateway.peer_loads.borrow();
         let totals = peer_loads.totals(now_ms);
         let peers = gateway.peers.borrow();
-        for (host, peer) in peers.iter() {
+        for (host, addr) in peers.iter() {
             let others: Vec<(UpstreamId, InFlight)> = totals
                 .iter()
                 .map(|(id, total)| (id.clone(), total.minus(peer_loads.of_host(host, id))))
@@ -341,7 +340,7 @@
             }
             for part in 0..others.len().div_ceil(super::peers::ITEMS_PER_DATAGRAM) {
                 let others = chunk(&others, part);
-                gateway.send_peer(peer.addr, &PeerMessage::Digest { term, others });
+                gateway.send_peer(*addr, &PeerMessage::Digest { term, others });
             }
         }
     }
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -81,8 +81,7 @@
             return self.refuse(404, "no_route", Some(&call), host);
         };
         let limits = body_limits(&catalog);
-        let request = Request::from_parts(parts.clone(), incoming);
-        let read = match self.bodies.read(request, limits).await {
+        let read = match self.bodies.read(&parts.headers, incoming, limits).await {
             Ok(read) => read,
             Err(refusal) => {
                 let status = refusal.reason.status();
--- a/src/gateway/order_adapters.rs
+++ b/src/gateway/order_adapters.rs
@@ -92,11 +92,10 @@
         adapter: &AdapterId,
     ) -> bool {
         let key = (model.clone(), adapter.clone());
-        let now_ms = self.gateway.now_ms();
         let is_held = self.with_book(upstream, |book| {
             let is_held = book.holds.get_mut(model).is_some_and(|a| a.remove(adapter));
             if is_held {
-                book.leaving.insert(key.clone(), now_ms);
+                book.leaving.insert(key.clone());
             }
             is_held
         });
--- a/src/gateway/order_models.rs
+++ b/src/gateway/order_models.rs
@@ -6,6 +6,7 @@
 use super::acting::Acting;
 use super::orders::{BUSY_POLL, MAX_POLLS, reported};
 use super::platform::{EngineReport, Order, OrderReply, Platform};
+use crate::core::catalog::WeightSource;
 use crate::core::ids::{ModelId, UpstreamId};
 
 impl<P: Platform> Acting<P> {
@@ -18,7 +19,8 @@
             tracing::info!(event = "order", upstream = %upstream, order = %model, reply = "no_room");
             return;
         }
-        if self.is_from_store(upstream, model) && !self.state.borrow_mut().take_store_load() {
+        let is_from_store = self.source_of(upstream, model) == WeightSource::Store;
+        if is_from_store && !self.state.borrow_mut().take_store_load() {
             return;
         }
         let load_ms = self.load_time(&spec, upstream, model).as_millis() as u64;
@@ -49,12 +51,6 @@
         }
     }
 
-    fn is_from_store(&self, upstream: &UpstreamId, model: &ModelId) -> bool {
-        let registry = self.gateway.registry.borrow();
-        let entry = registry.get(upstream.as_str());
-        entry.is_none_or(|e| !e.in_memory.contains(model) && !e.on_disk.contains(model))
-    }
-
     /// Waits until a model that is being loaded serves.
     async fn await_model(self: &Rc<Self>, upstream: &UpstreamId, model: &ModelId, wait: Duration) {
         compio::time::sleep(wait).await;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -3,10 +3,10 @@
 //! Each host tells all others what it has in flight as soon as that changes,
 //! and the acting host what callers asked for. In a large fleet, loads go to
 //! the acting host only, which tells each host the sum of all others. The
-//! acting host also tells what engines hold after its orders. Everything is a statement that a
-//! newer one replaces, so that a lost datagram costs time and nothing else.
-//! That is why these are datagrams and no links that would have to be kept
-//! and watched.
+//! acting host also tells what engines hold after its orders. Everything is a
+//! statement that a newer one replaces, so that a lost datagram costs time and
+//! nothing else. That is why these are datagrams and no links that would have
+//! to be kept and watched.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -239,7 +239,7 @@
         let addrs: Vec<SocketAddr> = if gateway.host_count() <= MAX_DIRECT_HOSTS {
             let peers = gateway.peers.borrow();
             let others = peers.iter().filter(|(h, _)| **h != host);
-            others.map(|(_, p)| p.addr).collect()
+            others.map(|(_, addr)| *addr).collect()
         } else {
             let other = acting.filter(|a| a.host != host);
             other.map(|a| a.addr).into_iter().collect()
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -11,10 +11,10 @@
 use super::call::Job;
 use super::platform::Platform;
 use super::state::Gateway;
-use crate::core::balance::{Allowed, NoUpstream, Weights, choose};
-use crate::core::catalog::ModelSpec;
-use crate::core::load::{AttemptEnd, Sent};
-use crate::core::registry::Registry;
+use crate::core::balance::{Allowed, Need, NoUpstream, Weights, choose};
+use crate::core::catalog::{ModelSpec, WeightSource};
+use crate::core::load::{AttemptEnd, Load, Sent};
+use crate::core::registry::{Entry, Registry};
 use crate::core::waiting::{Lane, Outlook, Verdict, WaitQueue, Waiter, admit, spread_retry_after};
 use crate::kernel::Service;
 
@@ -55,11 +55,6 @@
 struct Ticket(oneshot::Sender<Offer>);
 
 impl Places {
-    /// Requests that wait, by lane.
-    pub fn waiting_by_lane(&self) -> HashMap<Lane, u32> {
-        self.queue.by_lane()
-    }
-
     /// Notes that a request for weights was served.
     pub fn note_served(&mut self, weights: &Weights, now_ms: u64) {
         match self.served_ms.get_mut(weights) {
@@ -144,8 +139,6 @@
 pub struct NoPlace {
     /// Reason.
     pub reason: NoUpstream,
-    /// Predicted time until there would be one.
-    pub outlook_ms: u64,
     /// Time to come back.
     pub retry_after_ms: u64,
 }
@@ -199,7 +192,7 @@
         let found = if ahead > 0 {
             Err(NoUpstream::Full)
         } else {
-            self.choose_now(job, allowed)
+            self.reserve(now_ms, &job.need, allowed)
         };
         let reason = match found {
             Ok(sent) => return Ok(InFlight::new(self, sent)),
@@ -227,7 +220,6 @@
             );
             return Err(NoPlace {
                 reason,
-                outlook_ms: outlook.wait_ms,
                 retry_after_ms,
             });
         }
@@ -249,9 +241,7 @@
         let registry = self.registry.borrow();
         let entries = registry.of_service(&job.need.service);
         let weights = job.need.weights.as_ref();
-        let holds = |e: &&crate::core::registry::Entry| {
-            !e.is_draining && weights.is_none_or(|w| e.has(&w.model, None))
-        };
+        let holds = |e: &&Entry| !e.is_draining && weights.is_none_or(|w| e.has(&w.model, None));
         entries.filter(holds).count()
     }
 
@@ -269,7 +259,7 @@
         let entries = registry.of_service(&job.need.service);
         let known = entries
             .filter_map(|e| loads.get(e.id.as_str()))
-            .map(crate::core::load::Load::first_answer_ms)
+            .map(Load::first_answer_ms)
             .filter(|ms| *ms > 0.0);
         let (sum_ms, count) = known.fold((0.0, 0_u32), |(sum, n), ms| (sum + ms, n + 1));
         if count == 0 {
@@ -319,20 +309,20 @@
         ORDER_WAIT_MS + load.map_or(NONE_LISTED_WAIT_MS, |l| l.as_millis() as u64)
     }
 
-    fn choose_now(&self, job: &Job, allowed: &Allowed) -> Result<Sent, NoUpstream> {
-        let now_ms = self.now_ms();
+    /// Chooses an upstream and counts the request there.
+    fn reserve(&self, now_ms: u64, need: &Need, allowed: &Allowed) -> Result<Sent, NoUpstream> {
         let settings = self.settings();
+        let mut loads = self.loads.borrow_mut();
         let chosen = choose(
             now_ms,
             &self.registry.borrow(),
-            &self.loads.borrow(),
+            &loads,
             &settings.zone,
-            &job.need,
+            need,
             allowed,
             &mut self.rng.borrow_mut(),
         )?;
-        let mut loads = self.loads.borrow_mut();
-        Ok(loads.on_sent(now_ms, &chosen, job.need.demand))
+        Ok(loads.on_sent(now_ms, &chosen, need.demand))
     }
 
     async fn wait(
@@ -381,7 +371,6 @@
         let outlook_ms = self.predicted_wait_ms(job, lane, reason, ahead);
         NoPlace {
             reason,
-            outlook_ms,
             retry_after_ms: spread_retry_after(outlook_ms, &mut self.rng.borrow_mut()),
         }
     }
@@ -389,36 +378,22 @@
     /// Lets all waiting requests that find room leave.
     fn pass(&self) {
         let now_ms = self.now_ms();
-        let settings = self.settings();
-        let mut sent: HashMap<u64, Sent> = HashMap::new();
         let mut places = self.places.borrow_mut();
-        let registry = self.registry.borrow();
-        let pass = places.queue.pass(now_ms, |waiter| {
-            let mut loads = self.loads.borrow_mut();
-            let chosen = choose(
-                now_ms,
-                &registry,
-                &loads,
-                &settings.zone,
-                &waiter.need,
-                &waiter.allowed,
-                &mut self.rng.borrow_mut(),
-            )?;
-            let counted = loads.on_sent(now_ms, &chosen, waiter.need.demand);
-            sent.insert(waiter.ticket, counted);
-            Ok(chosen)
-        });
+        let pass = places
+            .queue
+            .pass(now_ms, |w| self.reserve(now_ms, &w.need, &w.allowed));
+        let sent = pass
+            .sent
+            .into_iter()
+            .map(|(ticket, sent)| (ticket, Ok(sent)));
+        let given_up = pass
+            .given_up
+            .into_iter()
+            .map(|(ticket, e)| (ticket, Err(e)));
         let mut offers = Vec::new();
-        for (ticket, _) in pass.sent {
-            if let (Some(Ticket(sender)), Some(sent)) =
-                (places.tickets.remove(&ticket), sent.remove(&ticket))
-            {
-                offers.push((sender, Ok(sent)));
-            }
-        }
-        for (ticket, reason) in pass.given_up {
+        for (ticket, offer) in sent.chain(given_up) {
             if let Some(Ticket(sender)) = places.tickets.remove(&ticket) {
-                offers.push((sender, Err(reason)));
+                offers.push((sender, offer));
             }
         }
         let waiting = places.queue.len().cast_signed() as i64;
@@ -436,17 +411,11 @@
 
 /// Shortest time in which some upstream can load a model.
 fn fastest_load(registry: &Registry, job: &Job, weights: &Weights, spec: &ModelSpec) -> Duration {
-    let entries = || {
-        let entries = registry.of_service(&job.need.service);
-        entries.filter(|e| !e.is_draining)
-    };
-    if entries().any(|e| e.in_memory.contains(&weights.model)) {
-        spec.memory_load
-    } else if entries().any(|e| e.on_disk.contains(&weights.model)) {
-        spec.disk_load
-    } else {
-        spec.store_load
-    }
+    let entries = registry.of_service(&job.need.service);
+    let sources = entries
+        .filter(|e| !e.is_draining)
+        .map(|e| e.source_of(&weights.model));
+    spec.load_time(sources.min().unwrap_or(WeightSource::Store))
 }
 
 /// Service that lets waiting requests leave.
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -3,7 +3,6 @@
 //! An adapter implements these traits. It knows names, formats and calls; it
 //! decides nothing.
 
-use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,7 +15,7 @@
 use crate::core::ids::{AdapterId, ModelId, UpstreamId};
 use crate::core::load::Demand;
 use crate::core::registry::{Entry, Holdings};
-use crate::edge::kv::{Cas, CasAllOutcome, Change, KeyValue, KvError, Snapshot};
+use crate::edge::kv::{Cas, CasAllOutcome, Change, KvError, Snapshot};
 
 /// Why something of the platform could not be decoded.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -81,8 +80,6 @@
 pub trait FleetStore {
     /// Reads all keys under a prefix.
     fn list(&self, prefix: &str) -> impl Future<Output = Result<Snapshot, KvError>>;
-    /// Reads one key.
-    fn get(&self, key: &str) -> impl Future<Output = Result<Option<KeyValue>, KvError>>;
     /// Waits for changes under a prefix after a revision.
     fn changes(
         &self,
@@ -178,10 +175,6 @@
     pub holds: Holdings,
     /// Adapters that are being loaded.
     pub coming: Vec<(ModelId, AdapterId)>,
-    /// Models whose weights are in host memory.
-    pub in_memory: BTreeSet<ModelId>,
-    /// Models whose weights are on disk.
-    pub on_disk: BTreeSet<ModelId>,
 }
 
 /// Control of model engines.
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -27,7 +27,7 @@
 use super::settings::{self, GatewaySettings};
 use super::state::Gateway;
 use super::sync::StoreSync;
-use crate::daemon::DaemonError;
+use crate::daemon::{DaemonError, STOP_SIGNALS, ended, signal};
 use crate::edge::server;
 use crate::kernel::{Kernel, NotRegistered, Service};
 
@@ -63,8 +63,6 @@
 const SETTINGS_EVERY: Duration = Duration::from_secs(2);
 
 const SIGHUP: i32 = 1;
-const SIGINT: i32 = 2;
-const SIGTERM: i32 = 15;
 
 type Result<T> = std::result::Result<T, Report<DaemonError>>;
 
@@ -80,16 +78,9 @@
     file: Option<PathBuf>,
     platform: impl FnOnce(&GatewaySettings) -> P,
 ) -> ExitCode {
-    match parse_args(args, file).and_then(|command| execute(command, platform)) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(report) => {
-            eprintln!("currantcove-host: {report:?}");
-            match report.current_context() {
-                DaemonError::Usage | DaemonError::Settings => ExitCode::from(2),
-                DaemonError::Listen(..) | DaemonError::Start => ExitCode::from(1),
-            }
-        }
-    }
+    let command = parse_args(args, file);
+    let result = command.and_then(|command| execute(command, platform));
+    ended("currantcove-host", result)
 }
 
 fn parse_args(
@@ -157,7 +148,7 @@
     let log_cancel = CancellationToken::new();
     let writing = compio::runtime::spawn(logs.clone().run(log_cancel.clone()));
     let watching = compio::runtime::spawn(watch_settings(Rc::clone(&host.gateway), file));
-    signal(&[SIGTERM, SIGINT]).await;
+    signal(&STOP_SIGNALS).await;
     host.stop().await;
     drop(watching);
     tracing::info!(event = "stop", "stopped");
@@ -258,14 +249,6 @@
     Ok(kernel.register(CallFront::new(Rc::clone(gateway), callers)))
 }
 
-async fn signal(numbers: &[i32]) {
-    let waits = numbers
-        .iter()
-        .map(|&n| Box::pin(compio::signal::unix::signal(n)));
-    // A signal that cannot be waited for ends the wait, which is seen at once.
-    let _ = futures_util::future::select_all(waits).await;
-}
-
 /// Reads the settings again on a signal and when the file has changed.
 async fn watch_settings<P: Platform>(gateway: Rc<Gateway<P>>, file: PathBuf) {
     let last = RefCell::new(std::fs::read(&file).ok());
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -11,7 +11,7 @@
 
 use crate::core::config::{Finding, Findings};
 use crate::core::ids::{HostId, ZoneId};
-use crate::settings::BadSettings;
+use crate::settings::{self, BadSettings};
 
 /// Settings of one host.
 #[serde_as]
@@ -47,10 +47,6 @@
     pub retry_share: f64,
     /// Retries that all hosts may make beyond that share.
     pub retry_slack: u32,
-    /// Time over which retries are counted, in seconds.
-    pub retry_window_s: f64,
-    /// Time over which loads from the weight store are counted, in seconds.
-    pub load_window_s: f64,
     /// Time within which a leaving upstream gets nothing more, in milliseconds.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "drain_within_ms")]
@@ -69,12 +65,7 @@
 impl GatewaySettings {
     /// Parses and checks settings.
     pub fn parse(json: &[u8]) -> Result<Self, Vec<Finding>> {
-        let settings: Self = serde_json::from_slice(json).map_err(|e| {
-            vec![Finding {
-                path: ".".into(),
-                problem: e.to_string(),
-            }]
-        })?;
+        let settings: Self = settings::from_json(json)?;
         let mut findings = Findings::default();
         settings.check(&mut findings);
         findings.into_result(settings)
@@ -87,15 +78,8 @@
         findings.expect(is_apart, "ready_addr", "is the same as caller_addr");
         findings.expect(self.peer_port > 0, "peer_port", "must be at least 1");
         findings.expect(self.memory_mb > 0, "memory_mb", "must be at least 1");
-        let times = [
-            ("stop_grace_s", self.stop_grace_s),
-            ("retry_window_s", self.retry_window_s),
-            ("load_window_s", self.load_window_s),
-        ];
-        for (path, time_s) in times {
-            let is_valid = time_s > 0.0 && time_s <= MAX_TIME_S;
-            findings.expect(is_valid, path, "must be over 0 and at most 3600");
-        }
+        let is_valid = self.stop_grace_s > 0.0 && self.stop_grace_s <= MAX_TIME_S;
+        findings.expect(is_valid, "stop_grace_s", "must be over 0 and at most 3600");
         let is_share = (0.0..=1.0).contains(&self.retry_share);
         findings.expect(is_share, "retry_share", "must be from 0 to 1");
     }
@@ -103,15 +87,5 @@
 
 /// Reads settings from a file.
 pub fn load(file: &Path) -> Result<GatewaySettings, BadSettings> {
-    let bad = |findings| BadSettings {
-        file: file.to_owned(),
-        findings,
-    };
-    let json = std::fs::read(file).map_err(|e| {
-        bad(vec![Finding {
-            path: ".".into(),
-            problem: format!("cannot be read: {e}"),
-        }])
-    })?;
-    GatewaySettings::parse(&json).map_err(bad)
+    settings::load_with(file, GatewaySettings::parse)
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -42,15 +42,6 @@
     pub term: u64,
 }
 
-/// Another host, as it is listed in the store.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Peer {
-    /// Address for traffic between hosts.
-    pub addr: SocketAddr,
-    /// Availability zone.
-    pub zone: String,
-}
-
 /// Shared state.
 #[derive(Debug)]
 pub struct Gateway<P: Platform> {
@@ -74,8 +65,8 @@
     pub budgets: RefCell<HashMap<ServiceId, RetryBudget>>,
     /// What callers asked for.
     pub demand: RefCell<DemandBook>,
-    /// Other hosts, as listed in the store.
-    pub peers: RefCell<HashMap<HostId, Peer>>,
+    /// Addresses of all listed hosts for traffic between hosts.
+    pub peers: RefCell<HashMap<HostId, SocketAddr>>,
     /// Host that gives orders.
     pub acting: RefCell<Option<ActingHost>>,
     /// What other hosts state to have in flight.
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::platform::{Changes, FleetStore, Platform};
-use super::state::{ActingHost, Gateway, Peer};
+use super::state::{ActingHost, Gateway};
 use crate::core::ids::HostId;
 use crate::core::registry::{Entry, LAPSE_GRACE_MS};
 use crate::edge::kv::{Change, KeyValue, KvError};
@@ -111,7 +111,7 @@
                 if own == ACTING_KEY {
                     acting = value.map(|v| acting_host(v, kv.mod_revision));
                 } else if let Some(value) = value.filter(|_| own.starts_with(HOSTS_KEY)) {
-                    peers.insert(value.host.clone(), peer(value));
+                    peers.insert(value.host, value.addr);
                 }
             }
         }
@@ -157,7 +157,7 @@
                 gateway.set_acting(Some(acting_host(value, kv.mod_revision)));
             } else if own.starts_with(HOSTS_KEY) {
                 let mut peers = gateway.peers.borrow_mut();
-                peers.insert(value.host.clone(), peer(value));
+                peers.insert(value.host, value.addr);
             }
         }
     }
@@ -228,13 +228,6 @@
     }
 }
 
-fn peer(value: HostValue) -> Peer {
-    Peer {
-        addr: value.addr,
-        zone: value.zone,
-    }
-}
-
 impl<P: Platform> Gateway<P> {
     /// Takes in which host acts.
     pub fn set_acting(&self, acting: Option<ActingHost>) {
--- a/src/services/callers.rs
+++ b/src/services/callers.rs
@@ -183,7 +183,11 @@
         caller: Caller,
         request: Request<Incoming>,
     ) -> Result<Answer, Box<(Caller, Refusal)>> {
-        let (bytes, _share) = match self.bodies.read(request, self.body_limits()).await {
+        let (head, incoming) = request.into_parts();
+        let read = self
+            .bodies
+            .read(&head.headers, incoming, self.body_limits());
+        let (bytes, _share) = match read.await {
             Ok(body) => body,
             Err(refusal) => return Err(Box::new((caller, refusal))),
         };
@@ -297,7 +301,11 @@
                 return Err(refusal);
             }
         };
-        let (bytes, _share) = self.bodies.read(request, self.body_limits()).await?;
+        let (head, incoming) = request.into_parts();
+        let read = self
+            .bodies
+            .read(&head.headers, incoming, self.body_limits());
+        let (bytes, _share) = read.await?;
         job.body = bytes;
         let Some(key) = key.filter(|_| !job.is_idempotent) else {
             return self.run_service(&job).await;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
@@ -69,12 +70,7 @@
 impl Settings {
     /// Parses and checks settings.
     pub fn parse(json: &[u8]) -> Result<Self, Vec<Finding>> {
-        let settings: Self = serde_json::from_slice(json).map_err(|e| {
-            vec![Finding {
-                path: ".".into(),
-                problem: e.to_string(),
-            }]
-        })?;
+        let settings: Self = from_json(json)?;
         let mut findings = Findings::default();
         settings.check(&mut findings);
         findings.into_result(settings)
@@ -147,6 +143,14 @@
 
 /// Reads settings from a file.
 pub fn load(file: &Path) -> Result<Settings, BadSettings> {
+    load_with(file, Settings::parse)
+}
+
+/// Reads settings of some kind from a file.
+pub fn load_with<T>(
+    file: &Path,
+    parse: impl FnOnce(&[u8]) -> Result<T, Vec<Finding>>,
+) -> Result<T, BadSettings> {
     let bad = |findings| BadSettings {
         file: file.to_owned(),
         findings,
@@ -157,5 +161,15 @@
             problem: format!("cannot be read: {e}"),
         }])
     })?;
-    Settings::parse(&json).map_err(bad)
+    parse(&json).map_err(bad)
+}
+
+/// Decodes settings of some kind; what cannot be decoded is one finding.
+pub fn from_json<T: DeserializeOwned>(json: &[u8]) -> Result<T, Vec<Finding>> {
+    serde_json::from_slice(json).map_err(|e| {
+        vec![Finding {
+            path: ".".into(),
+            problem: e.to_string(),
+        }]
+    })
 }
--- a/tests/gateway_load.rs
+++ b/tests/gateway_load.rs
@@ -314,7 +314,7 @@
     let mut queue = WaitQueue::default();
     queue.push(waiter(1, 0, 0, 1_000));
 
-    let pass = queue.pass(2_000, |_| Err(NoUpstream::NoModel));
+    let pass = queue.pass::<UpstreamId>(2_000, |_| Err(NoUpstream::NoModel));
 
     assert_eq!(pass.given_up, [(1, NoUpstream::NoModel)]);
     assert!(queue.is_empty());
