Give up an acting entry that this host does not act by

Cause: when the answer to an election was lost, the entry stood, hung on the host's lease and was renewed with it, while the host had no term: nobody gave orders until the process ended. The same held after a refusal for a lower fence. Found by reading. Change: an entry of its own that is younger than its listing, without a term, makes a host end its lease and list itself anew; others may act meanwhile.

--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -40,6 +40,8 @@
     /// By the clock that counts suspension.
     until_ms: u64,
     renewed_ms: u64,
+    /// Revision at which this host was listed under it.
+    listed_at: u64,
 }
 
 /// Service that keeps this host listed.
@@ -126,18 +128,15 @@
         let sent_ms = boot_ms();
         let lease = store.grant(ttl).await?;
         let ttl_ms = lease.ttl.as_millis() as u64;
+        let value = serde_json::to_vec(&self.own_value()).map_err(|_| KvError::NotSent)?;
+        let listed_at = store.put(&self.host_key(), &value, lease.id).await?;
         self.held.set(Some(Held {
             lease: lease.id,
             ttl_ms,
             until_ms: sent_ms + ttl_ms,
             renewed_ms: sent_ms,
+            listed_at,
         }));
-        let value = serde_json::to_vec(&self.own_value()).map_err(|_| KvError::NotSent)?;
-        if let Err(error) = store.put(&self.host_key(), &value, lease.id).await {
-            // An entry that is not there would stay away until the lease ends.
-            self.held.set(None);
-            return Err(error);
-        }
         tracing::info!(event = "membership", lease = lease.id, "listed");
         Ok(())
     }
@@ -152,10 +151,9 @@
             return Ok(());
         }
         self.held.set(Some(Held {
-            lease: held.lease,
-            ttl_ms: held.ttl_ms,
             until_ms: sent_ms + held.ttl_ms,
             renewed_ms: sent_ms,
+            ..held
         }));
         Ok(())
     }
@@ -169,6 +167,9 @@
             if acting.host != own {
                 self.step_down("another_acts");
                 *self.last_other.borrow_mut() = Some(acting.host);
+            } else if self.is_unowned(acting.term) {
+                // Its own renewals would keep others from acting.
+                self.leave("entry_without_term").await;
             }
             return Ok(());
         }
@@ -185,6 +186,14 @@
         self.try_to_act().await
     }
 
+    /// True if the acting host's entry is this host's, hangs on its lease, and
+    /// it does not act by it: the answer to its election was lost, or it has
+    /// stepped down since.
+    fn is_unowned(&self, term: u64) -> bool {
+        let is_on_lease = self.held.get().is_some_and(|h| term > h.listed_at);
+        is_on_lease && self.term.get().is_none()
+    }
+
     /// Place of this host in the line of those that would act.
     fn rank(&self) -> u64 {
         let gateway = &self.gateway;
@@ -228,14 +237,15 @@
     }
 
     /// Gives up the lease, so that another host acts at once.
-    pub async fn leave(&self) {
-        self.step_down("stopping");
+    pub async fn leave(&self, reason: &'static str) {
+        self.step_down(reason);
         if let Some(held) = self.held.take() {
             let ended = self.gateway.platform.store().end(held.lease).await;
             tracing::info!(
                 event = "membership",
                 lease = held.lease,
                 ended = ended.is_ok(),
+                reason,
                 "left"
             );
         }
@@ -248,7 +258,7 @@
     async fn run(self: Rc<Self>, cancel: CancellationToken) {
         loop {
             let pause = if self.gateway.stopping.is_cancelled() {
-                self.leave().await;
+                self.leave("stopping").await;
                 return;
             } else if let Err(error) = self.tick().await {
                 tracing::debug!(event = "membership", error = error.as_str());
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -162,6 +162,8 @@
 pub struct RunningHost<P: Platform> {
     /// Shared state.
     pub gateway: Rc<Gateway<P>>,
+    /// Knows whether this host acts.
+    pub membership: Rc<Membership<P>>,
     /// Address for callers.
     pub caller_addr: SocketAddr,
     kernel: Kernel,
@@ -194,10 +196,13 @@
         let gateway = kernel.register(Gateway::new(settings, platform, logs));
         let front = start(&kernel, &gateway, callers, probes, peers);
         let front = front.change_context(DaemonError::Start)?;
+        let membership = kernel.find::<Membership<P>>();
+        let membership = membership.change_context(DaemonError::Start)?;
         let front_cancel = CancellationToken::new();
         let serving = compio::runtime::spawn(Service::run(front, front_cancel.clone()));
         Ok(Self {
             gateway,
+            membership,
             caller_addr,
             kernel,
             front_cancel,
