Predict waits from room and pace, not from an old overload

Change: the wait is the time until the first copy has room, from its unread prompts, batch and cache, and for each request ahead this host's share of all copies' pace, or the faster pace of the last second. Only those that wait for room at the same copies are ahead.

--- a/src/core/balance.rs
+++ b/src/core/balance.rs
@@ -32,6 +32,10 @@
 /// there, which hides the round trip.
 const SERVICE_SLOT_FACTOR: u32 = 2;
 
+/// Shortest time for which a request is taken to occupy an upstream, in
+/// milliseconds; one step of an engine takes several.
+const LEAST_TURN_MS: f64 = 1.0;
+
 /// Model, and adapter if one is named.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Weights {
@@ -216,6 +220,79 @@
     total.requests == 0 || f64::from(claimed) <= limit
 }
 
+/// When upstreams that are full have room again.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Room {
+    /// Time until the first of them has room for the request, in milliseconds.
+    pub first_ms: f64,
+    /// Time for which a request like this one takes up all copies together, in
+    /// milliseconds; those that wait leave at this interval over all hosts.
+    pub turn_ms: f64,
+}
+
+/// Predicts when a request finds room; `None` if no upstream that works could
+/// serve it.
+pub fn next_room(
+    now_ms: u64,
+    registry: &Registry,
+    loads: &LoadBook,
+    need: &Need,
+    allowed: &Allowed,
+) -> Option<Room> {
+    let mut first_ms = f64::MAX;
+    let mut turns_per_ms = 0.0;
+    for entry in registry.of_service(&need.service) {
+        let weights = need.weights.as_ref();
+        let has_weights = weights.is_none_or(|w| entry.has(&w.model, w.adapter.as_ref()));
+        if entry.is_draining || !has_weights || !allowed.allows(&entry.id) {
+            continue;
+        }
+        let fresh = Load::default();
+        let load = loads.get(entry.id.as_str()).unwrap_or(&fresh);
+        if load.is_ejected(now_ms) || load.is_silent(now_ms) {
+            continue;
+        }
+        first_ms = first_ms.min(room_ms(now_ms, load, entry, need));
+        turns_per_ms += 1.0 / turn_ms(load, entry, need);
+    }
+    (turns_per_ms > 0.0).then(|| Room {
+        first_ms,
+        turn_ms: 1.0 / turns_per_ms,
+    })
+}
+
+/// Time until one upstream has room.
+fn room_ms(now_ms: u64, load: &Load, entry: &Entry, need: &Need) -> f64 {
+    if has_room(now_ms, load, entry, need) {
+        return 0.0;
+    }
+    let total = load.total(now_ms);
+    let read_ms = load.predicted_read_ms(now_ms, need.demand.prompt_tokens);
+    let is_reading = need.weights.is_some() && total.unread_tokens > 0;
+    let until_read_ms = if is_reading {
+        (read_ms - need.max_read_ms).clamp(0.0, load.read_ms(total.unread_tokens))
+    } else {
+        0.0
+    };
+    // Without a place in the batch or the cache, one of its requests must end.
+    let until_end_ms = if total.requests >= entry.slots || until_read_ms == 0.0 {
+        load.answer_ms() / f64::from(total.requests.max(1))
+    } else {
+        0.0
+    };
+    until_read_ms.max(until_end_ms)
+}
+
+/// Time for which a request takes up one upstream.
+fn turn_ms(load: &Load, entry: &Entry, need: &Need) -> f64 {
+    let turn_ms = if need.weights.is_some() {
+        load.read_ms(need.demand.prompt_tokens)
+    } else {
+        load.first_answer_ms() / f64::from(entry.slots.max(1))
+    };
+    turn_ms.max(LEAST_TURN_MS)
+}
+
 /// The reason that says most of why nothing was chosen.
 fn more_telling(a: NoUpstream, b: NoUpstream) -> NoUpstream {
     let rank = |reason| match reason {
--- a/src/core/demand_rate.rs
+++ b/src/core/demand_rate.rs
@@ -5,6 +5,8 @@
 //! far as it exceeds what a request more or less by chance would make. A fall
 //! is believed only once it lasts.
 
+use super::rate::Rate;
+
 /// Time over which demand that rises is averaged, in milliseconds.
 const RECENT_MS: f64 = 1_200.0;
 /// Time for which demand that rises is taken to go on rising, in milliseconds;
@@ -24,25 +26,6 @@
     pub last_asked_ms: u64,
 }
 
-/// Rate that decays with time.
-#[derive(Clone, Copy, Debug, Default)]
-struct Rate {
-    per_s: f64,
-    at_ms: u64,
-}
-
-impl Rate {
-    fn add(&mut self, now_ms: u64, amount: f64, over_ms: f64) {
-        self.per_s = self.get(now_ms, over_ms) + amount * 1000.0 / over_ms;
-        self.at_ms = now_ms;
-    }
-
-    fn get(&self, now_ms: u64, over_ms: f64) -> f64 {
-        let passed_ms = now_ms.saturating_sub(self.at_ms) as f64;
-        self.per_s * (-passed_ms / over_ms).exp()
-    }
-}
-
 impl DemandRate {
     /// Counts requests with some prompt tokens together.
     pub fn on_asked(&mut self, now_ms: u64, prompt_tokens: u64) {
--- a/src/core/load.rs
+++ b/src/core/load.rs
@@ -38,7 +38,7 @@
     /// Requests.
     #[serde(rename = "n")]
     pub requests: u32,
-    /// Tokens of their prompts and answers.
+    /// Tokens of their prompts and likely answers.
     #[serde(rename = "t")]
     pub tokens: u32,
     /// Prompt tokens of those that have no first event yet.
@@ -87,6 +87,8 @@
     failure_share: f64,
     /// Smoothed time from request to answer or first event.
     first_answer_ms: f64,
+    /// Smoothed time from request to the end of the answer.
+    answer_ms: f64,
     /// Smoothed time to the first event per prompt token ahead.
     token_us: f64,
 }
@@ -104,6 +106,7 @@
             ejected_until_ms: 0,
             failure_share: 0.0,
             first_answer_ms: 0.0,
+            answer_ms: 0.0,
             token_us: INITIAL_TOKEN_US,
         }
     }
@@ -154,10 +157,19 @@
         self.first_answer_ms
     }
 
+    /// Smoothed time to the end of the answer; 0 before the first.
+    pub fn answer_ms(&self) -> f64 {
+        self.answer_ms
+    }
+
+    /// Time to read prompt tokens.
+    pub fn read_ms(&self, prompt_tokens: u32) -> f64 {
+        f64::from(prompt_tokens) * self.token_us / 1000.0
+    }
+
     /// Predicted time until a prompt of some tokens is read.
     pub fn predicted_read_ms(&self, now_ms: u64, prompt_tokens: u32) -> f64 {
-        let ahead = self.total(now_ms).unread_tokens + prompt_tokens;
-        f64::from(ahead) * self.token_us / 1000.0
+        self.read_ms(self.total(now_ms).unread_tokens + prompt_tokens)
     }
 
     fn fail(&mut self, now_ms: u64) {
@@ -195,7 +207,7 @@
 pub struct Demand {
     /// Tokens of the prompt.
     pub prompt_tokens: u32,
-    /// Most tokens of the answer.
+    /// Tokens that the answer is likely to have.
     pub output_tokens: u32,
 }
 
@@ -289,6 +301,8 @@
         let load = self.entry(&sent.upstream);
         match end {
             AttemptEnd::Answered => {
+                let took_ms = now_ms.saturating_sub(sent.at_ms) as f64;
+                smooth(&mut load.answer_ms, took_ms.max(1.0));
                 load.succeed();
                 load.last_heard_ms = now_ms;
             }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -21,6 +21,7 @@
 pub mod outcome;
 pub mod peer_loads;
 pub mod placement;
+pub mod rate;
 pub mod registry;
 pub mod rendezvous;
 pub mod retry;
--- a/src/core/waiting.rs
+++ b/src/core/waiting.rs
@@ -12,8 +12,9 @@
 
 use std::collections::{HashMap, HashSet};
 
-use super::balance::{Allowed, Need, NoUpstream};
+use super::balance::{Allowed, Need, NoUpstream, Room};
 use super::ids::{AdapterId, ModelId, ServiceId};
+use super::rate::Rate;
 use super::routing::Rng;
 
 /// Requests that wait at one host at most; bounds memory and the time of one
@@ -26,13 +27,9 @@
 pub const MIN_RETRY_AFTER_MS: u64 = 200;
 /// Longest time after which refused callers come back, in milliseconds.
 pub const MAX_RETRY_AFTER_MS: u64 = 10_000;
-/// Interval between two departures assumed without any measurement, in
-/// milliseconds.
-const DEFAULT_INTERVAL_MS: f64 = 50.0;
-/// Weight of a new sample of the interval between departures.
-const INTERVAL_SMOOTHING: f64 = 0.2;
-/// Longest time between two departures that counts as one interval.
-const MAX_INTERVAL_MS: u64 = 3_000;
+/// Time over which departures are averaged, in milliseconds; the objectives of
+/// most requests, within which the prediction must hold.
+const DEPARTURES_OVER_MS: f64 = 1_000.0;
 
 /// Requests that compete for the same copies.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -72,20 +69,28 @@
     pub give_up_ms: u64,
     /// True if its weights were not served for long; it goes before others.
     pub is_starved: bool,
+    /// Why there was no room when it last looked.
+    pub reason: NoUpstream,
+}
+
+impl Waiter {
+    fn adapter(&self) -> Option<&AdapterId> {
+        self.need.weights.as_ref().and_then(|w| w.adapter.as_ref())
+    }
+
+    /// True if a request waits until this one has found room.
+    fn blocks(&self, lane: &Lane, need: &Need) -> bool {
+        let adapter = need.weights.as_ref().and_then(|w| w.adapter.as_ref());
+        let same_copies = self.adapter().is_none() || self.adapter() == adapter;
+        self.reason == NoUpstream::Full && same_copies && Lane::of(&self.need) == *lane
+    }
 }
 
 /// Waiting requests and how fast they leave.
 #[derive(Clone, Debug, Default)]
 pub struct WaitQueue {
     waiters: Vec<Waiter>,
-    departures: HashMap<Lane, Departures>,
-}
-
-/// How fast requests of a lane leave while others wait.
-#[derive(Clone, Copy, Debug, Default)]
-struct Departures {
-    last_ms: u64,
-    interval_ms: f64,
+    departures: HashMap<Lane, Rate>,
 }
 
 /// What became of a pass over the queue.
@@ -118,18 +123,30 @@
         self.waiters.retain(|w| w.ticket != ticket);
     }
 
-    /// Requests of a lane that would leave before a new one.
-    pub fn ahead_of(&self, now_ms: u64, lane: &Lane, priority: u8, due_ms: u64) -> usize {
+    /// Requests that would leave before a new one and need the same copies.
+    pub fn ahead_of(&self, now_ms: u64, need: &Need, priority: u8, due_ms: u64) -> usize {
         let key = order_key(now_ms, priority, due_ms, now_ms);
-        let is_ahead = |w: &&Waiter| waiter_key(now_ms, w) <= key && Lane::of(&w.need) == *lane;
+        let lane = Lane::of(need);
+        let is_ahead = |w: &&Waiter| waiter_key(now_ms, w) <= key && w.blocks(&lane, need);
         self.waiters.iter().filter(is_ahead).count()
     }
 
-    /// Predicted wait behind some others of a lane.
-    pub fn predicted_wait_ms(&self, lane: &Lane, ahead: usize) -> u64 {
-        let measured = self.departures.get(lane).map(|d| d.interval_ms);
-        let interval_ms = measured.filter(|i| *i > 0.0).unwrap_or(DEFAULT_INTERVAL_MS);
-        ((ahead + 1) as f64 * interval_ms) as u64
+    /// Predicted wait behind some others of a lane, where `hosts` send to the
+    /// same upstreams. Those ahead leave at least at this host's share of the
+    /// upstreams' pace, and faster where they did lately.
+    pub fn predicted_wait_ms(
+        &self,
+        now_ms: u64,
+        lane: &Lane,
+        ahead: usize,
+        room: Room,
+        hosts: usize,
+    ) -> u64 {
+        let departures = self.departures.get(lane);
+        let per_s = departures.map_or(0.0, |d| d.get(now_ms, DEPARTURES_OVER_MS));
+        let share_ms = room.turn_ms * hosts as f64;
+        let interval_ms = share_ms.min(1000.0 / per_s.max(f64::MIN_POSITIVE));
+        (room.first_ms + ahead as f64 * interval_ms) as u64
     }
 
     /// Lets all leave that find room, in order, and gives up on those whose
@@ -149,10 +166,9 @@
         self.waiters.sort_by_key(|w| waiter_key(now_ms, w));
         let mut full: HashSet<(Lane, Option<AdapterId>)> = HashSet::new();
         let waiters = std::mem::take(&mut self.waiters);
-        for waiter in waiters {
+        for mut waiter in waiters {
             let lane = Lane::of(&waiter.need);
-            let weights = waiter.need.weights.as_ref();
-            let adapter = weights.and_then(|w| w.adapter.clone());
+            let adapter = waiter.adapter().cloned();
             // A request that found no room blocks those behind it that need
             // the same copies, so that large ones are not passed over for ever.
             let is_blocked = full.contains(&(lane.clone(), adapter.clone()))
@@ -164,7 +180,7 @@
             };
             match found {
                 Ok(place) => {
-                    self.note_departure(now_ms, lane);
+                    self.note_departure(now_ms, &lane);
                     pass.sent.push((waiter.ticket, place));
                 }
                 Err(reason) if now_ms >= waiter.give_up_ms || is_hopeless(reason) => {
@@ -174,6 +190,7 @@
                     if reason == NoUpstream::Full {
                         full.insert((lane, adapter));
                     }
+                    waiter.reason = reason;
                     self.waiters.push(waiter);
                 }
             }
@@ -181,18 +198,16 @@
         pass
     }
 
-    fn note_departure(&mut self, now_ms: u64, lane: Lane) {
-        let departures = self.departures.entry(lane).or_default();
-        let interval_ms = now_ms.saturating_sub(departures.last_ms);
-        if departures.last_ms > 0 && interval_ms < MAX_INTERVAL_MS {
-            let sample_ms = (interval_ms as f64).max(1.0);
-            if departures.interval_ms == 0.0 {
-                departures.interval_ms = sample_ms;
-            } else {
-                departures.interval_ms += (sample_ms - departures.interval_ms) * INTERVAL_SMOOTHING;
+    /// Counts a request that leaves, whether or not it waited.
+    pub fn note_departure(&mut self, now_ms: u64, lane: &Lane) {
+        match self.departures.get_mut(lane) {
+            Some(rate) => rate.add(now_ms, 1.0, DEPARTURES_OVER_MS),
+            None => {
+                let mut rate = Rate::default();
+                rate.add(now_ms, 1.0, DEPARTURES_OVER_MS);
+                self.departures.insert(lane.clone(), rate);
             }
         }
-        departures.last_ms = now_ms;
     }
 
     /// Earliest time at which a waiter is given up.
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -11,7 +11,7 @@
 use super::call::Job;
 use super::platform::Platform;
 use super::state::Gateway;
-use crate::core::balance::{Allowed, Need, NoUpstream, Weights, choose};
+use crate::core::balance::{Allowed, Need, NoUpstream, Weights, choose, next_room};
 use crate::core::catalog::{ModelSpec, WeightSource};
 use crate::core::load::{AttemptEnd, Load, Sent};
 use crate::core::registry::{Entry, Registry};
@@ -108,6 +108,9 @@
         let now_ms = self.gateway.now_ms();
         let mut loads = self.gateway.loads.borrow_mut();
         loads.on_first_answer(now_ms, &mut self.sent);
+        drop(loads);
+        // A prompt that has been read leaves room for the next one.
+        self.gateway.places.borrow().wake();
     }
 
     /// Counts what the upstream sent since.
@@ -185,7 +188,9 @@
             let ahead = if is_starved {
                 0
             } else {
-                places.queue.ahead_of(now_ms, &lane, job.priority, due_ms)
+                places
+                    .queue
+                    .ahead_of(now_ms, &job.need, job.priority, due_ms)
             };
             (ahead, is_starved)
         };
@@ -195,12 +200,16 @@
             self.reserve(now_ms, &job.need, allowed)
         };
         let reason = match found {
-            Ok(sent) => return Ok(InFlight::new(self, sent)),
+            Ok(sent) => {
+                let mut places = self.places.borrow_mut();
+                places.queue.note_departure(now_ms, &lane);
+                return Ok(InFlight::new(self, sent));
+            }
             Err(reason) => reason,
         };
         let outlook = Outlook {
             reason,
-            wait_ms: self.predicted_wait_ms(job, &lane, reason, ahead),
+            wait_ms: self.predicted_wait_ms(job, allowed, &lane, reason, ahead),
         };
         let give_up_ms = Self::give_up_ms(job, reason, due_ms, is_starved);
         let waiting = self.places.borrow().queue.len();
@@ -232,6 +241,7 @@
             due_ms,
             give_up_ms,
             is_starved,
+            reason,
         };
         self.wait(job, &lane, waiter).await
     }
@@ -279,14 +289,30 @@
         }
     }
 
-    fn predicted_wait_ms(&self, job: &Job, lane: &Lane, reason: NoUpstream, ahead: usize) -> u64 {
+    fn predicted_wait_ms(
+        &self,
+        job: &Job,
+        allowed: &Allowed,
+        lane: &Lane,
+        reason: NoUpstream,
+        ahead: usize,
+    ) -> u64 {
         match reason {
             NoUpstream::NoModel => self.load_wait_ms(job, lane),
             NoUpstream::NoAdapter => ADAPTER_WAIT_MS,
             NoUpstream::NoneListed | NoUpstream::AllTried => NONE_LISTED_WAIT_MS,
             NoUpstream::Full | NoUpstream::Failing => {
+                let now_ms = self.now_ms();
+                let (registry, loads) = (self.registry.borrow(), self.loads.borrow());
+                let room = next_room(now_ms, &registry, &loads, &job.need, allowed);
+                let Some(room) = room else {
+                    return NONE_LISTED_WAIT_MS;
+                };
                 let places = self.places.borrow();
-                places.queue.predicted_wait_ms(lane, ahead)
+                let hosts = self.host_count();
+                places
+                    .queue
+                    .predicted_wait_ms(now_ms, lane, ahead, room, hosts)
             }
         }
     }
@@ -332,6 +358,7 @@
         mut waiter: Waiter,
     ) -> Result<InFlight<P>, NoPlace> {
         let (sender, receiver) = oneshot::channel();
+        let allowed = waiter.allowed.clone();
         let started_ms = self.now_ms();
         let ticket = {
             let mut places = self.places.borrow_mut();
@@ -353,22 +380,28 @@
         };
         let offer = match guard.offer.as_mut() {
             Some(receiver) => receiver.await,
-            None => return Err(self.gave_up(job, lane, NoUpstream::Full)),
+            None => return Err(self.gave_up(job, &allowed, lane, NoUpstream::Full)),
         };
         guard.offer = None;
         let waited_ms = self.now_ms().saturating_sub(started_ms);
         self.metrics.wait_s.observe(waited_ms as f64 / 1000.0);
         match offer {
             Ok(Ok(sent)) => Ok(InFlight::new(self, sent)),
-            Ok(Err(reason)) => Err(self.gave_up(job, lane, reason)),
+            Ok(Err(reason)) => Err(self.gave_up(job, &allowed, lane, reason)),
             // The queue never drops a ticket without an offer.
-            Err(_) => Err(self.gave_up(job, lane, NoUpstream::Full)),
+            Err(_) => Err(self.gave_up(job, &allowed, lane, NoUpstream::Full)),
         }
     }
 
-    fn gave_up(&self, job: &Job, lane: &Lane, reason: NoUpstream) -> NoPlace {
-        let ahead = self.places.borrow().queue.len();
-        let outlook_ms = self.predicted_wait_ms(job, lane, reason, ahead);
+    fn gave_up(&self, job: &Job, allowed: &Allowed, lane: &Lane, reason: NoUpstream) -> NoPlace {
+        let ahead = {
+            let (now_ms, due_ms) = (self.now_ms(), self.due_ms(job));
+            let places = self.places.borrow();
+            places
+                .queue
+                .ahead_of(now_ms, &job.need, job.priority, due_ms)
+        };
+        let outlook_ms = self.predicted_wait_ms(job, allowed, lane, reason, ahead);
         NoPlace {
             reason,
             retry_after_ms: spread_retry_after(outlook_ms, &mut self.rng.borrow_mut()),
--- a/tests/gateway_load.rs
+++ b/tests/gateway_load.rs
@@ -3,13 +3,13 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use currantcove::core::balance::{Allowed, Need, NoUpstream, Weights, choose};
+use currantcove::core::balance::{Allowed, Need, NoUpstream, Room, Weights, choose, next_room};
 use currantcove::core::ids::{AdapterId, ModelId, ServiceId, UpstreamId, ZoneId};
 use currantcove::core::load::{AttemptEnd, Demand, EJECT_AFTER_FAILURES, LoadBook};
 use currantcove::core::registry::{Entry, Registry};
 use currantcove::core::routing::Rng;
 use currantcove::core::waiting::{
-    MAX_RETRY_AFTER_MS, Outlook, Verdict, WaitQueue, Waiter, admit, spread_retry_after,
+    Lane, MAX_RETRY_AFTER_MS, Outlook, Verdict, WaitQueue, Waiter, admit, spread_retry_after,
 };
 
 const SLOTS: u32 = 4;
@@ -225,6 +225,7 @@
         due_ms,
         give_up_ms: due_ms + 1_000,
         is_starved: false,
+        reason: NoUpstream::Full,
     }
 }
 
@@ -360,3 +361,100 @@
             .all(|t| (2_000..=MAX_RETRY_AFTER_MS).contains(t))
     );
 }
+
+/// Replays a model whose requests left once in two seconds while its engine was
+/// slow, and that has recovered: the next burst was refused by the old pace.
+#[test]
+fn the_pace_of_an_earlier_overload_does_not_turn_requests_away() {
+    let mut queue = WaitQueue::default();
+    let lane = Lane::of(&need(10, None));
+    for at_ms in [0, 2_000, 4_000, 6_000] {
+        queue.note_departure(at_ms, &lane);
+    }
+    let room = Room {
+        first_ms: 40.0,
+        turn_ms: 20.0,
+    };
+
+    let first_ms = queue.predicted_wait_ms(9_000, &lane, 0, room, 7);
+    let third_ms = queue.predicted_wait_ms(9_000, &lane, 2, room, 7);
+
+    assert_eq!(first_ms, 40, "it waits for its upstream only");
+    assert_eq!(third_ms, 40 + 2 * 7 * 20, "and for this host's share");
+}
+
+#[test]
+fn requests_that_leave_faster_than_by_equal_shares_shorten_the_wait() {
+    let mut queue = WaitQueue::default();
+    let lane = Lane::of(&need(10, None));
+    for at_ms in 0..1_000 {
+        if at_ms % 20 == 0 {
+            queue.note_departure(at_ms, &lane);
+        }
+    }
+    let room = Room {
+        first_ms: 0.0,
+        turn_ms: 20.0,
+    };
+
+    let wait_ms = queue.predicted_wait_ms(1_000, &lane, 4, room, 7);
+
+    assert!((80..=200).contains(&wait_ms), "{wait_ms}");
+}
+
+/// Replays requests for adapters that are being loaded: those for the model
+/// itself, which had room, were refused for standing behind them.
+#[test]
+fn those_that_wait_for_an_adapter_are_not_ahead_of_others() {
+    let mut queue = WaitQueue::default();
+    queue.push(Waiter {
+        need: need(10, Some("a1")),
+        reason: NoUpstream::NoAdapter,
+        ..waiter(1, 0, 0, 500)
+    });
+
+    assert_eq!(queue.ahead_of(10, &need(10, None), 0, 1_000), 0);
+}
+
+#[test]
+fn only_those_that_need_the_same_copies_are_ahead() {
+    let mut queue = WaitQueue::default();
+    queue.push(Waiter {
+        need: need(10, Some("a1")),
+        ..waiter(1, 0, 0, 500)
+    });
+
+    assert_eq!(queue.ahead_of(10, &need(10, Some("a1")), 0, 1_000), 1);
+    assert_eq!(queue.ahead_of(10, &need(10, Some("a2")), 0, 1_000), 0);
+    assert_eq!(queue.ahead_of(10, &need(10, None), 0, 1_000), 0);
+}
+
+#[test]
+fn room_is_predicted_from_the_copy_that_has_it_first() {
+    let mut fleet = fleet(vec![engine("e1", &[]), engine("e2", &[])]);
+    let need = need(1_500, None);
+    fleet.send(0, "e1", &need);
+    fleet.send(0, "e1", &need);
+    fleet.send(0, "e2", &need);
+    let (registry, loads) = (&fleet.registry, &fleet.loads);
+
+    let room = next_room(1, registry, loads, &need, &Allowed::default()).expect("copies");
+
+    // Two prompts of 120 ms each, of which 180 ms may be ahead.
+    assert!((room.first_ms - 60.0).abs() < 1.0, "{room:?}");
+    assert!((room.turn_ms - 60.0).abs() < 1.0, "{room:?}");
+}
+
+#[test]
+fn an_upstream_that_is_left_out_promises_no_room() {
+    let mut fleet = fleet(vec![engine("e1", &[])]);
+    let need = need(10, None);
+    for _ in 0..EJECT_AFTER_FAILURES {
+        let sent = fleet.send(0, "e1", &need);
+        fleet.loads.on_end(0, &sent, AttemptEnd::Failed);
+    }
+
+    let room = next_room(1, &fleet.registry, &fleet.loads, &need, &Allowed::default());
+
+    assert_eq!(room, None);
+}
