Charge adapters accepted late, ignore reports older than the last order

An order for an adapter met a conflict, the report asked for meanwhile did not know the adapter and took it out of the book, then the order was accepted and the adapter was never charged: the ninth went into eight slots. Change: what is accepted or unanswered is charged when the reply arrives. A report that counts fewer orders than were accepted is not taken in within the time by which reports lag; it would drop what has just been loaded.

--- a/src/core/engine_book.rs
+++ b/src/core/engine_book.rs
@@ -59,6 +59,8 @@
     pub loaded_ms: BTreeMap<ModelId, u64>,
     /// Time of the last order or report.
     pub known_ms: u64,
+    /// Time at which an order was accepted last.
+    accepted_ms: u64,
     /// Time until which the engine gets no orders for models.
     pub blocked_until_ms: u64,
 }
@@ -100,8 +102,20 @@
         self.coming.contains_key(key) && !self.uncertain.contains(key)
     }
 
-    /// Takes in a report that was made after the last order's answer.
+    /// True if a report was made before the last order was accepted.
+    fn is_outdated(&self, report: &Reported<'_>, now_ms: u64) -> bool {
+        let is_lag_over = now_ms >= self.accepted_ms + REPORT_LAG_MS;
+        let is_behind = self
+            .orders_accepted
+            .is_some_and(|n| report.orders_accepted < n);
+        is_behind && !is_lag_over
+    }
+
+    /// Takes in a report, unless it may lack what the last order led to.
     pub fn take_report(&mut self, report: &Reported<'_>, now_ms: u64) {
+        if self.is_outdated(report, now_ms) {
+            return;
+        }
         // Busy with an order of another host's: what it leads to is not known.
         let is_foreign = report.is_busy && self.loading.is_none() && self.unloading.is_none();
         self.orders_accepted = (!is_foreign).then_some(report.orders_accepted);
@@ -132,13 +146,29 @@
 
     /// Notes that an order was accepted: those before it that had no answer
     /// cannot take effect any more.
-    pub fn on_accepted(&mut self) {
+    pub fn on_accepted(&mut self, now_ms: u64) {
+        self.accepted_ms = now_ms;
         self.orders_accepted = self.orders_accepted.map(|n| n + 1);
         for key in std::mem::take(&mut self.uncertain) {
             self.coming.remove(&key);
         }
     }
 
+    /// Notes that the load of an adapter was accepted. A report taken in while
+    /// its order was sent again did not know of it.
+    pub fn on_adapter_accepted(&mut self, key: &(ModelId, AdapterId), now_ms: u64) {
+        if !has(&self.holds, &key.0, &key.1) {
+            self.coming.insert(key.clone(), now_ms);
+        }
+    }
+
+    /// Notes that the load of an adapter had no answer; it stays charged until
+    /// a later order is accepted.
+    pub fn on_adapter_unanswered(&mut self, key: &(ModelId, AdapterId), now_ms: u64) {
+        self.on_adapter_accepted(key, now_ms);
+        self.uncertain.push(key.clone());
+    }
+
     /// True if the engine can be given an order now: it has reported, and no
     /// model is loaded or unloaded, during which it refuses all others.
     pub fn takes_orders(&self, now_ms: u64) -> bool {
@@ -148,6 +178,12 @@
             && now_ms >= self.blocked_until_ms
     }
 
+    /// Time until a load under way is likely done, in milliseconds.
+    pub fn busy_ms(&self, now_ms: u64) -> Option<u64> {
+        let (_, ready_ms) = self.loading.as_ref()?;
+        Some(ready_ms.saturating_sub(now_ms))
+    }
+
     /// True if no order is under way or may be.
     pub fn is_quiet(&self) -> bool {
         self.loading.is_none()
--- a/src/gateway/order_adapters.rs
+++ b/src/gateway/order_adapters.rs
@@ -50,8 +50,10 @@
         self.with_book(upstream, |b| b.coming.insert(key.clone(), now_ms));
         let order = Order::LoadAdapter(model.clone(), adapter.clone());
         let reply = self.send_order(upstream, &order).await;
+        let now_ms = self.gateway.now_ms();
         match reply {
             OrderReply::Accepted => {
+                self.with_book(upstream, |b| b.on_adapter_accepted(&key, now_ms));
                 let size_mb = spec.models.get(model).map_or(0, |s| s.adapter_mb);
                 let load = ADAPTER_BASE + Duration::from_micros(size_mb * ADAPTER_US_PER_MB);
                 let acting = Rc::clone(self);
@@ -62,10 +64,13 @@
                 })
                 .detach();
             }
-            OrderReply::Holds => self.adapter_ready(upstream, &key),
+            OrderReply::Holds => {
+                self.with_book(upstream, |b| b.on_adapter_accepted(&key, now_ms));
+                self.adapter_ready(upstream, &key);
+            }
             // It stays charged until the next order is accepted.
             OrderReply::Unknown => {
-                self.with_book(upstream, |b| b.uncertain.push(key));
+                self.with_book(upstream, |b| b.on_adapter_unanswered(&key, now_ms));
             }
             _ => {
                 self.with_book(upstream, |b| b.coming.remove(&key));
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -203,7 +203,7 @@
             book.known_ms = now_ms;
             let is_immediate = matches!(order, Order::UnloadAdapter(..));
             if reply == OrderReply::Accepted || (reply == OrderReply::Holds && is_immediate) {
-                book.on_accepted();
+                book.on_accepted(now_ms);
             }
         });
         if reply == OrderReply::Fenced {
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -191,7 +191,7 @@
     book.uncertain.push(lost);
 
     let fits_before = book.fits_adapter(&spec(2), &ModelId::new("m0"));
-    book.on_accepted();
+    book.on_accepted(0);
 
     assert!(!fits_before, "two slots: one held, one that may come");
     assert!(book.fits_adapter(&spec(2), &ModelId::new("m0")));
@@ -222,6 +222,56 @@
     assert!(!book.is_coming(&key), "it can be ordered again");
 }
 
+/// Replays an order that met a conflict: the report asked for meanwhile did not
+/// know the adapter, which was then accepted and not charged, and the next one
+/// exceeded the slots.
+#[test]
+fn an_adapter_accepted_after_a_report_without_it_takes_up_its_slot() {
+    let mut book = EngineBook::new(&entry("e1", 1, &[("m0", &["a1"])]));
+    book.orders_accepted = Some(1);
+    let key = (ModelId::new("m0"), AdapterId::new("a2"));
+    let held = holds(&[("m0", &["a1"])]);
+    let report = Reported {
+        orders_accepted: 1,
+        is_busy: false,
+        holds: &held,
+        coming: &[],
+    };
+    book.coming.insert(key.clone(), 0);
+    book.take_report(&report, 1_000);
+
+    book.on_accepted(1_000);
+    book.on_adapter_accepted(&key, 1_000);
+
+    assert_eq!(book.adapters_charged(), 2);
+    assert!(!book.fits_adapter(&spec(2), &ModelId::new("m0")));
+}
+
+/// Replays a report that lags behind a load which has just ended: it took the
+/// adapter out of the book.
+#[test]
+fn a_report_from_before_the_last_order_changes_nothing() {
+    let mut book = EngineBook::new(&entry("e1", 1, &[("m0", &[])]));
+    book.orders_accepted = Some(1);
+    book.on_accepted(1_000);
+    book.holds = holds(&[("m0", &["a1"])]);
+    let before = holds(&[("m0", &[])]);
+    let report = Reported {
+        orders_accepted: 1,
+        is_busy: false,
+        holds: &before,
+        coming: &[],
+    };
+
+    book.take_report(&report, 1_200);
+    let charged_then = book.adapters_charged();
+    book.take_report(&report, 2_000);
+
+    assert_eq!(charged_then, 1, "the report may lag");
+    assert_eq!(book.adapters_charged(), 0, "it does not lag so long");
+    assert_eq!(book.orders_accepted, Some(1));
+}
+
 #[test]
 fn a_model_that_is_being_unloaded_still_occupies_its_memory_and_slots() {
     let mut book = EngineBook::new(&entry(
