Plan copies by what they gain and what their victims lose

Change: a step is worth the unmet use that the copy serves within the time for which demand lasts, less what other copies of its victims cannot take over. Only copies that serve allow another to go. An engine that is free soon is waited for. Of equal places one in another zone is taken.

--- a/src/core/copies.rs
+++ b/src/core/copies.rs
@@ -11,31 +11,46 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::catalog::{EngineSpec, WeightSource};
-use super::ids::{ModelId, UpstreamId};
+use super::ids::{ModelId, UpstreamId, ZoneId};
 use super::registry::Holdings;
 
 /// Share of an engine's time for reading prompts up to which nothing moves;
 /// above it, streams pause and bursts find no room.
 pub const TARGET_USE: f64 = 0.35;
-/// Difference of use between engines that is worth a load.
-pub const WORTHWHILE_USE: f64 = 0.12;
-/// Use by a model below which it gets no further copy; a request now and then
-/// finds room anywhere.
-const LEAST_USE: f64 = 0.03;
+/// Share of an engine's time for reading prompts that copies may be planned to
+/// take; beyond it the streams that run miss their deadlines.
+const FULL_USE: f64 = 0.65;
 /// Time without a request after which a model's extra copies may go, in
 /// milliseconds.
 pub const IDLE_AFTER_MS: u64 = 3_000;
 /// Time after a request for which a model without a copy is wanted, in
 /// milliseconds; callers come back within it.
 pub const WANTED_FOR_MS: u64 = 12_000;
-/// Use that a model without a copy counts for beside its own; its requests can
-/// go nowhere.
-const MISSING_USE: f64 = 0.15;
-/// Use that a second of loading must save to be worth it; a load from the
-/// weight store takes most of the time for which demand stays.
-const USE_PER_LOAD_S: f64 = 0.05;
-/// Use that the unload of a model which is in use must save.
-const USE_PER_BUSY_VICTIM: f64 = 0.10;
+/// Time for which demand is taken to last, in seconds; a copy is worth what it
+/// serves of it after its load.
+const HORIZON_S: f64 = 14.0;
+/// Use that a model without a copy counts for beside its own while it is asked
+/// for; its requests can go nowhere.
+const MISSING_USE: f64 = 0.3;
+/// Use that a model without a copy counts for that nobody has asked for lately;
+/// all models are to be reachable.
+const UNASKED_USE: f64 = 0.07;
+/// Use that a step must gain; orders and the memory they move are not free.
+const LEAST_GAIN: f64 = 0.06;
+/// Use by which a copy in a zone without one counts for more; a zone that is
+/// cut off must not take all copies of a model along.
+const OTHER_ZONE_USE: f64 = 0.03;
+/// Part of a copy's use that is lost with it though other copies have room; they
+/// become slower.
+const MOVED_LOSS: f64 = 0.4;
+/// Time until the streams of a busy copy that is unloaded have ended, in seconds.
+const BUSY_UNLOAD_S: f64 = 2.0;
+/// Time of the unload of an idle copy, in seconds.
+const IDLE_UNLOAD_S: f64 = 0.3;
+/// Use by a copy above which its unload waits for streams.
+const BUSY_COPY_USE: f64 = 0.02;
+/// Time that an order under way takes if nothing is known of it, in seconds.
+const UNKNOWN_ORDER_S: f64 = 3.0;
 /// Rounds in which demand settles on the copies; more change little.
 const SETTLE_ROUNDS: usize = 6;
 /// Steps of one plan at most.
@@ -58,10 +73,16 @@
     pub id: UpstreamId,
     /// True if it takes orders now: in service, healthy, no order under way.
     pub takes_orders: bool,
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// Time until an order under way is likely done, in milliseconds.
+    pub busy_ms: Option<u64>,
     /// True if its copies count: in service and not failing.
     pub is_serving: bool,
     /// Models and adapters held, and those being loaded.
     pub holds: Holdings,
+    /// Model among them that is still being loaded.
+    pub loading: Option<ModelId>,
     /// Models whose copies here are too new to go.
     pub fresh: BTreeSet<ModelId>,
     /// Models in host memory.
@@ -70,6 +91,13 @@
     pub on_disk: BTreeSet<ModelId>,
 }
 
+impl PlannedEngine {
+    /// True if a model can serve here now.
+    fn has_ready(&self, model: &ModelId) -> bool {
+        self.holds.contains_key(model) && self.loading.as_ref() != Some(model)
+    }
+}
+
 /// One step of the plan.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Step {
@@ -111,15 +139,25 @@
     spec: &'a EngineSpec,
     engines: &'a [PlannedEngine],
     demand: &'a BTreeMap<ModelId, ModelDemand>,
-    /// Engines that hold or load each model.
-    holders: BTreeMap<&'a ModelId, Vec<usize>>,
+    /// Engines that hold, load or are to load each model, with the use that
+    /// settles there.
+    holders: BTreeMap<&'a ModelId, Vec<(usize, f64)>>,
     /// Use of each engine once demand has settled.
     engine_use: Vec<f64>,
     is_free: Vec<bool>,
+    /// Models that go from each engine by this plan.
+    leaving: BTreeSet<(usize, &'a ModelId)>,
     store_loads: u32,
     steps: Vec<Step>,
 }
 
+/// Way to add a copy of a model.
+struct Candidate<'a> {
+    engine: usize,
+    victims: Vec<&'a ModelId>,
+    gain: f64,
+}
+
 impl<'a> Planner<'a> {
     fn new(
         now_ms: u64,
@@ -128,11 +166,11 @@
         demand: &'a BTreeMap<ModelId, ModelDemand>,
         store_loads: u32,
     ) -> Self {
-        let mut holders: BTreeMap<&ModelId, Vec<usize>> = BTreeMap::new();
+        let mut holders: BTreeMap<&ModelId, Vec<(usize, f64)>> = BTreeMap::new();
         for (e, engine) in engines.iter().enumerate() {
             if engine.is_serving {
                 for model in engine.holds.keys() {
-                    holders.entry(model).or_default().push(e);
+                    holders.entry(model).or_default().push((e, 0.0));
                 }
             }
         }
@@ -143,7 +181,8 @@
             demand,
             holders,
             engine_use: Vec::new(),
-            is_free: engines.iter().map(|e| e.takes_orders).collect(),
+            is_free: engines.iter().map(|e| e.is_serving).collect(),
+            leaving: BTreeSet::new(),
             store_loads,
             steps: Vec::new(),
         };
@@ -151,10 +190,6 @@
         planner
     }
 
-    fn copies(&self, model: &ModelId) -> usize {
-        self.holders.get(model).map_or(0, Vec::len)
-    }
-
     fn demand_of(&self, model: &ModelId) -> ModelDemand {
         self.demand.get(model).copied().unwrap_or_default()
     }
@@ -164,134 +199,202 @@
         asked_ms == 0 || self.now_ms.saturating_sub(asked_ms) > IDLE_AFTER_MS
     }
 
+    fn has_copy(&self, model: &ModelId) -> bool {
+        self.holders.get(model).is_some_and(|h| !h.is_empty())
+    }
+
     /// Spreads each model's demand over its copies as routing does: where it
     /// meets less of the others'.
     fn settle(&mut self) {
-        let active: Vec<(f64, &Vec<usize>)> = self
-            .holders
-            .iter()
-            .map(|(m, holders)| (self.demand_of(m).engine_use, holders))
-            .filter(|(engine_use, holders)| *engine_use > 0.0 && !holders.is_empty())
-            .collect();
-        let mut shares: Vec<Vec<f64>> = active
-            .iter()
-            .map(|(u, holders)| vec![u / holders.len() as f64; holders.len()])
-            .collect();
         let mut total = vec![0.0; self.engines.len()];
+        for (model, holders) in &mut self.holders {
+            let engine_use = self.demand.get(*model).map_or(0.0, |d| d.engine_use);
+            let share = engine_use / holders.len().max(1) as f64;
+            holders.iter_mut().for_each(|(_, s)| *s = share);
+        }
         for _ in 0..SETTLE_ROUNDS {
             total.fill(0.0);
-            for ((_, holders), shares) in active.iter().zip(&shares) {
-                for (&e, share) in holders.iter().zip(shares) {
-                    total[e] += share;
-                }
+            for (e, share) in self.holders.values().flatten() {
+                total[*e] += share;
             }
-            for ((u, holders), shares) in active.iter().zip(&mut shares) {
+            for (model, holders) in &mut self.holders {
+                let engine_use = self.demand.get(*model).map_or(0.0, |d| d.engine_use);
+                if engine_use <= 0.0 || holders.len() < 2 {
+                    continue;
+                }
                 // What each engine would have left without this model.
-                let room = |e: usize, own: f64| (1.5 - (total[e] - own)).max(0.05);
-                let rooms: Vec<f64> = holders
-                    .iter()
-                    .zip(shares.iter())
-                    .map(|(&e, own)| room(e, *own).powi(2))
-                    .collect();
-                let sum: f64 = rooms.iter().sum();
-                for (share, room) in shares.iter_mut().zip(rooms) {
-                    *share = u * room / sum;
+                let room = |(e, own): &(usize, f64)| (1.5 - (total[*e] - own)).max(0.05).powi(2);
+                let sum: f64 = holders.iter().map(room).sum();
+                for holder in holders {
+                    holder.1 = engine_use * room(holder) / sum;
                 }
             }
         }
         self.engine_use = total;
     }
 
-    /// Use of the engine where a model's requests fare best.
-    fn best_use(&self, model: &ModelId) -> f64 {
-        let holders = self.holders.get(model).into_iter().flatten();
-        let uses = holders.map(|&e| self.engine_use[e]);
-        uses.fold(f64::MAX, f64::min)
-    }
-
-    /// Use that finds no room, by models that are asked for.
-    fn unmet_use(&self, model: &ModelId, demand: &ModelDemand) -> f64 {
-        if self.copies(model) == 0 {
-            let is_wanted = self.now_ms.saturating_sub(demand.last_asked_ms) < WANTED_FOR_MS;
+    /// Use that finds no room, by a model that is declared.
+    fn unmet_use(&self, model: &ModelId) -> f64 {
+        let demand = self.demand_of(model);
+        if !self.has_copy(model) {
+            let is_wanted = demand.last_asked_ms > 0
+                && self.now_ms.saturating_sub(demand.last_asked_ms) < WANTED_FOR_MS;
             return if is_wanted {
                 demand.engine_use + MISSING_USE
             } else {
-                0.0
+                UNASKED_USE
             };
         }
         let best_use = self.best_use(model);
-        if demand.engine_use <= LEAST_USE || best_use <= TARGET_USE {
+        if best_use <= TARGET_USE {
             return 0.0;
         }
         demand.engine_use * (best_use - TARGET_USE) / best_use
     }
 
+    /// Use of the engine where a model's requests fare best.
+    fn best_use(&self, model: &ModelId) -> f64 {
+        let holders = self.holders.get(model).into_iter().flatten();
+        let uses = holders.map(|(e, _)| self.engine_use[*e]);
+        uses.fold(f64::MAX, f64::min)
+    }
+
     /// Adds copies of models whose requests find no room, or fare badly
     /// wherever they go; those with most such requests first.
     fn add_copies(&mut self) {
         let mut tried: BTreeSet<&ModelId> = BTreeSet::new();
         while self.steps.len() < MAX_STEPS {
             let worst = self
-                .demand
-                .iter()
-                .filter(|(m, _)| self.spec.models.contains_key(*m) && !tried.contains(m))
-                .map(|(m, d)| (self.unmet_use(m, d), m))
-                .filter(|(unmet, _)| *unmet > 0.0)
+                .spec
+                .models
+                .keys()
+                .filter(|m| !tried.contains(m))
+                .map(|m| (self.unmet_use(m), m))
+                .filter(|(unmet, _)| *unmet > LEAST_GAIN)
                 .max_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
-            let Some((_, model)) = worst else {
+            let Some((unmet, model)) = worst else {
                 return;
             };
-            let is_missing = self.copies(model) == 0;
-            if !self.add_copy(model, is_missing) {
-                tried.insert(model);
+            match self.best_candidate(model, unmet) {
+                Some(candidate) => self.adopt(model, &candidate),
+                None => {
+                    tried.insert(model);
+                }
             }
         }
     }
 
-    /// Loads a model where that helps most; false if nowhere.
-    fn add_copy(&mut self, model: &'a ModelId, is_missing: bool) -> bool {
-        let best = (0..self.engines.len())
+    /// Where a further copy of a model gains most; `None` if nowhere enough.
+    fn best_candidate(&self, model: &'a ModelId, unmet: f64) -> Option<Candidate<'a>> {
+        (0..self.engines.len())
             .filter(|&e| self.is_free[e] && !self.engines[e].holds.contains_key(model))
-            .filter(|&e| is_missing || !self.is_from_store(e, model) || self.store_loads > 0)
-            .filter_map(|e| Some((e, self.victims(e, model, is_missing)?)))
-            .map(|(e, victims)| (self.cost(e, model, &victims), e, victims))
-            .min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
-        let Some((cost, e, victims)) = best else {
-            return false;
-        };
-        if !is_missing && cost + WORTHWHILE_USE > self.best_use(model) {
-            return false;
+            .filter_map(|e| self.candidate(e, model, unmet))
+            .filter(|c| c.gain > LEAST_GAIN)
+            .max_by(|a, b| {
+                let worth = |c: &Candidate<'_>| c.gain + self.zone_use(c.engine, model);
+                let order = worth(a).total_cmp(&worth(b));
+                order.then_with(|| b.engine.cmp(&a.engine))
+            })
+    }
+
+    /// What a copy counts for more in a zone that has none.
+    fn zone_use(&self, e: usize, model: &ModelId) -> f64 {
+        let zone = &self.engines[e].zone;
+        let holders = self.holders.get(model).into_iter().flatten();
+        let mut zones = holders.map(|(h, _)| &self.engines[*h].zone);
+        if zones.any(|z| z == zone) {
+            0.0
+        } else {
+            OTHER_ZONE_USE
         }
+    }
+
+    /// What a copy of a model at an engine gains, with those that go for it.
+    fn candidate(&self, e: usize, model: &'a ModelId, unmet: f64) -> Option<Candidate<'a>> {
+        let victims = self.victims(e, model)?;
+        let loss: f64 = victims.iter().map(|v| self.loss(e, v)).sum();
+        let freed: f64 = victims.iter().map(|v| self.share(e, v)).sum();
+        let room = FULL_USE - (self.engine_use[e] - freed);
+        let is_missing = !self.has_copy(model);
+        let delay_s = self.delay_s(e, model, &victims);
+        let lasting = (1.0 - delay_s / HORIZON_S).max(0.0);
+        let gain = if !is_missing {
+            unmet.min(room) * lasting
+        } else if unmet > UNASKED_USE {
+            // Even where there is no room it serves some.
+            unmet.min(room.max(MISSING_USE)) * (0.5 + lasting / 2.0)
+        } else if victims.is_empty() {
+            unmet + lasting * LEAST_GAIN
+        } else {
+            0.0
+        };
+        Some(Candidate {
+            engine: e,
+            victims,
+            gain: gain - loss,
+        })
+    }
+
+    /// Time until a copy that is begun now serves.
+    fn delay_s(&self, e: usize, model: &ModelId, victims: &[&ModelId]) -> f64 {
+        let engine = &self.engines[e];
+        let busy_s = match (engine.takes_orders, engine.busy_ms) {
+            (true, _) => 0.0,
+            (false, Some(ms)) => ms as f64 / 1000.0,
+            (false, None) => UNKNOWN_ORDER_S,
+        };
+        let unload_s: f64 = victims
+            .iter()
+            .map(|v| match self.share(e, v) {
+                share if share > BUSY_COPY_USE => BUSY_UNLOAD_S,
+                _ => IDLE_UNLOAD_S,
+            })
+            .sum();
+        let source = self.source_of(e, model);
+        let spec = self.spec.models.get(model);
+        let load_s = spec.map_or(0.0, |s| s.load_time(source).as_secs_f64());
+        let is_rationed = source == WeightSource::Store && self.store_loads == 0;
+        let turn_s = if is_rationed {
+            1.0 / self.spec.store_loads_per_s.max(0.1)
+        } else {
+            0.0
+        };
+        busy_s + unload_s + load_s + turn_s
+    }
+
+    /// Takes a copy into the plan. An engine that cannot begin with it yet is
+    /// kept for it, so that no other has to give up a copy meanwhile.
+    fn adopt(&mut self, model: &'a ModelId, candidate: &Candidate<'a>) {
+        let e = candidate.engine;
         let engine = &self.engines[e];
-        let is_from_store = self.is_from_store(e, model);
-        if victims.is_empty() && is_from_store {
-            if self.store_loads == 0 {
-                return false;
+        let is_from_store = self.source_of(e, model) == WeightSource::Store;
+        let upstream = engine.id.clone();
+        let is_rationed = is_from_store && self.store_loads == 0 && candidate.victims.is_empty();
+        if engine.takes_orders && !is_rationed {
+            self.steps.push(match candidate.victims.first() {
+                Some(&victim) => Step::Unload {
+                    upstream,
+                    model: victim.clone(),
+                },
+                None => Step::Load {
+                    upstream,
+                    model: model.clone(),
+                    is_from_store,
+                },
+            });
+            if is_from_store && candidate.victims.is_empty() {
+                self.store_loads -= 1;
             }
-            self.store_loads -= 1;
         }
         self.is_free[e] = false;
-        let upstream = engine.id.clone();
-        let step = match victims.first() {
-            Some(&victim) => Step::Unload {
-                upstream,
-                model: victim.clone(),
-            },
-            None => Step::Load {
-                upstream,
-                model: model.clone(),
-                is_from_store,
-            },
-        };
-        for victim in victims {
+        for victim in &candidate.victims {
+            self.leaving.insert((e, victim));
             if let Some(holders) = self.holders.get_mut(victim) {
-                holders.retain(|&h| h != e);
+                holders.retain(|(h, _)| *h != e);
             }
         }
-        self.holders.entry(model).or_default().push(e);
-        self.steps.push(step);
+        self.holders.entry(model).or_default().push((e, 0.0));
         self.settle();
-        true
     }
 
     fn source_of(&self, e: usize, model: &ModelId) -> WeightSource {
@@ -299,21 +402,27 @@
         WeightSource::of(model, &engine.in_memory, &engine.on_disk)
     }
 
-    fn is_from_store(&self, e: usize, model: &ModelId) -> bool {
-        self.source_of(e, model) == WeightSource::Store
+    /// Use by the copy of a model at an engine.
+    fn share(&self, e: usize, model: &ModelId) -> f64 {
+        let holders = self.holders.get(model).into_iter().flatten();
+        let copy = holders.into_iter().find(|(h, _)| *h == e);
+        copy.map_or(0.0, |(_, share)| *share)
     }
 
-    /// Use that a new copy meets, with what its load costs.
-    fn cost(&self, e: usize, model: &ModelId, victims: &[&ModelId]) -> f64 {
-        let spec = self.spec.models.get(model);
-        let load = spec.map(|s| s.load_time(self.source_of(e, model)));
-        let load_s = load.unwrap_or_default().as_secs_f64();
-        let busy = victims.iter().filter(|m| !self.is_idle(m)).count();
-        self.engine_use[e] + load_s * USE_PER_LOAD_S + busy as f64 * USE_PER_BUSY_VICTIM
+    /// Use that is lost if a copy goes: what the others cannot take over.
+    fn loss(&self, e: usize, model: &ModelId) -> f64 {
+        let share = self.share(e, model);
+        let others = self.holders.get(model).into_iter().flatten();
+        let room: f64 = others
+            .filter(|(h, _)| *h != e && self.engines[*h].has_ready(model))
+            .map(|(h, _)| (FULL_USE - self.engine_use[*h]).max(0.0))
+            .sum();
+        (share - room).max(0.0) + share.min(room) * MOVED_LOSS
     }
 
-    /// Models to unload so that another fits; `None` if too few may go.
-    fn victims(&self, e: usize, wanted: &ModelId, is_missing: bool) -> Option<Vec<&'a ModelId>> {
+    /// Models to unload so that another fits, those with the least loss;
+    /// `None` if too few may go.
+    fn victims(&self, e: usize, wanted: &ModelId) -> Option<Vec<&'a ModelId>> {
         let engine = &self.engines[e];
         let size_mb = |m: &ModelId| self.spec.models.get(m).map_or(0, |s| s.weights_mb);
         let adapter_mb = |m: &ModelId| self.spec.models.get(m).map_or(0, |s| s.adapter_mb);
@@ -324,18 +433,18 @@
             .sum();
         let mut free_mb = self.spec.weights_mb.saturating_sub(used_mb);
         let needed_mb = size_mb(wanted) + self.adapter_reserve_mb();
-        let mut spare: Vec<&ModelId> = engine
+        if free_mb >= needed_mb {
+            return Some(Vec::new());
+        }
+        let mut spare: Vec<(bool, f64, &ModelId)> = engine
             .holds
             .keys()
-            .filter(|m| !engine.fresh.contains(*m) && self.can_spare(e, m, is_missing))
+            .filter(|m| !engine.fresh.contains(*m) && self.can_spare(e, m))
+            .map(|m| (!self.is_idle(m), self.loss(e, m), m))
             .collect();
-        spare.sort_by(|a, b| {
-            let key = |m: &ModelId| (!self.is_idle(m), self.share(m));
-            let (a, b) = (key(a), key(b));
-            a.0.cmp(&b.0).then_with(|| a.1.total_cmp(&b.1))
-        });
+        spare.sort_by(|a, b| a.0.cmp(&b.0).then_with(|| a.1.total_cmp(&b.1)));
         let mut victims = Vec::new();
-        for model in spare {
+        for (_, _, model) in spare {
             if free_mb >= needed_mb {
                 break;
             }
@@ -355,24 +464,15 @@
         all_mb.min(left_mb)
     }
 
-    /// True if the copy of a model at an engine may go for another's.
-    fn can_spare(&self, e: usize, model: &ModelId, is_for_missing: bool) -> bool {
-        if self.copies(model) < 2 {
-            return false;
-        }
-        if self.is_idle(model) || is_for_missing {
-            return true;
-        }
-        // The other copies must be able to take over what this one serves.
-        let others = self.holders[model].iter().filter(|&&h| h != e);
-        let room: f64 = others
-            .map(|&h| (TARGET_USE - self.engine_use[h]).max(0.0))
-            .sum();
-        self.share(model) < room
-    }
-
-    /// Use by one copy of a model.
-    fn share(&self, model: &ModelId) -> f64 {
-        self.demand_of(model).engine_use / self.copies(model).max(1) as f64
+    /// True if another copy of a model serves, so that the one at an engine may
+    /// go. One that is still being loaded may never come.
+    fn can_spare(&self, e: usize, model: &ModelId) -> bool {
+        let serves = |(h, engine): (usize, &PlannedEngine)| {
+            h != e
+                && engine.is_serving
+                && engine.has_ready(model)
+                && !self.leaving.contains(&(h, model))
+        };
+        self.engines.iter().enumerate().any(serves)
     }
 }
--- a/src/gateway/acting.rs
+++ b/src/gateway/acting.rs
@@ -221,8 +221,11 @@
             engines.push(PlannedEngine {
                 id: entry.id.clone(),
                 takes_orders,
+                zone: entry.zone.clone(),
+                busy_ms: book.busy_ms(now_ms),
                 is_serving: !entry.is_draining && !is_lost,
                 holds: book.planned_holdings(),
+                loading: book.loading.as_ref().map(|(model, _)| model.clone()),
                 fresh: book.fresh(now_ms),
                 in_memory: entry.in_memory.clone(),
                 on_disk: entry.on_disk.clone(),
--- a/tests/gateway_copies.rs
+++ b/tests/gateway_copies.rs
@@ -5,7 +5,7 @@
 
 use currantcove::core::catalog::{EngineSpec, ModelSpec};
 use currantcove::core::copies::{ModelDemand, PlannedEngine, Step, plan};
-use currantcove::core::ids::{ModelId, UpstreamId};
+use currantcove::core::ids::{ModelId, UpstreamId, ZoneId};
 use currantcove::core::registry::Holdings;
 
 /// Time between two plans, in milliseconds.
@@ -40,7 +40,10 @@
     PlannedEngine {
         id: UpstreamId::new(&format!("e{at}")),
         takes_orders: true,
+        zone: ZoneId::new(["a", "b", "c"][at % 3]),
+        busy_ms: None,
         is_serving: true,
+        loading: None,
         holds: holds.iter().map(|&m| (model(m), BTreeSet::new())).collect(),
         fresh: BTreeSet::new(),
         in_memory: BTreeSet::new(),
@@ -109,6 +112,7 @@
                 .find(|e| e.id == id)
                 .expect("engine");
             engine.takes_orders = true;
+            engine.loading = None;
             if let Some(Step::Load { model, .. }) = step {
                 engine.on_disk.insert(model);
             }
@@ -126,6 +130,7 @@
                 Step::Load { model, .. } => {
                     engine.holds.insert(model.clone(), BTreeSet::new());
                     engine.fresh.insert(model.clone());
+                    engine.loading = Some(model.clone());
                     if engine.on_disk.contains(model) {
                         DISK_LOAD_MS
                     } else {
@@ -302,3 +307,69 @@
 
     assert!(steps.is_empty(), "{steps:?}");
 }
+
+/// Replays engines that were lost with the only copies of rare models: the
+/// rare ones took the places of the busiest model's copies, one after another,
+/// and most of all requests found no room for ten seconds.
+#[test]
+fn missing_rare_models_do_not_take_the_places_of_a_busy_one() {
+    let mut engines = vec![
+        engine(0, &[0, 1, 2]),
+        engine(1, &[0, 3, 4]),
+        engine(2, &[0, 5, 6]),
+    ];
+    engines.push(engine(3, &[7, 8, 9]));
+    engines[3].is_serving = false;
+    engines[3].takes_orders = false;
+    let busy = [(0, 1.6), (7, 0.02), (8, 0.02), (9, 0.02)];
+
+    let steps = plan(1_000, &spec(10), &engines, &demand(1_000, &busy), 3);
+
+    assert!(steps.is_empty(), "{steps:?}");
+}
+
+/// Replays a model whose second copy was on its way when the first one was
+/// unloaded for another model: nobody served it for nine seconds.
+#[test]
+fn a_copy_that_is_being_loaded_does_not_free_the_only_one_that_serves() {
+    let mut engines = vec![engine(0, &[0, 1, 2]), engine(1, &[0, 3, 4])];
+    engines[1].loading = Some(model(0));
+    engines[1].takes_orders = false;
+
+    let steps = plan(1_000, &spec(6), &engines, &demand(1_000, &[(5, 0.5)]), 3);
+
+    assert!(steps.is_empty(), "{steps:?}");
+}
+
+/// Replays two missing models of which one fits on an engine that is about to
+/// be free: the other one had its place taken from a busy model.
+#[test]
+fn an_engine_that_is_free_soon_is_waited_for() {
+    let mut engines = vec![engine(0, &[0, 1, 2]), engine(1, &[0])];
+    engines[1].takes_orders = false;
+    engines[1].busy_ms = Some(500);
+    let demand = demand(1_000, &[(0, 1.0), (3, 0.1)]);
+
+    let steps = plan(1_000, &spec(4), &engines, &demand, 3);
+
+    assert!(steps.is_empty(), "{steps:?}");
+}
+
+#[test]
+fn a_second_copy_goes_to_another_zone_if_all_else_is_equal() {
+    let engines = vec![
+        engine(0, &[0]),
+        engine(3, &[1]),
+        engine(1, &[2]),
+        engine(6, &[3]),
+    ];
+
+    let steps = plan(1_000, &spec(4), &engines, &demand(1_000, &[(0, 1.0)]), 3);
+
+    let first = Step::Load {
+        upstream: UpstreamId::new("e1"),
+        model: model(0),
+        is_from_store: true,
+    };
+    assert_eq!(steps.first(), Some(&first), "the only one outside zone a");
+}
