Weigh samples of the reading time by their tokens

Cause: the time per prompt token was taken from short prompts as from long ones, where the wait for the running step counts more than the reading: 110 to 250 us were believed at engines that read a token in 52. Change: a sample counts in proportion to its tokens, up to those of one prompt.

--- a/src/core/load.rs
+++ b/src/core/load.rs
@@ -31,6 +31,9 @@
 const INITIAL_TOKEN_US: f64 = 80.0;
 /// Weight of a new sample in smoothed values.
 const SMOOTHING: f64 = 0.15;
+/// Prompt tokens of a sample of the time per token with full weight; in smaller
+/// ones the wait for the running step counts more than the reading.
+const FULL_SAMPLE_TOKENS: f64 = 1_500.0;
 
 /// Requests in flight at one upstream.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -281,7 +284,8 @@
         smooth(&mut load.first_answer_ms, took_ms.max(0.5));
         let ahead = sent.unread_ahead + unread;
         if unread > 0 {
-            smooth(&mut load.token_us, took_ms * 1000.0 / f64::from(ahead));
+            let weight = SMOOTHING * (f64::from(ahead) / FULL_SAMPLE_TOKENS).min(1.0);
+            load.token_us += (took_ms * 1000.0 / f64::from(ahead) - load.token_us) * weight;
         }
         load.last_heard_ms = now_ms;
     }
