Begin with the copy that gains most; let adapters in use leave on their own

Plans began with the model with most unmet use, whose further copies took all engines and loads of the weight store, nine seconds each; the missing one waited for busy engines. And the unload of an adapter that was in use held up the orders of its engine until its streams had ended, 3 to 5 s: no other adapter was loaded there. Change: the candidate with the greatest gain goes first, whatever its model, and the worth of a first copy falls with its delay. An adapter that was accepted to leave stays charged and is watched apart; another one is evicted meanwhile.

--- a/src/core/copies.rs
+++ b/src/core/copies.rs
@@ -29,6 +29,8 @@
 /// Time for which demand is taken to last, in seconds; a copy is worth what it
 /// serves of it after its load.
 const HORIZON_S: f64 = 14.0;
+/// Delay that halves what the first copy of a model is worth, in seconds.
+const HALVED_AFTER_S: f64 = 5.0;
 /// Use that a model without a copy counts for beside its own while it is asked
 /// for; its requests can go nowhere.
 const MISSING_USE: f64 = 0.3;
@@ -145,14 +147,13 @@
     /// Use of each engine once demand has settled.
     engine_use: Vec<f64>,
     is_free: Vec<bool>,
-    /// Models that go from each engine by this plan.
-    leaving: BTreeSet<(usize, &'a ModelId)>,
     store_loads: u32,
     steps: Vec<Step>,
 }
 
 /// Way to add a copy of a model.
 struct Candidate<'a> {
+    model: &'a ModelId,
     engine: usize,
     victims: Vec<&'a ModelId>,
     gain: f64,
@@ -182,7 +183,6 @@
             holders,
             engine_use: Vec::new(),
             is_free: engines.iter().map(|e| e.is_serving).collect(),
-            leaving: BTreeSet::new(),
             store_loads,
             steps: Vec::new(),
         };
@@ -210,7 +210,9 @@
         for (model, holders) in &mut self.holders {
             let engine_use = self.demand.get(*model).map_or(0.0, |d| d.engine_use);
             let share = engine_use / holders.len().max(1) as f64;
-            holders.iter_mut().for_each(|(_, s)| *s = share);
+            for (_, copy_share) in holders {
+                *copy_share = share;
+            }
         }
         for _ in 0..SETTLE_ROUNDS {
             total.fill(0.0);
@@ -260,32 +262,42 @@
     }
 
     /// Adds copies of models whose requests find no room, or fare badly
-    /// wherever they go; those with most such requests first.
+    /// wherever they go; those that gain most first. What a copy gains only
+    /// falls as others are planned, so that only the best is looked at again.
     fn add_copies(&mut self) {
-        let mut tried: BTreeSet<&ModelId> = BTreeSet::new();
-        while self.steps.len() < MAX_STEPS {
-            let worst = self
-                .spec
-                .models
-                .keys()
-                .filter(|m| !tried.contains(m))
-                .map(|m| (self.unmet_use(m), m))
-                .filter(|(unmet, _)| *unmet > LEAST_GAIN)
-                .max_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
-            let Some((unmet, model)) = worst else {
+        let mut open: Vec<Candidate<'a>> = self
+            .spec
+            .models
+            .keys()
+            .filter_map(|model| self.best_candidate(model))
+            .collect();
+        while self.steps.len() < MAX_STEPS && !open.is_empty() {
+            open.sort_by(|a, b| {
+                let order = a.gain.total_cmp(&b.gain);
+                order.then_with(|| b.model.cmp(a.model))
+            });
+            let Some(best) = open.pop() else {
                 return;
             };
-            match self.best_candidate(model, unmet) {
-                Some(candidate) => self.adopt(model, &candidate),
-                None => {
-                    tried.insert(model);
-                }
+            let Some(now) = self.best_candidate(best.model) else {
+                continue;
+            };
+            let is_still_best = open.last().is_none_or(|next| now.gain >= next.gain);
+            if !is_still_best {
+                open.push(now);
+                continue;
             }
+            self.adopt(&now);
+            open.extend(self.best_candidate(now.model));
         }
     }
 
     /// Where a further copy of a model gains most; `None` if nowhere enough.
-    fn best_candidate(&self, model: &'a ModelId, unmet: f64) -> Option<Candidate<'a>> {
+    fn best_candidate(&self, model: &'a ModelId) -> Option<Candidate<'a>> {
+        let unmet = self.unmet_use(model);
+        if unmet <= LEAST_GAIN {
+            return None;
+        }
         (0..self.engines.len())
             .filter(|&e| self.is_free[e] && !self.engines[e].holds.contains_key(model))
             .filter_map(|e| self.candidate(e, model, unmet))
@@ -317,18 +329,19 @@
         let room = FULL_USE - (self.engine_use[e] - freed);
         let is_missing = !self.has_copy(model);
         let delay_s = self.delay_s(e, model, &victims);
-        let lasting = (1.0 - delay_s / HORIZON_S).max(0.0);
         let gain = if !is_missing {
-            unmet.min(room) * lasting
+            unmet.min(room) * (1.0 - delay_s / HORIZON_S).max(0.0)
         } else if unmet > UNASKED_USE {
-            // Even where there is no room it serves some.
-            unmet.min(room.max(MISSING_USE)) * (0.5 + lasting / 2.0)
+            // Even where there is no room it serves some. It is asked for
+            // until it comes, however long that takes.
+            unmet.min(room.max(MISSING_USE)) * HALVED_AFTER_S / (HALVED_AFTER_S + delay_s)
         } else if victims.is_empty() {
-            unmet + lasting * LEAST_GAIN
+            unmet
         } else {
             0.0
         };
         Some(Candidate {
+            model,
             engine: e,
             victims,
             gain: gain - loss,
@@ -364,8 +377,8 @@
 
     /// Takes a copy into the plan. An engine that cannot begin with it yet is
     /// kept for it, so that no other has to give up a copy meanwhile.
-    fn adopt(&mut self, model: &'a ModelId, candidate: &Candidate<'a>) {
-        let e = candidate.engine;
+    fn adopt(&mut self, candidate: &Candidate<'a>) {
+        let (e, model) = (candidate.engine, candidate.model);
         let engine = &self.engines[e];
         let is_from_store = self.source_of(e, model) == WeightSource::Store;
         let upstream = engine.id.clone();
@@ -388,7 +401,6 @@
         }
         self.is_free[e] = false;
         for victim in &candidate.victims {
-            self.leaving.insert((e, victim));
             if let Some(holders) = self.holders.get_mut(victim) {
                 holders.retain(|(h, _)| *h != e);
             }
@@ -467,12 +479,8 @@
     /// True if another copy of a model serves, so that the one at an engine may
     /// go. One that is still being loaded may never come.
     fn can_spare(&self, e: usize, model: &ModelId) -> bool {
-        let serves = |(h, engine): (usize, &PlannedEngine)| {
-            h != e
-                && engine.is_serving
-                && engine.has_ready(model)
-                && !self.leaving.contains(&(h, model))
-        };
-        self.engines.iter().enumerate().any(serves)
+        let holders = self.holders.get(model).into_iter().flatten();
+        let mut others = holders.filter(|(h, _)| *h != e);
+        others.any(|(h, _)| self.engines[*h].has_ready(model))
     }
 }
--- a/src/gateway/acting.rs
+++ b/src/gateway/acting.rs
@@ -402,7 +402,7 @@
                 fill: f64::from(requests) / f64::from(entry.slots.max(1)),
                 free_slots: slots.saturating_sub(book.adapters_charged()),
                 victim_idle_ms: now_ms.saturating_sub(victim_ms),
-                is_blocked: !book.takes_orders(now_ms),
+                is_blocked: !book.takes_orders(now_ms) || book.leaving.contains(&key),
                 has_adapter: adapters.contains(adapter),
                 is_coming: book.is_coming(&key),
             });
--- a/src/gateway/order_adapters.rs
+++ b/src/gateway/order_adapters.rs
@@ -4,12 +4,16 @@
 use std::time::Duration;
 
 use super::acting::Acting;
-use super::orders::{BUSY_POLL, MAX_POLLS};
+use super::orders::MAX_POLLS;
 use super::platform::{Order, OrderReply, Platform};
 use crate::core::ids::{AdapterId, ModelId, UpstreamId};
 
 /// Time of an adapter's load assumed for each MB, in microseconds.
 const ADAPTER_US_PER_MB: u64 = 300;
+/// Adapters that are unloaded to make room for one.
+const MAX_EVICTIONS: u32 = 3;
+/// Pause between two looks at an engine whose adapter is still in use.
+const GONE_POLL: Duration = Duration::from_millis(500);
 /// Time of an adapter's load beside its size.
 const ADAPTER_BASE: Duration = Duration::from_millis(4);
 
@@ -32,6 +36,9 @@
         }
         let mut evictions = 0;
         while self.with_book(upstream, |b| b.fits_adapter(&spec, model)) == Some(false) {
+            if evictions >= MAX_EVICTIONS {
+                return;
+            }
             let victim = {
                 let state = self.state.borrow();
                 let book = state.engines.get(upstream);
@@ -41,7 +48,7 @@
                 return;
             };
             evictions += 1;
-            if evictions > 2 || !self.unload_adapter(upstream, &m, &a).await {
+            if !self.unload_adapter(upstream, &m, &a).await {
                 return;
             }
         }
@@ -89,7 +96,8 @@
         self.broadcast_holdings(upstream);
     }
 
-    /// Unloads an adapter; false if that failed.
+    /// Unloads an adapter; false if that failed. One that is in use goes once
+    /// its requests have ended, which is not waited for.
     pub(super) async fn unload_adapter(
         self: &Rc<Self>,
         upstream: &UpstreamId,
@@ -110,44 +118,60 @@
         self.broadcast_holdings(upstream);
         let order = Order::UnloadAdapter(model.clone(), adapter.clone());
         let reply = self.send_order(upstream, &order).await;
-        let is_gone = match reply {
-            OrderReply::Holds => true,
-            OrderReply::Accepted => self.await_adapter_gone(upstream, model, adapter).await,
+        match reply {
+            OrderReply::Holds => self.adapter_left(upstream, &key, true),
+            OrderReply::Accepted => {
+                let acting = Rc::clone(self);
+                let upstream = upstream.clone();
+                compio::runtime::spawn(async move {
+                    acting.await_adapter_gone(&upstream, &key).await;
+                })
+                .detach();
+            }
             // It occupies its slot until another host acts.
             OrderReply::Unknown => return false,
-            _ => false,
-        };
+            _ => {
+                self.adapter_left(upstream, &key, false);
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Notes whether an adapter that was to leave has left.
+    fn adapter_left(&self, upstream: &UpstreamId, key: &(ModelId, AdapterId), is_gone: bool) {
         self.with_book(upstream, |book| {
-            book.leaving.remove(&key);
-            if !is_gone && let Some(adapters) = book.holds.get_mut(model) {
-                adapters.insert(adapter.clone());
+            let was_leaving = book.leaving.remove(key);
+            if was_leaving
+                && !is_gone
+                && let Some(adapters) = book.holds.get_mut(&key.0)
+            {
+                adapters.insert(key.1.clone());
             }
         });
         if !is_gone {
             self.broadcast_holdings(upstream);
         }
-        is_gone
     }
 
-    async fn await_adapter_gone(
-        &self,
-        upstream: &UpstreamId,
-        model: &ModelId,
-        adapter: &AdapterId,
-    ) -> bool {
+    async fn await_adapter_gone(&self, upstream: &UpstreamId, key: &(ModelId, AdapterId)) {
+        let started_ms = self.with_book(upstream, |b| b.started_ms);
         for _ in 0..MAX_POLLS {
-            compio::time::sleep(BUSY_POLL).await;
+            compio::time::sleep(GONE_POLL).await;
             let Some(addr) = self.addr_of(upstream) else {
-                return false;
+                return;
             };
             let Some(report) = self.gateway.platform.report(addr).await else {
                 continue;
             };
-            let held = report.holds.get(model);
-            if !held.is_some_and(|a| a.contains(adapter)) {
-                return true;
+            if Some(report.started_ms) != started_ms {
+                return;
+            }
+            let held = report.holds.get(&key.0);
+            if !held.is_some_and(|a| a.contains(&key.1)) {
+                return self.adapter_left(upstream, key, true);
             }
         }
-        false
+        self.adapter_left(upstream, key, false);
     }
 }
--- a/tests/gateway_copies.rs
+++ b/tests/gateway_copies.rs
@@ -373,3 +373,21 @@
     };
     assert_eq!(steps.first(), Some(&first), "the only one outside zone a");
 }
+
+/// Replays a crowded model that took every engine and load of the weight store
+/// for its further copies, while another one had no copy for twenty seconds.
+#[test]
+fn the_copy_that_gains_most_goes_first() {
+    let mut engines = vec![engine(0, &[0]), engine(1, &[])];
+    engines[1].on_disk.insert(model(5));
+    let demand = demand(1_000, &[(0, 3.0), (5, 0.1)]);
+
+    let steps = plan(1_000, &spec(6), &engines, &demand, 1);
+
+    let first = Step::Load {
+        upstream: UpstreamId::new("e1"),
+        model: model(5),
+        is_from_store: false,
+    };
+    assert_eq!(steps.first(), Some(&first), "two seconds instead of nine");
+}
