Tell refused callers a turn of their own; repeat wants while requests wait

Cause: all callers refused within a moment were told about the same time, came back together and were refused again, most for good; a copy on its way was not reckoned with. A want was announced once, so that a lost datagram or an engine that took no orders just then cost the request all its wait. Change: each refusal books a turn behind those before it, at half of the lane's pace, not before a copy that is being loaded serves, and within the third of its time left up to which callers wait. Wants are repeated while requests wait.

--- a/src/core/waiting.rs
+++ b/src/core/waiting.rs
@@ -25,6 +25,12 @@
 pub const PRIORITY_STEP_MS: u64 = 250;
 /// Shortest time after which refused callers come back, in milliseconds.
 pub const MIN_RETRY_AFTER_MS: u64 = 200;
+/// Part of a lane's pace that callers who come back may count on; the rest is
+/// for new ones, whose answers can still be in time.
+const RETURN_SHARE: f64 = 0.5;
+/// Part of the longest time to come back over which those spread that are told
+/// it.
+const LATEST_SPREAD: u64 = 4;
 /// Longest time after which refused callers come back, in milliseconds.
 pub const MAX_RETRY_AFTER_MS: u64 = 10_000;
 /// Time over which departures are averaged, in milliseconds; the objectives of
@@ -210,6 +216,13 @@
         }
     }
 
+    /// Needs of those that wait for weights to be loaded.
+    pub fn awaiting_weights(&self) -> impl Iterator<Item = &Need> {
+        let is_missing =
+            |w: &&Waiter| matches!(w.reason, NoUpstream::NoModel | NoUpstream::NoAdapter);
+        self.waiters.iter().filter(is_missing).map(|w| &w.need)
+    }
+
     /// Earliest time at which a waiter is given up.
     pub fn next_give_up_ms(&self) -> Option<u64> {
         self.waiters.iter().map(|w| w.give_up_ms).min()
@@ -266,28 +279,65 @@
     /// Wait at the host.
     Wait,
     /// Be refused now and come back after some time.
-    Refuse {
-        /// Time to come back.
-        retry_after_ms: u64,
-    },
+    Refuse,
 }
 
 /// Decides whether a request waits.
 ///
 /// It waits if it is likely to leave within `useful_ms`, the time within
 /// which an answer is of use to the caller.
-pub fn admit(waiting: usize, outlook: Outlook, useful_ms: u64, rng: &mut Rng) -> Verdict {
+pub fn admit(waiting: usize, outlook: Outlook, useful_ms: u64) -> Verdict {
     let can_wait = waiting < MAX_WAITING && !is_hopeless(outlook.reason);
     if can_wait && outlook.wait_ms <= useful_ms {
-        return Verdict::Wait;
+        Verdict::Wait
+    } else {
+        Verdict::Refuse
     }
-    let retry_after_ms = spread_retry_after(outlook.wait_ms, rng);
-    Verdict::Refuse { retry_after_ms }
 }
 
-/// Time to come back once a backlog has gone, spread over half as much again
-/// so that callers do not return together.
-pub fn spread_retry_after(backlog_ms: u64, rng: &mut Rng) -> u64 {
-    let spread_ms = rng.below((backlog_ms / 2 + MIN_RETRY_AFTER_MS) as usize) as u64;
-    (backlog_ms + spread_ms).clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
+/// When refused callers come back.
+///
+/// Answers the load pattern of a lane that stays full for seconds: callers who
+/// come back at once find no room either, and most of them try only once more.
+/// Each is told a turn after those refused before it, at the part of the
+/// lane's pace that new callers leave, and not before a copy that is being
+/// loaded serves.
+#[derive(Clone, Debug, Default)]
+pub struct Returns {
+    booked_until_ms: HashMap<Lane, u64>,
+}
+
+/// What decides when a refused caller comes back.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ReturnInput {
+    /// Predicted wait, in milliseconds.
+    pub wait_ms: u64,
+    /// Time until a further copy serves, in milliseconds; 0 if none is coming.
+    pub copy_in_ms: u64,
+    /// Interval at which waiting requests of the lane leave this host, in
+    /// milliseconds.
+    pub turn_ms: f64,
+    /// Time after which an answer would come too late, in milliseconds.
+    pub longest_ms: u64,
+}
+
+impl Returns {
+    /// Time after which a caller is to come back, in milliseconds.
+    pub fn book(&mut self, now_ms: u64, lane: &Lane, input: ReturnInput, rng: &mut Rng) -> u64 {
+        let longest_ms = input
+            .longest_ms
+            .clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
+        let turn_ms = (input.turn_ms / RETURN_SHARE).min(longest_ms as f64) as u64;
+        let booked_ms = self.booked_until_ms.entry(lane.clone()).or_default();
+        let earliest_ms = now_ms + input.wait_ms.max(input.copy_in_ms).min(longest_ms);
+        let from_ms = earliest_ms.max(*booked_ms).min(now_ms + longest_ms);
+        *booked_ms = from_ms + turn_ms;
+        let spread_ms = rng.below((turn_ms + MIN_RETRY_AFTER_MS) as usize) as u64;
+        let after_ms = from_ms - now_ms + spread_ms;
+        if after_ms <= longest_ms {
+            return after_ms.max(MIN_RETRY_AFTER_MS);
+        }
+        // All that are told the longest time must not come back together.
+        longest_ms - rng.below((longest_ms / LATEST_SPREAD + 1) as usize) as u64
+    }
 }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -11,11 +11,13 @@
 use super::call::Job;
 use super::platform::Platform;
 use super::state::Gateway;
-use crate::core::balance::{Allowed, Need, NoUpstream, Weights, choose, next_room};
+use crate::core::balance::{Allowed, Need, NoUpstream, Room, Weights, choose, next_room};
 use crate::core::catalog::{ModelSpec, WeightSource};
 use crate::core::load::{AttemptEnd, Load, Sent};
 use crate::core::registry::{Entry, Registry};
-use crate::core::waiting::{Lane, Outlook, Verdict, WaitQueue, Waiter, admit, spread_retry_after};
+use crate::core::waiting::{
+    Lane, Outlook, ReturnInput, Returns, Verdict, WaitQueue, Waiter, admit,
+};
 use crate::kernel::Service;
 
 /// Wait predicted for an adapter that is loaded on demand, in milliseconds:
@@ -32,6 +34,9 @@
 /// Share of a caller's patience that it may spend waiting here; the rest is
 /// for the upstream.
 const PATIENCE_SHARE: f64 = 0.7;
+/// Part of its time left after which a refused caller comes back at the latest;
+/// the rest is for its second try, and callers wait no longer anyway.
+const LATEST_RETURN: f64 = 1.0 / 3.0;
 /// Longest pause between two passes while requests wait.
 const MAX_PASS_PAUSE: Duration = Duration::from_millis(200);
 
@@ -44,6 +49,8 @@
     wake: Rc<Notify>,
     /// When requests for weights were last served.
     served_ms: HashMap<Weights, u64>,
+    /// When refused callers were told to come back.
+    returns: Returns,
     /// When models that are being loaded will be ready.
     pub ready_at_ms: HashMap<Lane, u64>,
 }
@@ -214,8 +221,8 @@
         let give_up_ms = Self::give_up_ms(job, reason, due_ms, is_starved);
         let waiting = self.places.borrow().queue.len();
         let useful_ms = give_up_ms.saturating_sub(now_ms);
-        let verdict = admit(waiting, outlook, useful_ms, &mut self.rng.borrow_mut());
-        if let Verdict::Refuse { retry_after_ms } = verdict {
+        if admit(waiting, outlook, useful_ms) == Verdict::Refuse {
+            let no_place = self.turn_away(job, allowed, &lane, outlook);
             tracing::info!(
                 event = "turned_away",
                 request = job.request_id,
@@ -225,12 +232,9 @@
                 ahead,
                 waiting,
                 copies = self.copies_of(job),
-                retry_after_ms,
+                retry_after_ms = no_place.retry_after_ms,
             );
-            return Err(NoPlace {
-                reason,
-                retry_after_ms,
-            });
+            return Err(no_place);
         }
         let waiter = Waiter {
             ticket: 0,
@@ -302,14 +306,11 @@
             NoUpstream::NoAdapter => ADAPTER_WAIT_MS,
             NoUpstream::NoneListed | NoUpstream::AllTried => NONE_LISTED_WAIT_MS,
             NoUpstream::Full | NoUpstream::Failing => {
-                let now_ms = self.now_ms();
-                let (registry, loads) = (self.registry.borrow(), self.loads.borrow());
-                let room = next_room(now_ms, &registry, &loads, &job.need, allowed);
-                let Some(room) = room else {
+                let Some(room) = self.next_room(job, allowed) else {
                     return NONE_LISTED_WAIT_MS;
                 };
                 let places = self.places.borrow();
-                let hosts = self.host_count();
+                let (now_ms, hosts) = (self.now_ms(), self.host_count());
                 places
                     .queue
                     .predicted_wait_ms(now_ms, lane, ahead, room, hosts)
@@ -317,6 +318,11 @@
         }
     }
 
+    fn next_room(&self, job: &Job, allowed: &Allowed) -> Option<Room> {
+        let (registry, loads) = (self.registry.borrow(), self.loads.borrow());
+        next_room(self.now_ms(), &registry, &loads, &job.need, allowed)
+    }
+
     /// Time until a model that no upstream holds is ready somewhere.
     fn load_wait_ms(&self, job: &Job, lane: &Lane) -> u64 {
         let now_ms = self.now_ms();
@@ -401,10 +407,26 @@
                 .queue
                 .ahead_of(now_ms, &job.need, job.priority, due_ms)
         };
-        let outlook_ms = self.predicted_wait_ms(job, allowed, lane, reason, ahead);
+        let wait_ms = self.predicted_wait_ms(job, allowed, lane, reason, ahead);
+        self.turn_away(job, allowed, lane, Outlook { reason, wait_ms })
+    }
+
+    /// Tells a refused caller when to come back.
+    fn turn_away(&self, job: &Job, allowed: &Allowed, lane: &Lane, outlook: Outlook) -> NoPlace {
+        let now_ms = self.now_ms();
+        let room = self.next_room(job, allowed).unwrap_or_default();
+        let mut places = self.places.borrow_mut();
+        let ready_at_ms = places.ready_at_ms.get(lane).copied().unwrap_or(0);
+        let input = ReturnInput {
+            wait_ms: outlook.wait_ms,
+            copy_in_ms: ready_at_ms.saturating_sub(now_ms),
+            turn_ms: room.turn_ms * self.host_count() as f64,
+            longest_ms: (job.time_left(now_ms).as_millis() as f64 * LATEST_RETURN) as u64,
+        };
+        let mut rng = self.rng.borrow_mut();
         NoPlace {
-            reason,
-            retry_after_ms: spread_retry_after(outlook_ms, &mut self.rng.borrow_mut()),
+            reason: outlook.reason,
+            retry_after_ms: places.returns.book(now_ms, lane, input, &mut rng),
         }
     }
 
@@ -431,6 +453,12 @@
         }
         let waiting = places.queue.len().cast_signed() as i64;
         self.metrics.waiting.set(waiting);
+        // A datagram may have been lost, or the engine took no orders then.
+        for need in places.queue.awaiting_weights() {
+            if let Some(weights) = &need.weights {
+                self.announce_want(&need.service, weights);
+            }
+        }
         drop(places);
         for (sender, offer) in offers {
             // A receiver that has gone removes its ticket first.
--- a/tests/gateway_load.rs
+++ b/tests/gateway_load.rs
@@ -9,7 +9,7 @@
 use currantcove::core::registry::{Entry, Registry};
 use currantcove::core::routing::Rng;
 use currantcove::core::waiting::{
-    Lane, MAX_RETRY_AFTER_MS, Outlook, Verdict, WaitQueue, Waiter, admit, spread_retry_after,
+    Lane, Outlook, ReturnInput, Returns, Verdict, WaitQueue, Waiter, admit,
 };
 
 const SLOTS: u32 = 4;
@@ -323,18 +323,12 @@
 
 #[test]
 fn what_cannot_be_served_in_time_is_refused_at_once() {
-    let mut rng = Rng::new(1);
     let outlook = Outlook {
         reason: NoUpstream::Full,
         wait_ms: 1_200,
     };
 
-    let verdict = admit(0, outlook, 800, &mut rng);
-
-    let Verdict::Refuse { retry_after_ms } = verdict else {
-        panic!("{verdict:?}");
-    };
-    assert!(retry_after_ms >= 1_200, "not before the backlog has gone");
+    assert_eq!(admit(0, outlook, 800), Verdict::Refuse);
 }
 
 #[test]
@@ -344,22 +338,72 @@
         wait_ms: 300,
     };
 
-    assert_eq!(admit(3, outlook, 800, &mut Rng::new(1)), Verdict::Wait);
+    assert_eq!(admit(3, outlook, 800), Verdict::Wait);
+}
+
+fn full_lane() -> ReturnInput {
+    ReturnInput {
+        wait_ms: 1_200,
+        copy_in_ms: 0,
+        turn_ms: 50.0,
+        longest_ms: 5_000,
+    }
+}
+
+fn returns(count: usize, input: ReturnInput) -> Vec<u64> {
+    let lane = Lane::of(&need(10, None));
+    let (mut returns, mut rng) = (Returns::default(), Rng::new(1));
+    (0..count)
+        .map(|_| returns.book(1_000, &lane, input, &mut rng))
+        .collect()
+}
+
+#[test]
+fn nobody_is_told_to_come_back_before_the_backlog_has_gone() {
+    let times = returns(10, full_lane());
+
+    assert!(times.iter().all(|t| *t >= 1_200), "{times:?}");
 }
 
+/// Replays a lane that refuses many callers within a moment: told the same
+/// wait, they came back together and nearly all of them were refused again.
 #[test]
-fn callers_do_not_come_back_together() {
-    let mut rng = Rng::new(1);
-    let times: BTreeSet<u64> = (0..50)
-        .map(|_| spread_retry_after(2_000, &mut rng))
-        .collect();
-
-    assert!(times.len() > 30);
-    assert!(
+fn callers_come_back_at_the_pace_at_which_they_can_be_served() {
+    let times = returns(30, full_lane());
+
+    let returning = |from: u64| {
         times
             .iter()
-            .all(|t| (2_000..=MAX_RETRY_AFTER_MS).contains(t))
-    );
+            .filter(|t| (from..from + 1_000).contains(t))
+            .count()
+    };
+    assert!((8..=12).contains(&returning(2_000)), "{times:?}");
+    assert!((8..=12).contains(&returning(3_000)), "{times:?}");
+}
+
+#[test]
+fn nobody_is_told_a_time_after_which_an_answer_comes_too_late() {
+    let times = returns(200, full_lane());
+
+    assert!(times.iter().all(|t| *t <= 5_000), "{times:?}");
+    let distinct: BTreeSet<&u64> = times.iter().collect();
+    assert!(distinct.len() > 100, "and they do not come back together");
+}
+
+#[test]
+fn a_copy_that_is_being_loaded_is_waited_for() {
+    let coming = ReturnInput {
+        copy_in_ms: 3_500,
+        ..full_lane()
+    };
+    let too_late = ReturnInput {
+        copy_in_ms: 60_000,
+        ..full_lane()
+    };
+
+    assert!(returns(5, coming).iter().all(|t| *t >= 3_500));
+    let last = returns(5, too_late);
+    assert!(last.iter().all(|t| (3_750..=5_000).contains(t)), "{last:?}");
 }
 
 /// Replays a model whose requests left once in two seconds while its engine was
