--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -17,6 +17,7 @@
 pub mod ids;
 pub mod ledger;
 pub mod load;
+pub mod log_trace;
 pub mod membership;
 pub mod outcome;
 pub mod peer_loads;
