Number models in the plan of copies; let the largest machines act

Change: the plan compares names once and then counts with numbers. Hosts state their share of a core in their entry, and those with more act first. A test of the order failed before; it put names only.

--- a/src/cmd/bench.rs
+++ b/src/cmd/bench.rs
@@ -2,11 +2,13 @@
 
 use std::ffi::OsString;
 use std::hint::black_box;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use currantcove::core::admission::{TeamLoads, check_target};
+use currantcove::core::catalog::{EngineSpec, ModelSpec};
+use currantcove::core::copies::{self, ModelDemand, PlannedEngine};
 use currantcove::core::fleet::{Fleet, ListedState, ListedUpstream, Observation, UpstreamKind};
-use currantcove::core::ids::{ArtifactId, TeamId, UpstreamId, ZoneId};
+use currantcove::core::ids::{ArtifactId, ModelId, TeamId, UpstreamId, ZoneId};
 use currantcove::core::placement::{PlannedModel, PlannedUpstream, plan};
 use currantcove::core::routing::{Rng, RouteInput, route};
 
@@ -31,6 +33,8 @@
 const COPY_MIB: u64 = 60 * 1024;
 const ROUTES: u32 = 2_000_000;
 const PLANS: u32 = 50;
+/// Models whose demand exceeds their copies.
+const CROWDED: usize = 40;
 
 pub fn run(argv: Vec<OsString>) -> CliResult<()> {
     Common::parse_only(argv, USAGE)?;
@@ -43,6 +47,10 @@
     util::print(&format!(
         "placement round, settled: {settled_us} us, cold: {cold_us} us\n"
     ));
+    let (quiet_us, crowded_us) = (time_copies(0), time_copies(CROWDED));
+    util::print(&format!(
+        "plan of copies on a platform, quiet: {quiet_us} us, {CROWDED} models crowded: {crowded_us} us\n"
+    ));
     let line = serde_json::json!({
         "models": MODELS,
         "upstreams": UPSTREAMS,
@@ -50,6 +58,8 @@
         "route_ns": route_ns,
         "plan_settled_us": settled_us,
         "plan_cold_us": cold_us,
+        "copies_quiet_us": quiet_us,
+        "copies_crowded_us": crowded_us,
     });
     util::print(&format!("{line}\n"));
     Ok(())
@@ -126,6 +136,55 @@
     started.elapsed().as_nanos() as u64 / u64::from(ROUTES)
 }
 
+/// Time of a plan of copies, with some models that find no room.
+fn time_copies(crowded: usize) -> u64 {
+    let size = ModelSpec {
+        weights_mb: COPY_MIB,
+        adapters: 0,
+        adapter_mb: 0,
+        store_load: Duration::from_secs(9),
+        disk_load: Duration::from_secs(2),
+        memory_load: Duration::from_secs(1),
+    };
+    let model = |i: usize| ModelId::new(&format!("model-{i}"));
+    let spec = EngineSpec {
+        batch: 64,
+        cache_tokens: 100_000,
+        weights_mb: COPY_MIB * COPIES as u64,
+        adapter_slots: 0,
+        store_loads_per_s: 100.0,
+        models: (0..MODELS).map(|i| (model(i), size.clone())).collect(),
+    };
+    let engines: Vec<PlannedEngine> = (0..UPSTREAMS)
+        .map(|e| PlannedEngine {
+            id: UpstreamId::new(&format!("upstream-{e}")),
+            takes_orders: true,
+            zone: zone(e),
+            busy_ms: None,
+            is_serving: true,
+            holds: (0..MODELS * COPIES)
+                .filter(|k| k % UPSTREAMS == e)
+                .take(COPIES)
+                .map(|k| (model(k % MODELS), std::collections::BTreeSet::new()))
+                .collect(),
+            loading: None,
+            fresh: std::collections::BTreeSet::new(),
+            in_memory: std::collections::BTreeSet::new(),
+            on_disk: std::collections::BTreeSet::new(),
+        })
+        .collect();
+    let demand = |i: usize| ModelDemand {
+        engine_use: if i < crowded { 3.0 } else { 0.1 },
+        last_asked_ms: 1_000,
+    };
+    let demand = (0..MODELS).map(|i| (model(i), demand(i))).collect();
+    let started = Instant::now();
+    for _ in 0..PLANS {
+        black_box(copies::plan(1_000, &spec, &engines, &demand, 3));
+    }
+    started.elapsed().as_micros() as u64 / u64::from(PLANS)
+}
+
 fn time_plan(is_settled: bool) -> u64 {
     let models: Vec<PlannedModel> = (0..MODELS)
         .map(|i| PlannedModel {
--- a/src/core/copies.rs
+++ b/src/core/copies.rs
@@ -8,9 +8,10 @@
 //! lost: their models are loaded elsewhere, by demand. The last copy of a
 //! model is never given up.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use super::catalog::{EngineSpec, WeightSource};
+use super::catalog::{EngineSpec, ModelSpec, WeightSource};
 use super::ids::{ModelId, UpstreamId, ZoneId};
 use super::registry::Holdings;
 
@@ -93,13 +94,6 @@
     pub on_disk: BTreeSet<ModelId>,
 }
 
-impl PlannedEngine {
-    /// True if a model can serve here now.
-    fn has_ready(&self, model: &ModelId) -> bool {
-        self.holds.contains_key(model) && self.loading.as_ref() != Some(model)
-    }
-}
-
 /// One step of the plan.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Step {
@@ -136,26 +130,68 @@
     planner.steps
 }
 
+/// Number of a model in the order of the specification.
+type ModelNo = usize;
+/// Number of an engine in the order given.
+type EngineNo = usize;
+
+/// Engine with its models numbered; names are compared once a plan only.
+struct Site {
+    /// Models held, loading or planned, with the memory that each takes.
+    holds: Vec<(ModelNo, u64)>,
+    loading: Option<ModelNo>,
+    fresh: Vec<ModelNo>,
+    in_memory: Vec<ModelNo>,
+    on_disk: Vec<ModelNo>,
+    free_mb: u64,
+    /// False if the engine takes no step of this plan.
+    is_open: bool,
+}
+
+impl Site {
+    fn holds(&self, model: ModelNo) -> bool {
+        self.holds.iter().any(|(m, _)| *m == model)
+    }
+
+    /// True if a model can serve here now.
+    fn has_ready(&self, model: ModelNo) -> bool {
+        self.holds(model) && self.loading != Some(model)
+    }
+
+    fn source_of(&self, model: ModelNo) -> WeightSource {
+        if self.in_memory.contains(&model) {
+            WeightSource::Memory
+        } else if self.on_disk.contains(&model) {
+            WeightSource::Disk
+        } else {
+            WeightSource::Store
+        }
+    }
+}
+
 struct Planner<'a> {
     now_ms: u64,
     spec: &'a EngineSpec,
     engines: &'a [PlannedEngine],
-    demand: &'a BTreeMap<ModelId, ModelDemand>,
+    models: Vec<(&'a ModelId, &'a ModelSpec)>,
+    demand: Vec<ModelDemand>,
+    sites: Vec<Site>,
     /// Engines that hold, load or are to load each model, with the use that
     /// settles there.
-    holders: BTreeMap<&'a ModelId, Vec<(usize, f64)>>,
+    holders: Vec<Vec<(EngineNo, f64)>>,
     /// Use of each engine once demand has settled.
     engine_use: Vec<f64>,
-    is_free: Vec<bool>,
+    /// Memory kept free for a full set of adapters.
+    adapter_reserve_mb: u64,
     store_loads: u32,
     steps: Vec<Step>,
 }
 
 /// Way to add a copy of a model.
-struct Candidate<'a> {
-    model: &'a ModelId,
-    engine: usize,
-    victims: Vec<&'a ModelId>,
+struct Candidate {
+    model: ModelNo,
+    engine: EngineNo,
+    victims: Vec<ModelNo>,
     gain: f64,
 }
 
@@ -164,25 +200,39 @@
         now_ms: u64,
         spec: &'a EngineSpec,
         engines: &'a [PlannedEngine],
-        demand: &'a BTreeMap<ModelId, ModelDemand>,
+        demand: &BTreeMap<ModelId, ModelDemand>,
         store_loads: u32,
     ) -> Self {
-        let mut holders: BTreeMap<&ModelId, Vec<(usize, f64)>> = BTreeMap::new();
-        for (e, engine) in engines.iter().enumerate() {
-            if engine.is_serving {
-                for model in engine.holds.keys() {
-                    holders.entry(model).or_default().push((e, 0.0));
-                }
+        let models: Vec<(&ModelId, &ModelSpec)> = spec.models.iter().collect();
+        let numbers: HashMap<&ModelId, ModelNo> = models
+            .iter()
+            .enumerate()
+            .map(|(no, (m, _))| (*m, no))
+            .collect();
+        let sites: Vec<Site> = engines
+            .iter()
+            .map(|engine| site(engine, spec, &numbers))
+            .collect();
+        let mut holders = vec![Vec::new(); models.len()];
+        for (e, site) in sites.iter().enumerate().filter(|(_, s)| s.is_open) {
+            for (model, _) in &site.holds {
+                holders[*model].push((e, 0.0));
             }
         }
+        let demand = models
+            .iter()
+            .map(|(m, _)| demand.get(*m).copied().unwrap_or_default())
+            .collect();
         let mut planner = Self {
             now_ms,
             spec,
             engines,
+            models,
             demand,
+            sites,
             holders,
-            engine_use: Vec::new(),
-            is_free: engines.iter().map(|e| e.is_serving).collect(),
+            engine_use: vec![0.0; engines.len()],
+            adapter_reserve_mb: adapter_reserve_mb(spec),
             store_loads,
             steps: Vec::new(),
         };
@@ -190,54 +240,47 @@
         planner
     }
 
-    fn demand_of(&self, model: &ModelId) -> ModelDemand {
-        self.demand.get(model).copied().unwrap_or_default()
-    }
-
-    fn is_idle(&self, model: &ModelId) -> bool {
-        let asked_ms = self.demand_of(model).last_asked_ms;
+    fn is_idle(&self, model: ModelNo) -> bool {
+        let asked_ms = self.demand[model].last_asked_ms;
         asked_ms == 0 || self.now_ms.saturating_sub(asked_ms) > IDLE_AFTER_MS
     }
 
-    fn has_copy(&self, model: &ModelId) -> bool {
-        self.holders.get(model).is_some_and(|h| !h.is_empty())
+    fn has_copy(&self, model: ModelNo) -> bool {
+        !self.holders[model].is_empty()
     }
 
     /// Spreads each model's demand over its copies as routing does: where it
     /// meets less of the others'.
     fn settle(&mut self) {
-        let mut total = vec![0.0; self.engines.len()];
-        for (model, holders) in &mut self.holders {
-            let engine_use = self.demand.get(*model).map_or(0.0, |d| d.engine_use);
-            let share = engine_use / holders.len().max(1) as f64;
+        let total = &mut self.engine_use;
+        for (holders, demand) in self.holders.iter_mut().zip(&self.demand) {
+            let share = demand.engine_use / holders.len().max(1) as f64;
             for (_, copy_share) in holders {
                 *copy_share = share;
             }
         }
         for _ in 0..SETTLE_ROUNDS {
             total.fill(0.0);
-            for (e, share) in self.holders.values().flatten() {
+            for (e, share) in self.holders.iter().flatten() {
                 total[*e] += share;
             }
-            for (model, holders) in &mut self.holders {
-                let engine_use = self.demand.get(*model).map_or(0.0, |d| d.engine_use);
-                if engine_use <= 0.0 || holders.len() < 2 {
+            for (holders, demand) in self.holders.iter_mut().zip(&self.demand) {
+                if demand.engine_use <= 0.0 || holders.len() < 2 {
                     continue;
                 }
                 // What each engine would have left without this model.
-                let room = |(e, own): &(usize, f64)| (1.5 - (total[*e] - own)).max(0.05).powi(2);
+                let room = |(e, own): &(EngineNo, f64)| (1.5 - (total[*e] - own)).max(0.05).powi(2);
                 let sum: f64 = holders.iter().map(room).sum();
                 for holder in holders {
-                    holder.1 = engine_use * room(holder) / sum;
+                    holder.1 = demand.engine_use * room(holder) / sum;
                 }
             }
         }
-        self.engine_use = total;
     }
 
     /// Use that finds no room, by a model that is declared.
-    fn unmet_use(&self, model: &ModelId) -> f64 {
-        let demand = self.demand_of(model);
+    fn unmet_use(&self, model: ModelNo) -> f64 {
+        let demand = self.demand[model];
         if !self.has_copy(model) {
             let is_wanted = demand.last_asked_ms > 0
                 && self.now_ms.saturating_sub(demand.last_asked_ms) < WANTED_FOR_MS;
@@ -247,35 +290,24 @@
                 UNASKED_USE
             };
         }
-        let best_use = self.best_use(model);
+        // Use of the engine where its requests fare best.
+        let uses = self.holders[model].iter().map(|(e, _)| self.engine_use[*e]);
+        let best_use = uses.fold(f64::MAX, f64::min);
         if best_use <= TARGET_USE {
             return 0.0;
         }
         demand.engine_use * (best_use - TARGET_USE) / best_use
     }
 
-    /// Use of the engine where a model's requests fare best.
-    fn best_use(&self, model: &ModelId) -> f64 {
-        let holders = self.holders.get(model).into_iter().flatten();
-        let uses = holders.map(|(e, _)| self.engine_use[*e]);
-        uses.fold(f64::MAX, f64::min)
-    }
-
     /// Adds copies of models whose requests find no room, or fare badly
     /// wherever they go; those that gain most first. What a copy gains only
     /// falls as others are planned, so that only the best is looked at again.
     fn add_copies(&mut self) {
-        let mut open: Vec<Candidate<'a>> = self
-            .spec
-            .models
-            .keys()
+        let mut open: Vec<Candidate> = (0..self.models.len())
             .filter_map(|model| self.best_candidate(model))
             .collect();
-        while self.steps.len() < MAX_STEPS && !open.is_empty() {
-            open.sort_by(|a, b| {
-                let order = a.gain.total_cmp(&b.gain);
-                order.then_with(|| b.model.cmp(a.model))
-            });
+        open.sort_by(Candidate::by_gain);
+        while self.steps.len() < MAX_STEPS {
             let Some(best) = open.pop() else {
                 return;
             };
@@ -283,36 +315,43 @@
                 continue;
             };
             let is_still_best = open.last().is_none_or(|next| now.gain >= next.gain);
-            if !is_still_best {
-                open.push(now);
-                continue;
+            let model = now.model;
+            if is_still_best {
+                self.adopt(&now);
+            }
+            let next = if is_still_best {
+                self.best_candidate(model)
+            } else {
+                Some(now)
+            };
+            if let Some(next) = next {
+                let at = open.partition_point(|c| Candidate::by_gain(c, &next).is_lt());
+                open.insert(at, next);
             }
-            self.adopt(&now);
-            open.extend(self.best_candidate(now.model));
         }
     }
 
     /// Where a further copy of a model gains most; `None` if nowhere enough.
-    fn best_candidate(&self, model: &'a ModelId) -> Option<Candidate<'a>> {
+    fn best_candidate(&self, model: ModelNo) -> Option<Candidate> {
         let unmet = self.unmet_use(model);
         if unmet <= LEAST_GAIN {
             return None;
         }
-        (0..self.engines.len())
-            .filter(|&e| self.is_free[e] && !self.engines[e].holds.contains_key(model))
+        let worth = |c: &Candidate| c.gain + self.zone_use(c.engine, model);
+        (0..self.sites.len())
+            .filter(|&e| self.sites[e].is_open && !self.sites[e].holds(model))
             .filter_map(|e| self.candidate(e, model, unmet))
             .filter(|c| c.gain > LEAST_GAIN)
             .max_by(|a, b| {
-                let worth = |c: &Candidate<'_>| c.gain + self.zone_use(c.engine, model);
                 let order = worth(a).total_cmp(&worth(b));
                 order.then_with(|| b.engine.cmp(&a.engine))
             })
     }
 
     /// What a copy counts for more in a zone that has none.
-    fn zone_use(&self, e: usize, model: &ModelId) -> f64 {
+    fn zone_use(&self, e: EngineNo, model: ModelNo) -> f64 {
         let zone = &self.engines[e].zone;
-        let holders = self.holders.get(model).into_iter().flatten();
+        let holders = self.holders[model].iter();
         let mut zones = holders.map(|(h, _)| &self.engines[*h].zone);
         if zones.any(|z| z == zone) {
             0.0
@@ -322,10 +361,10 @@
     }
 
     /// What a copy of a model at an engine gains, with those that go for it.
-    fn candidate(&self, e: usize, model: &'a ModelId, unmet: f64) -> Option<Candidate<'a>> {
+    fn candidate(&self, e: EngineNo, model: ModelNo, unmet: f64) -> Option<Candidate> {
         let victims = self.victims(e, model)?;
-        let loss: f64 = victims.iter().map(|v| self.loss(e, v)).sum();
-        let freed: f64 = victims.iter().map(|v| self.share(e, v)).sum();
+        let loss: f64 = victims.iter().map(|v| self.loss(e, *v)).sum();
+        let freed: f64 = victims.iter().map(|v| self.share(e, *v)).sum();
         let room = FULL_USE - (self.engine_use[e] - freed);
         let is_missing = !self.has_copy(model);
         let delay_s = self.delay_s(e, model, &victims);
@@ -349,7 +388,7 @@
     }
 
     /// Time until a copy that is begun now serves.
-    fn delay_s(&self, e: usize, model: &ModelId, victims: &[&ModelId]) -> f64 {
+    fn delay_s(&self, e: EngineNo, model: ModelNo, victims: &[ModelNo]) -> f64 {
         let engine = &self.engines[e];
         let busy_s = match (engine.takes_orders, engine.busy_ms) {
             (true, _) => 0.0,
@@ -358,14 +397,13 @@
         };
         let unload_s: f64 = victims
             .iter()
-            .map(|v| match self.share(e, v) {
+            .map(|v| match self.share(e, *v) {
                 share if share > BUSY_COPY_USE => BUSY_UNLOAD_S,
                 _ => IDLE_UNLOAD_S,
             })
             .sum();
-        let source = self.source_of(e, model);
-        let spec = self.spec.models.get(model);
-        let load_s = spec.map_or(0.0, |s| s.load_time(source).as_secs_f64());
+        let source = self.sites[e].source_of(model);
+        let load_s = self.models[model].1.load_time(source).as_secs_f64();
         let is_rationed = source == WeightSource::Store && self.store_loads == 0;
         let turn_s = if is_rationed {
             1.0 / self.spec.store_loads_per_s.max(0.1)
@@ -377,56 +415,49 @@
 
     /// Takes a copy into the plan. An engine that cannot begin with it yet is
     /// kept for it, so that no other has to give up a copy meanwhile.
-    fn adopt(&mut self, candidate: &Candidate<'a>) {
+    fn adopt(&mut self, candidate: &Candidate) {
         let (e, model) = (candidate.engine, candidate.model);
         let engine = &self.engines[e];
-        let is_from_store = self.source_of(e, model) == WeightSource::Store;
-        let upstream = engine.id.clone();
-        let is_rationed = is_from_store && self.store_loads == 0 && candidate.victims.is_empty();
+        let is_from_store = self.sites[e].source_of(model) == WeightSource::Store;
+        let is_load = candidate.victims.is_empty();
+        let is_rationed = is_from_store && self.store_loads == 0 && is_load;
         if engine.takes_orders && !is_rationed {
+            let upstream = engine.id.clone();
             self.steps.push(match candidate.victims.first() {
                 Some(&victim) => Step::Unload {
                     upstream,
-                    model: victim.clone(),
+                    model: self.models[victim].0.clone(),
                 },
                 None => Step::Load {
                     upstream,
-                    model: model.clone(),
+                    model: self.models[model].0.clone(),
                     is_from_store,
                 },
             });
-            if is_from_store && candidate.victims.is_empty() {
+            if is_from_store && is_load {
                 self.store_loads -= 1;
             }
         }
-        self.is_free[e] = false;
+        self.sites[e].is_open = false;
         for victim in &candidate.victims {
-            if let Some(holders) = self.holders.get_mut(victim) {
-                holders.retain(|(h, _)| *h != e);
-            }
+            self.holders[*victim].retain(|(h, _)| *h != e);
         }
-        self.holders.entry(model).or_default().push((e, 0.0));
+        self.holders[model].push((e, 0.0));
         self.settle();
     }
 
-    fn source_of(&self, e: usize, model: &ModelId) -> WeightSource {
-        let engine = &self.engines[e];
-        WeightSource::of(model, &engine.in_memory, &engine.on_disk)
-    }
-
     /// Use by the copy of a model at an engine.
-    fn share(&self, e: usize, model: &ModelId) -> f64 {
-        let holders = self.holders.get(model).into_iter().flatten();
-        let copy = holders.into_iter().find(|(h, _)| *h == e);
+    fn share(&self, e: EngineNo, model: ModelNo) -> f64 {
+        let copy = self.holders[model].iter().find(|(h, _)| *h == e);
         copy.map_or(0.0, |(_, share)| *share)
     }
 
     /// Use that is lost if a copy goes: what the others cannot take over.
-    fn loss(&self, e: usize, model: &ModelId) -> f64 {
+    fn loss(&self, e: EngineNo, model: ModelNo) -> f64 {
         let share = self.share(e, model);
-        let others = self.holders.get(model).into_iter().flatten();
-        let room: f64 = others
-            .filter(|(h, _)| *h != e && self.engines[*h].has_ready(model))
+        let room: f64 = self.holders[model]
+            .iter()
+            .filter(|(h, _)| *h != e && self.sites[*h].has_ready(model))
             .map(|(h, _)| (FULL_USE - self.engine_use[*h]).max(0.0))
             .sum();
         (share - room).max(0.0) + share.min(room) * MOVED_LOSS
@@ -434,53 +465,74 @@
 
     /// Models to unload so that another fits, those with the least loss;
     /// `None` if too few may go.
-    fn victims(&self, e: usize, wanted: &ModelId) -> Option<Vec<&'a ModelId>> {
-        let engine = &self.engines[e];
-        let size_mb = |m: &ModelId| self.spec.models.get(m).map_or(0, |s| s.weights_mb);
-        let adapter_mb = |m: &ModelId| self.spec.models.get(m).map_or(0, |s| s.adapter_mb);
-        let used_mb: u64 = engine
-            .holds
-            .iter()
-            .map(|(m, adapters)| size_mb(m) + adapters.len() as u64 * adapter_mb(m))
-            .sum();
-        let mut free_mb = self.spec.weights_mb.saturating_sub(used_mb);
-        let needed_mb = size_mb(wanted) + self.adapter_reserve_mb();
+    fn victims(&self, e: EngineNo, wanted: ModelNo) -> Option<Vec<ModelNo>> {
+        let site = &self.sites[e];
+        let mut free_mb = site.free_mb;
+        let needed_mb = self.models[wanted].1.weights_mb + self.adapter_reserve_mb;
         if free_mb >= needed_mb {
             return Some(Vec::new());
         }
-        let mut spare: Vec<(bool, f64, &ModelId)> = engine
+        let mut spare: Vec<(bool, f64, ModelNo, u64)> = site
             .holds
-            .keys()
-            .filter(|m| !engine.fresh.contains(*m) && self.can_spare(e, m))
-            .map(|m| (!self.is_idle(m), self.loss(e, m), m))
+            .iter()
+            .filter(|(m, _)| !site.fresh.contains(m) && self.can_spare(e, *m))
+            .map(|(m, mb)| (!self.is_idle(*m), self.loss(e, *m), *m, *mb))
             .collect();
         spare.sort_by(|a, b| a.0.cmp(&b.0).then_with(|| a.1.total_cmp(&b.1)));
         let mut victims = Vec::new();
-        for (_, _, model) in spare {
+        for (_, _, model, mb) in spare {
             if free_mb >= needed_mb {
                 break;
             }
-            free_mb += size_mb(model) + engine.holds[model].len() as u64 * adapter_mb(model);
+            free_mb += mb;
             victims.push(model);
         }
         (free_mb >= needed_mb).then_some(victims)
     }
 
-    /// Memory kept free for a full set of adapters, as far as three models of
-    /// the largest size leave any.
-    fn adapter_reserve_mb(&self) -> u64 {
-        let largest = self.spec.models.values().map(|m| m.weights_mb).max();
-        let adapter = self.spec.models.values().map(|m| m.adapter_mb).max();
-        let left_mb = self.spec.weights_mb % largest.unwrap_or(1).max(1);
-        let all_mb = adapter.unwrap_or(0) * u64::from(self.spec.adapter_slots);
-        all_mb.min(left_mb)
-    }
-
     /// True if another copy of a model serves, so that the one at an engine may
     /// go. One that is still being loaded may never come.
-    fn can_spare(&self, e: usize, model: &ModelId) -> bool {
-        let holders = self.holders.get(model).into_iter().flatten();
-        let mut others = holders.filter(|(h, _)| *h != e);
-        others.any(|(h, _)| self.engines[*h].has_ready(model))
+    fn can_spare(&self, e: EngineNo, model: ModelNo) -> bool {
+        let mut others = self.holders[model].iter().filter(|(h, _)| *h != e);
+        others.any(|(h, _)| self.sites[*h].has_ready(model))
+    }
+}
+
+impl Candidate {
+    /// Order by gain, the earlier model last among equals.
+    fn by_gain(a: &Self, b: &Self) -> Ordering {
+        let order = a.gain.total_cmp(&b.gain);
+        order.then_with(|| b.model.cmp(&a.model))
     }
 }
+
+fn site(engine: &PlannedEngine, spec: &EngineSpec, numbers: &HashMap<&ModelId, ModelNo>) -> Site {
+    let number = |model: &ModelId| numbers.get(model).copied();
+    let mut free_mb = spec.weights_mb;
+    let mut holds = Vec::with_capacity(engine.holds.len());
+    for (model, adapters) in &engine.holds {
+        let size = spec.models.get(model);
+        let mb = size.map_or(0, |s| s.weights_mb + adapters.len() as u64 * s.adapter_mb);
+        free_mb = free_mb.saturating_sub(mb);
+        holds.extend(number(model).map(|no| (no, mb)));
+    }
+    Site {
+        holds,
+        loading: engine.loading.as_ref().and_then(number),
+        fresh: engine.fresh.iter().filter_map(number).collect(),
+        in_memory: engine.in_memory.iter().filter_map(number).collect(),
+        on_disk: engine.on_disk.iter().filter_map(number).collect(),
+        free_mb,
+        is_open: engine.is_serving,
+    }
+}
+
+/// Memory for a full set of adapters, as far as models of the largest size
+/// leave any.
+fn adapter_reserve_mb(spec: &EngineSpec) -> u64 {
+    let largest = spec.models.values().map(|m| m.weights_mb).max();
+    let adapter = spec.models.values().map(|m| m.adapter_mb).max();
+    let left_mb = spec.weights_mb % largest.unwrap_or(1).max(1);
+    let all_mb = adapter.unwrap_or(0) * u64::from(spec.adapter_slots);
+    all_mb.min(left_mb)
+}
--- a/src/gateway/acting.rs
+++ b/src/gateway/acting.rs
@@ -293,9 +293,9 @@
         let gateway = &self.gateway;
         let own = gateway.settings().host.clone();
         let peers = gateway.peers.borrow();
-        for (host, addr) in peers.iter() {
+        for (host, peer) in peers.iter() {
             if *host != own {
-                gateway.send_peer(*addr, message);
+                gateway.send_peer(peer.addr, message);
             }
         }
     }
@@ -329,7 +329,7 @@
         let peer_loads = gateway.peer_loads.borrow();
         let totals = peer_loads.totals(now_ms);
         let peers = gateway.peers.borrow();
-        for (host, addr) in peers.iter() {
+        for (host, peer) in peers.iter() {
             let others: Vec<(UpstreamId, InFlight)> = totals
                 .iter()
                 .map(|(id, total)| (id.clone(), total.minus(peer_loads.of_host(host, id))))
@@ -343,7 +343,7 @@
             }
             for part in 0..others.len().div_ceil(super::peers::ITEMS_PER_DATAGRAM) {
                 let others = chunk(&others, part);
-                gateway.send_peer(*addr, &PeerMessage::Digest { term, others });
+                gateway.send_peer(peer.addr, &PeerMessage::Digest { term, others });
             }
         }
     }
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -6,6 +6,7 @@
 //! also counts suspension, reckoned from before the renewal was sent.
 
 use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -63,6 +64,19 @@
     now.tv_sec.unsigned_abs() * 1000 + now.tv_nsec.unsigned_abs() / 1_000_000
 }
 
+/// Place of a host among all that would act, from 0. Acting takes most of a
+/// small machine's time, so that those with more of a core go first.
+pub fn place_in_line<'a>(
+    hosts: impl Iterator<Item = (&'a HostId, u32)>,
+    own: &HostId,
+    own_cpu_milli: u32,
+) -> u64 {
+    let own_key = (Reverse(own_cpu_milli), own);
+    hosts
+        .filter(|(host, cpu_milli)| (Reverse(*cpu_milli), *host) < own_key)
+        .count() as u64
+}
+
 impl<P: Platform> Membership<P> {
     /// Service over the shared state.
     pub fn new(gateway: Rc<Gateway<P>>) -> Self {
@@ -98,6 +112,7 @@
             host: settings.host.clone(),
             addr: (settings.ip, settings.peer_port).into(),
             zone: settings.zone.as_str().to_owned(),
+            cpu_milli: (settings.cpu_share * 1000.0) as u32,
         }
     }
 
@@ -196,10 +211,10 @@
 
     /// Place of this host in the line of those that would act.
     fn rank(&self) -> u64 {
-        let gateway = &self.gateway;
-        let own = gateway.settings().host.clone();
-        let peers = gateway.peers.borrow();
-        peers.keys().filter(|h| **h < own).count() as u64
+        let own = self.own_value();
+        let peers = self.gateway.peers.borrow();
+        let hosts = peers.iter().map(|(host, peer)| (host, peer.cpu_milli));
+        place_in_line(hosts, &own.host, own.cpu_milli)
     }
 
     async fn try_to_act(&self) -> Result<(), KvError> {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -239,7 +239,7 @@
         let addrs: Vec<SocketAddr> = if gateway.host_count() <= MAX_DIRECT_HOSTS {
             let peers = gateway.peers.borrow();
             let others = peers.iter().filter(|(h, _)| **h != host);
-            others.map(|(_, addr)| *addr).collect()
+            others.map(|(_, peer)| peer.addr).collect()
         } else {
             let other = acting.filter(|a| a.host != host);
             other.map(|a| a.addr).into_iter().collect()
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -33,6 +33,10 @@
     pub store_addr: SocketAddr,
     /// Memory of the process in MB.
     pub memory_mb: u64,
+    /// Share of a core that this machine has; machines with more of it act for
+    /// the fleet first.
+    #[serde(default = "whole_core")]
+    pub cpu_share: f64,
     /// Descriptors of the process.
     pub max_descriptors: usize,
     /// True if engines refuse orders with a lower fencing number.
@@ -59,6 +63,10 @@
     pub min_lease_ms: u64,
 }
 
+fn whole_core() -> f64 {
+    1.0
+}
+
 /// Longest time in settings, in seconds.
 const MAX_TIME_S: f64 = 3_600.0;
 
@@ -78,6 +86,8 @@
         findings.expect(is_apart, "ready_addr", "is the same as caller_addr");
         findings.expect(self.peer_port > 0, "peer_port", "must be at least 1");
         findings.expect(self.memory_mb > 0, "memory_mb", "must be at least 1");
+        let is_positive = self.cpu_share > 0.0;
+        findings.expect(is_positive, "cpu_share", "must be over 0");
         let is_valid = self.stop_grace_s > 0.0 && self.stop_grace_s <= MAX_TIME_S;
         findings.expect(is_valid, "stop_grace_s", "must be over 0 and at most 3600");
         let is_share = (0.0..=1.0).contains(&self.retry_share);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -42,6 +42,15 @@
     pub term: u64,
 }
 
+/// Listed host, as the others know it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Peer {
+    /// Address for traffic between hosts.
+    pub addr: SocketAddr,
+    /// Thousandths of a core that its machine has.
+    pub cpu_milli: u32,
+}
+
 /// Shared state.
 #[derive(Debug)]
 pub struct Gateway<P: Platform> {
@@ -65,8 +74,8 @@
     pub budgets: RefCell<HashMap<ServiceId, RetryBudget>>,
     /// What callers asked for.
     pub demand: RefCell<DemandBook>,
-    /// Addresses of all listed hosts for traffic between hosts.
-    pub peers: RefCell<HashMap<HostId, SocketAddr>>,
+    /// All listed hosts.
+    pub peers: RefCell<HashMap<HostId, Peer>>,
     /// Host that gives orders.
     pub acting: RefCell<Option<ActingHost>>,
     /// What other hosts state to have in flight.
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::platform::{Changes, FleetStore, Platform};
-use super::state::{ActingHost, Gateway};
+use super::state::{ActingHost, Gateway, Peer};
 use crate::core::ids::HostId;
 use crate::core::registry::{Entry, LAPSE_GRACE_MS};
 use crate::edge::kv::{Change, KeyValue, KvError};
@@ -44,6 +44,9 @@
     pub addr: SocketAddr,
     /// Availability zone.
     pub zone: String,
+    /// Thousandths of a core that its machine has; 0 if it does not say.
+    #[serde(default)]
+    pub cpu_milli: u32,
 }
 
 /// Service that follows the store.
@@ -111,7 +114,7 @@
                 if own == ACTING_KEY {
                     acting = value.map(|v| acting_host(v, kv.mod_revision));
                 } else if let Some(value) = value.filter(|_| own.starts_with(HOSTS_KEY)) {
-                    peers.insert(value.host, value.addr);
+                    peers.insert(value.host.clone(), peer(&value));
                 }
             }
         }
@@ -157,7 +160,7 @@
                 gateway.set_acting(Some(acting_host(value, kv.mod_revision)));
             } else if own.starts_with(HOSTS_KEY) {
                 let mut peers = gateway.peers.borrow_mut();
-                peers.insert(value.host, value.addr);
+                peers.insert(value.host.clone(), peer(&value));
             }
         }
     }
@@ -220,6 +223,13 @@
     }
 }
 
+fn peer(value: &HostValue) -> Peer {
+    Peer {
+        addr: value.addr,
+        cpu_milli: value.cpu_milli,
+    }
+}
+
 fn acting_host(value: HostValue, term: u64) -> ActingHost {
     ActingHost {
         host: value.host,
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -11,6 +11,7 @@
 use currantcove::core::load::InFlight;
 use currantcove::core::peer_loads::{HOST_EXPIRES_MS, PeerLoads};
 use currantcove::core::registry::{Entry, Holdings, LAPSE_GRACE_MS, Registry, RegistryChange};
+use currantcove::gateway::membership::place_in_line;
 
 fn holds(models: &[(&str, &[&str])]) -> Holdings {
     let adapters = |names: &[&str]| names.iter().map(|a| AdapterId::new(a)).collect();
@@ -357,3 +358,18 @@
 
     assert!(loads.total(110, &upstream).is_empty());
 }
+
+/// Replays a fleet of unequal machines whose smallest one acted: it was busy
+/// with plans and reports for seconds, and its callers' requests waited.
+#[test]
+fn the_largest_machines_act_first() {
+    let hosts = [("a", 120), ("b", 500), ("c", 500), ("d", 250)];
+    let ids: Vec<(HostId, u32)> = hosts.iter().map(|(h, c)| (HostId::new(h), *c)).collect();
+
+    let places: Vec<u64> = ids
+        .iter()
+        .map(|(id, cpu)| place_in_line(ids.iter().map(|(h, c)| (h, *c)), id, *cpu))
+        .collect();
+
+    assert_eq!(places, [3, 0, 1, 2]);
+}
