Reckon once a round which copies may go; ten copies a plan at most

Cause: a plan for 830 engines and 880 models with 40 models crowded took 35 ms on a whole core; the acting host's callers wait meanwhile. Change: the copies that may go, with what is lost, are listed once demand has settled and not for each model at each engine.

--- a/src/core/copies.rs
+++ b/src/core/copies.rs
@@ -56,8 +56,9 @@
 const UNKNOWN_ORDER_S: f64 = 3.0;
 /// Rounds in which demand settles on the copies; more change little.
 const SETTLE_ROUNDS: usize = 6;
-/// Steps of one plan at most.
-const MAX_STEPS: usize = 32;
+/// Copies of one plan at most; the next plan follows within tenths of a second,
+/// and each takes time at a small machine.
+const MAX_COPIES: usize = 10;
 
 /// Offered load of one model over the whole fleet.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -181,6 +182,8 @@
     holders: Vec<Vec<(EngineNo, f64)>>,
     /// Use of each engine once demand has settled.
     engine_use: Vec<f64>,
+    /// Copies at each open engine that may go then, the least loss first.
+    spare: Vec<Vec<Spare>>,
     /// Memory kept free for a full set of adapters.
     adapter_reserve_mb: u64,
     store_loads: u32,
@@ -191,10 +194,21 @@
 struct Candidate {
     model: ModelNo,
     engine: EngineNo,
-    victims: Vec<ModelNo>,
     gain: f64,
 }
 
+/// Copy that may go for another.
+#[derive(Clone, Copy)]
+struct Spare {
+    model: ModelNo,
+    size_mb: u64,
+    is_busy: bool,
+    /// Use by it.
+    share: f64,
+    /// Use that is lost with it.
+    loss: f64,
+}
+
 impl<'a> Planner<'a> {
     fn new(
         now_ms: u64,
@@ -232,6 +246,7 @@
             sites,
             holders,
             engine_use: vec![0.0; engines.len()],
+            spare: Vec::new(),
             adapter_reserve_mb: adapter_reserve_mb(spec),
             store_loads,
             steps: Vec::new(),
@@ -276,6 +291,8 @@
                 }
             }
         }
+        let spare = (0..self.sites.len()).map(|e| self.spare_at(e));
+        self.spare = spare.collect();
     }
 
     /// Use that finds no room, by a model that is declared.
@@ -307,7 +324,8 @@
             .filter_map(|model| self.best_candidate(model))
             .collect();
         open.sort_by(Candidate::by_gain);
-        while self.steps.len() < MAX_STEPS {
+        let mut copies = 0;
+        while copies < MAX_COPIES {
             let Some(best) = open.pop() else {
                 return;
             };
@@ -318,6 +336,7 @@
             let model = now.model;
             if is_still_best {
                 self.adopt(&now);
+                copies += 1;
             }
             let next = if is_still_best {
                 self.best_candidate(model)
@@ -362,12 +381,12 @@
 
     /// What a copy of a model at an engine gains, with those that go for it.
     fn candidate(&self, e: EngineNo, model: ModelNo, unmet: f64) -> Option<Candidate> {
+        let is_missing = !self.has_copy(model);
         let victims = self.victims(e, model)?;
-        let loss: f64 = victims.iter().map(|v| self.loss(e, *v)).sum();
-        let freed: f64 = victims.iter().map(|v| self.share(e, *v)).sum();
+        let loss: f64 = victims.iter().map(|v| v.loss).sum();
+        let freed: f64 = victims.iter().map(|v| v.share).sum();
         let room = FULL_USE - (self.engine_use[e] - freed);
-        let is_missing = !self.has_copy(model);
-        let delay_s = self.delay_s(e, model, &victims);
+        let delay_s = self.delay_s(e, model, victims);
         let gain = if !is_missing {
             unmet.min(room) * (1.0 - delay_s / HORIZON_S).max(0.0)
         } else if unmet > UNASKED_USE {
@@ -382,13 +401,12 @@
         Some(Candidate {
             model,
             engine: e,
-            victims,
             gain: gain - loss,
         })
     }
 
     /// Time until a copy that is begun now serves.
-    fn delay_s(&self, e: EngineNo, model: ModelNo, victims: &[ModelNo]) -> f64 {
+    fn delay_s(&self, e: EngineNo, model: ModelNo, victims: &[Spare]) -> f64 {
         let engine = &self.engines[e];
         let busy_s = match (engine.takes_orders, engine.busy_ms) {
             (true, _) => 0.0,
@@ -397,9 +415,12 @@
         };
         let unload_s: f64 = victims
             .iter()
-            .map(|v| match self.share(e, *v) {
-                share if share > BUSY_COPY_USE => BUSY_UNLOAD_S,
-                _ => IDLE_UNLOAD_S,
+            .map(|v| {
+                if v.share > BUSY_COPY_USE {
+                    BUSY_UNLOAD_S
+                } else {
+                    IDLE_UNLOAD_S
+                }
             })
             .sum();
         let source = self.sites[e].source_of(model);
@@ -418,12 +439,15 @@
     fn adopt(&mut self, candidate: &Candidate) {
         let (e, model) = (candidate.engine, candidate.model);
         let engine = &self.engines[e];
+        let victims: Vec<ModelNo> = self
+            .victims(e, model)
+            .map_or_else(Vec::new, |v| v.iter().map(|s| s.model).collect());
         let is_from_store = self.sites[e].source_of(model) == WeightSource::Store;
-        let is_load = candidate.victims.is_empty();
+        let is_load = victims.is_empty();
         let is_rationed = is_from_store && self.store_loads == 0 && is_load;
         if engine.takes_orders && !is_rationed {
             let upstream = engine.id.clone();
-            self.steps.push(match candidate.victims.first() {
+            self.steps.push(match victims.first() {
                 Some(&victim) => Step::Unload {
                     upstream,
                     model: self.models[victim].0.clone(),
@@ -439,8 +463,8 @@
             }
         }
         self.sites[e].is_open = false;
-        for victim in &candidate.victims {
-            self.holders[*victim].retain(|(h, _)| *h != e);
+        for victim in victims {
+            self.holders[victim].retain(|(h, _)| *h != e);
         }
         self.holders[model].push((e, 0.0));
         self.settle();
@@ -463,31 +487,43 @@
         (share - room).max(0.0) + share.min(room) * MOVED_LOSS
     }
 
-    /// Models to unload so that another fits, those with the least loss;
+    /// Copies to unload so that a model fits, those with the least loss;
     /// `None` if too few may go.
-    fn victims(&self, e: EngineNo, wanted: ModelNo) -> Option<Vec<ModelNo>> {
-        let site = &self.sites[e];
-        let mut free_mb = site.free_mb;
+    fn victims(&self, e: EngineNo, wanted: ModelNo) -> Option<&[Spare]> {
         let needed_mb = self.models[wanted].1.weights_mb + self.adapter_reserve_mb;
-        if free_mb >= needed_mb {
-            return Some(Vec::new());
+        let mut free_mb = self.sites[e].free_mb;
+        for (count, spare) in self.spare[e].iter().enumerate() {
+            if free_mb >= needed_mb {
+                return Some(&self.spare[e][..count]);
+            }
+            free_mb += spare.size_mb;
         }
-        let mut spare: Vec<(bool, f64, ModelNo, u64)> = site
+        (free_mb >= needed_mb).then_some(&self.spare[e])
+    }
+
+    /// Copies at an engine that may go, those with the least loss first.
+    fn spare_at(&self, e: EngineNo) -> Vec<Spare> {
+        let site = &self.sites[e];
+        if !site.is_open {
+            return Vec::new();
+        }
+        let mut spare: Vec<Spare> = site
             .holds
             .iter()
             .filter(|(m, _)| !site.fresh.contains(m) && self.can_spare(e, *m))
-            .map(|(m, mb)| (!self.is_idle(*m), self.loss(e, *m), *m, *mb))
+            .map(|&(model, size_mb)| Spare {
+                model,
+                size_mb,
+                is_busy: !self.is_idle(model),
+                share: self.share(e, model),
+                loss: self.loss(e, model),
+            })
             .collect();
-        spare.sort_by(|a, b| a.0.cmp(&b.0).then_with(|| a.1.total_cmp(&b.1)));
-        let mut victims = Vec::new();
-        for (_, _, model, mb) in spare {
-            if free_mb >= needed_mb {
-                break;
-            }
-            free_mb += mb;
-            victims.push(model);
-        }
-        (free_mb >= needed_mb).then_some(victims)
+        spare.sort_by(|a, b| {
+            let order = a.is_busy.cmp(&b.is_busy);
+            order.then_with(|| a.loss.total_cmp(&b.loss))
+        });
+        spare
     }
 
     /// True if another copy of a model serves, so that the one at an engine may
