Ask again before a request is sent on a new connection

The host chooses none that it knows to leave; between the choice and the sending lie the wake-up of a waiting request and a new connection, and nothing looked again. Change: once a connection stands, a request goes only if its upstream still takes work; otherwise it has not been sent and another one is chosen.

--- a/src/edge/pool.rs
+++ b/src/edge/pool.rs
@@ -67,15 +67,29 @@
 impl Pool {
     /// Sends a request and waits for the head of its answer.
     pub async fn send(
+        &self,
+        addr: SocketAddr,
+        request: Request<RequestBody>,
+    ) -> Result<Response<PooledBody>, SendError> {
+        self.send_if(addr, request, || true).await
+    }
+
+    /// Sends a request unless it is no longer to go there once a connection
+    /// stands, which can take a while.
+    pub async fn send_if(
         &self,
         addr: SocketAddr,
         mut request: Request<RequestBody>,
+        is_still_wanted: impl Fn() -> bool,
     ) -> Result<Response<PooledBody>, SendError> {
         loop {
             let (mut sender, is_reused) = match self.checkout(addr).await {
                 Some(sender) => (sender, true),
                 None => (connect(addr).await.ok_or(SendError::NotSent)?, false),
             };
+            if !is_still_wanted() {
+                return Err(SendError::NotSent);
+            }
             match sender.try_send_request(request).await {
                 Ok(response) => return Ok(self.attach(addr, sender, response)),
                 Err(mut failed) => match failed.take_message() {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -189,7 +189,13 @@
         *request.method_mut() = job.method.clone();
         *request.uri_mut() = job.target.parse().map_err(|_| Failure::NotSent)?;
         *request.headers_mut() = self.platform.forward_headers(&job.headers, &forwarding);
-        let response = self.pool.send(addr, request).await.map_err(|e| match e {
+        let takes_work = || {
+            let registry = self.registry.borrow();
+            let entry = registry.get(upstream.as_str());
+            entry.is_some_and(|e| !e.is_draining)
+        };
+        let sent = self.pool.send_if(addr, request, takes_work).await;
+        let response = sent.map_err(|e| match e {
             SendError::NotSent => Failure::NotSent,
             SendError::Sent => Failure::Unknown,
         });
