Keep telling hosts whose entries lapsed; leave refusing weights alone for a while

A host that the store refused was not told of unloads, since its entry had lapsed, and sent requests to an engine that refused them; after a restart of all hosts nobody knew what was being unloaded, and each request went four times to an engine that refused it, which spent the retries of all. Change: hosts are told for 20 s after their entry vanished. Weights that an upstream refused without running are not asked for there for 0.3 s.

--- a/src/core/balance.rs
+++ b/src/core/balance.rs
@@ -186,7 +186,7 @@
     let Some(load) = load else {
         return Ok((0.0, false));
     };
-    if !has_room(now_ms, load, entry, need) {
+    if refused_for_ms(now_ms, load, need) > 0 || !has_room(now_ms, load, entry, need) {
         return Err(NoUpstream::Full);
     }
     let is_failing = load.is_ejected(now_ms) || load.is_silent(now_ms);
@@ -201,6 +201,11 @@
     Ok((cost_ms + load.failure_share() * FAILING_MS, is_failing))
 }
 
+fn refused_for_ms(now_ms: u64, load: &Load, need: &Need) -> u64 {
+    let weights = need.weights.as_ref();
+    weights.map_or(0, |w| load.refused_for_ms(now_ms, w))
+}
+
 fn has_room(now_ms: u64, load: &Load, entry: &Entry, need: &Need) -> bool {
     let total = load.total(now_ms);
     if need.weights.is_none() {
@@ -264,7 +269,7 @@
 /// Time until one upstream has room.
 fn room_ms(now_ms: u64, load: &Load, entry: &Entry, need: &Need) -> f64 {
     if has_room(now_ms, load, entry, need) {
-        return 0.0;
+        return refused_for_ms(now_ms, load, need) as f64;
     }
     let total = load.total(now_ms);
     let read_ms = load.predicted_read_ms(now_ms, need.demand.prompt_tokens);
--- a/src/core/load.rs
+++ b/src/core/load.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::balance::Weights;
 use super::ids::UpstreamId;
 
 /// Failures in a row after which an upstream is left out.
@@ -29,6 +30,9 @@
 pub const OTHERS_EXPIRE_MS: u64 = 2_500;
 /// Time per prompt token assumed before the first answer, in microseconds.
 const INITIAL_TOKEN_US: f64 = 80.0;
+/// Time for which an upstream that refused a request is sent no others for the
+/// same weights, in milliseconds; hosts learn of orders within it.
+const REFUSED_FOR_MS: u64 = 300;
 /// Weight of a new sample in smoothed values.
 const SMOOTHING: f64 = 0.15;
 /// Prompt tokens of a sample of the time per token with full weight; in smaller
@@ -86,6 +90,9 @@
     consecutive_failures: u32,
     ejections: u32,
     ejected_until_ms: u64,
+    /// Weights that it refused lately, with the time until which they are not
+    /// asked for again.
+    refused: Vec<(Weights, u64)>,
     /// Smoothed share of failed answers.
     failure_share: f64,
     /// Smoothed time from request to answer or first event.
@@ -107,6 +114,7 @@
             consecutive_failures: 0,
             ejections: 0,
             ejected_until_ms: 0,
+            refused: Vec::new(),
             failure_share: 0.0,
             first_answer_ms: 0.0,
             answer_ms: 0.0,
@@ -137,6 +145,13 @@
         now_ms < self.ejected_until_ms
     }
 
+    /// Time until requests for some weights are sent here again after it refused
+    /// one; 0 if they are now.
+    pub fn refused_for_ms(&self, now_ms: u64, weights: &Weights) -> u64 {
+        let refused = self.refused.iter().find(|(w, _)| w == weights);
+        refused.map_or(0, |(_, until_ms)| until_ms.saturating_sub(now_ms))
+    }
+
     /// True if the upstream owes events and has sent nothing for long.
     pub fn is_silent(&self, now_ms: u64) -> bool {
         let heard_ms = self.last_heard_ms.max(self.owing_since_ms);
@@ -290,6 +305,16 @@
         load.last_heard_ms = now_ms;
     }
 
+    /// Notes that an upstream refused a request without running it: its weights
+    /// are being loaded or unloaded there, or its queue is full.
+    pub fn on_refused(&mut self, now_ms: u64, id: &UpstreamId, weights: &Weights) {
+        let load = self.entry(id);
+        load.refused
+            .retain(|(w, until_ms)| *until_ms > now_ms && w != weights);
+        let until_ms = now_ms + REFUSED_FOR_MS;
+        load.refused.push((weights.clone(), until_ms));
+    }
+
     /// Notes that an upstream sent something.
     pub fn on_heard(&mut self, now_ms: u64, id: &str) {
         if let Some(load) = self.loads.get_mut(id) {
--- a/src/gateway/acting.rs
+++ b/src/gateway/acting.rs
@@ -293,7 +293,7 @@
         let gateway = &self.gateway;
         let own = gateway.settings().host.clone();
         let peers = gateway.peers.borrow();
-        for (host, peer) in peers.iter() {
+        for (host, peer) in peers.reachable(gateway.now_ms()) {
             if *host != own {
                 gateway.send_peer(peer.addr, message);
             }
@@ -329,7 +329,7 @@
         let peer_loads = gateway.peer_loads.borrow();
         let totals = peer_loads.totals(now_ms);
         let peers = gateway.peers.borrow();
-        for (host, peer) in peers.iter() {
+        for (host, peer) in peers.reachable(now_ms) {
             let others: Vec<(UpstreamId, InFlight)> = totals
                 .iter()
                 .map(|(id, total)| (id.clone(), total.minus(peer_loads.of_host(host, id))))
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -306,6 +306,11 @@
         if !attempts.sent_to.contains(upstream) {
             attempts.sent_to.push(upstream.clone());
         }
+        if let Some(weights) = &job.need.weights {
+            let now_ms = self.now_ms();
+            let mut loads = self.loads.borrow_mut();
+            loads.on_refused(now_ms, upstream, weights);
+        }
         attempts.resends += 1;
         let is_spent = attempts.sent_to.len() as u32 >= job.max_attempts;
         if is_misdirected && !is_spent {
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -213,7 +213,7 @@
     fn rank(&self) -> u64 {
         let own = self.own_value();
         let peers = self.gateway.peers.borrow();
-        let hosts = peers.iter().map(|(host, peer)| (host, peer.cpu_milli));
+        let hosts = peers.listed().map(|(host, peer)| (host, peer.cpu_milli));
         place_in_line(hosts, &own.host, own.cpu_milli)
     }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -238,7 +238,8 @@
         }
         let addrs: Vec<SocketAddr> = if gateway.host_count() <= MAX_DIRECT_HOSTS {
             let peers = gateway.peers.borrow();
-            let others = peers.iter().filter(|(h, _)| **h != host);
+            let reachable = peers.reachable(gateway.now_ms());
+            let others = reachable.filter(|(h, _)| **h != host);
             others.map(|(_, peer)| peer.addr).collect()
         } else {
             let other = acting.filter(|a| a.host != host);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -17,6 +17,7 @@
 use crate::core::catalog::Catalog;
 use crate::core::ids::{HostId, ServiceId};
 use crate::core::load::LoadBook;
+use crate::core::peer_list::PeerList;
 use crate::core::peer_loads::PeerLoads;
 use crate::core::registry::{Registry, RegistryChange};
 use crate::core::retry::RetryBudget;
@@ -42,15 +43,6 @@
     pub term: u64,
 }
 
-/// Listed host, as the others know it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Peer {
-    /// Address for traffic between hosts.
-    pub addr: SocketAddr,
-    /// Thousandths of a core that its machine has.
-    pub cpu_milli: u32,
-}
-
 /// Shared state.
 #[derive(Debug)]
 pub struct Gateway<P: Platform> {
@@ -74,8 +66,8 @@
     pub budgets: RefCell<HashMap<ServiceId, RetryBudget>>,
     /// What callers asked for.
     pub demand: RefCell<DemandBook>,
-    /// All listed hosts.
-    pub peers: RefCell<HashMap<HostId, Peer>>,
+    /// All hosts of the fleet.
+    pub peers: RefCell<PeerList>,
     /// Host that gives orders.
     pub acting: RefCell<Option<ActingHost>>,
     /// What other hosts state to have in flight.
@@ -147,7 +139,7 @@
 
     /// Number of hosts, this one included.
     pub fn host_count(&self) -> usize {
-        let known = self.peers.borrow().len();
+        let known = self.peers.borrow().reachable(self.now_ms()).count();
         if known == 0 {
             ASSUMED_HOSTS
         } else {
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -13,8 +13,9 @@
 use tokio_util::sync::CancellationToken;
 
 use super::platform::{Changes, FleetStore, Platform};
-use super::state::{ActingHost, Gateway, Peer};
+use super::state::{ActingHost, Gateway};
 use crate::core::ids::HostId;
+use crate::core::peer_list::Peer;
 use crate::core::registry::{Entry, LAPSE_GRACE_MS};
 use crate::edge::kv::{Change, KeyValue, KvError};
 use crate::kernel::Service;
@@ -127,7 +128,7 @@
         for change in &changes {
             gateway.on_registry_change(change, 0);
         }
-        *gateway.peers.borrow_mut() = peers;
+        gateway.peers.borrow_mut().replace(now_ms, peers);
         gateway.set_acting(acting);
         gateway.is_listed.set(true);
     }
@@ -173,7 +174,8 @@
             if own == ACTING_KEY {
                 gateway.set_acting(None);
             } else if let Some(host) = own.strip_prefix(HOSTS_KEY) {
-                gateway.peers.borrow_mut().remove(host);
+                let now_ms = gateway.now_ms();
+                gateway.peers.borrow_mut().unlist(now_ms, host);
             }
         }
     }
@@ -224,10 +226,7 @@
 }
 
 fn peer(value: &HostValue) -> Peer {
-    Peer {
-        addr: value.addr,
-        cpu_milli: value.cpu_milli,
-    }
+    Peer::new(value.addr, value.cpu_milli)
 }
 
 fn acting_host(value: HostValue, term: u64) -> ActingHost {
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -9,6 +9,7 @@
 use currantcove::core::engine_book::{EngineBook, Reported};
 use currantcove::core::ids::{AdapterId, HostId, ModelId, ServiceId, UpstreamId, ZoneId};
 use currantcove::core::load::InFlight;
+use currantcove::core::peer_list::{Peer, PeerList, UNLISTED_FOR_MS};
 use currantcove::core::peer_loads::{HOST_EXPIRES_MS, PeerLoads};
 use currantcove::core::registry::{Entry, Holdings, LAPSE_GRACE_MS, Registry, RegistryChange};
 use currantcove::gateway::membership::place_in_line;
@@ -373,3 +374,35 @@
 
     assert_eq!(places, [3, 0, 1, 2]);
 }
+
+/// Replays a host that the store refused for nine seconds while it served: it
+/// was told nothing of unloads and went on to send to engines that refused.
+#[test]
+fn a_host_whose_entry_lapsed_is_still_told_what_others_know() {
+    let addr = std::net::SocketAddr::from(([10, 0, 0, 1], 7000));
+    let peer = Peer::new(addr, 250);
+    let mut peers = PeerList::default();
+    peers.insert(HostId::new("h1"), peer);
+    peers.insert(HostId::new("h2"), peer);
+    let names = |now_ms: u64, peers: &PeerList| -> Vec<String> {
+        let told = peers.reachable(now_ms);
+        let mut names: Vec<String> = told.map(|(h, _)| h.to_string()).collect();
+        names.sort();
+        names
+    };
+
+    peers.unlist(1_000, "h2");
+    let listed_then = peers.listed().count();
+    let told_then = names(10_000, &peers);
+    let told_later = names(1_000 + UNLISTED_FOR_MS, &peers);
+    peers.replace(11_000, [(HostId::new("h2"), peer)].into());
+
+    assert_eq!(listed_then, 1, "it does not count among those that may act");
+    assert_eq!(told_then, ["h1", "h2"]);
+    assert_eq!(told_later, ["h1"]);
+    assert_eq!(
+        names(60_000, &peers),
+        ["h2"],
+        "listed again, the other gone"
+    );
+}
