Double the pause after refusals instead of a fixed one

Change: 25 ms, doubled by each further refusal within a second up to 0.4 s; refusals of requests under way together count once.

--- a/src/core/load.rs
+++ b/src/core/load.rs
@@ -31,8 +31,14 @@
 /// Time per prompt token assumed before the first answer, in microseconds.
 const INITIAL_TOKEN_US: f64 = 80.0;
 /// Time for which an upstream that refused a request is sent no others for the
-/// same weights, in milliseconds; hosts learn of orders within it.
-const REFUSED_FOR_MS: u64 = 300;
+/// same weights, in milliseconds; an adapter is loaded within it.
+const FIRST_REFUSAL_MS: u64 = 25;
+/// Longest such time, in milliseconds; each refusal soon after another one
+/// doubles it, as models take seconds to come and go.
+const LONGEST_REFUSAL_MS: u64 = 400;
+/// Time after which a refusal is not taken to belong to the one before, in
+/// milliseconds.
+const REFUSALS_APART_MS: u64 = 1_000;
 /// Weight of a new sample in smoothed values.
 const SMOOTHING: f64 = 0.15;
 /// Prompt tokens of a sample of the time per token with full weight; in smaller
@@ -78,6 +84,15 @@
     }
 }
 
+/// Weights that an upstream refused.
+#[derive(Clone, Debug)]
+struct Refusal {
+    weights: Weights,
+    pause_ms: u64,
+    /// Time until which they are not asked for there.
+    until_ms: u64,
+}
+
 /// Load and health of one upstream.
 #[derive(Clone, Debug)]
 pub struct Load {
@@ -90,9 +105,8 @@
     consecutive_failures: u32,
     ejections: u32,
     ejected_until_ms: u64,
-    /// Weights that it refused lately, with the time until which they are not
-    /// asked for again.
-    refused: Vec<(Weights, u64)>,
+    /// Weights that it refused lately.
+    refused: Vec<Refusal>,
     /// Smoothed share of failed answers.
     failure_share: f64,
     /// Smoothed time from request to answer or first event.
@@ -148,8 +162,8 @@
     /// Time until requests for some weights are sent here again after it refused
     /// one; 0 if they are now.
     pub fn refused_for_ms(&self, now_ms: u64, weights: &Weights) -> u64 {
-        let refused = self.refused.iter().find(|(w, _)| w == weights);
-        refused.map_or(0, |(_, until_ms)| until_ms.saturating_sub(now_ms))
+        let refusal = self.refused.iter().find(|r| r.weights == *weights);
+        refusal.map_or(0, |r| r.until_ms.saturating_sub(now_ms))
     }
 
     /// True if the upstream owes events and has sent nothing for long.
@@ -309,10 +323,21 @@
     /// are being loaded or unloaded there, or its queue is full.
     pub fn on_refused(&mut self, now_ms: u64, id: &UpstreamId, weights: &Weights) {
         let load = self.entry(id);
-        load.refused
-            .retain(|(w, until_ms)| *until_ms > now_ms && w != weights);
-        let until_ms = now_ms + REFUSED_FOR_MS;
-        load.refused.push((weights.clone(), until_ms));
+        let is_recent = |r: &Refusal| now_ms < r.until_ms + REFUSALS_APART_MS;
+        load.refused.retain(is_recent);
+        match load.refused.iter_mut().find(|r| r.weights == *weights) {
+            // Requests that were under way together count once.
+            Some(refusal) if now_ms < refusal.until_ms => {}
+            Some(refusal) => {
+                refusal.pause_ms = (refusal.pause_ms * 2).min(LONGEST_REFUSAL_MS);
+                refusal.until_ms = now_ms + refusal.pause_ms;
+            }
+            None => load.refused.push(Refusal {
+                weights: weights.clone(),
+                pause_ms: FIRST_REFUSAL_MS,
+                until_ms: now_ms + FIRST_REFUSAL_MS,
+            }),
+        }
     }
 
     /// Notes that an upstream sent something.
