Move the planner of copies and the service of waiting requests to files of their own

No change of behaviour: types and the entry stay in core/copies.rs, the weighing is in core/copy_planner.rs, the service that lets requests leave in gateway/placer.rs.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -11,6 +11,7 @@
 pub mod claim;
 pub mod config;
 pub mod copies;
+mod copy_planner;
 pub mod demand_rate;
 pub mod engine_book;
 pub mod fleet;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 pub mod peer_messages;
 pub mod peers;
 pub mod place;
+pub mod placer;
 pub mod platform;
 pub mod relay;
 pub mod run;
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -4,9 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_util::FutureExt;
 use tokio::sync::{Notify, oneshot};
-use tokio_util::sync::CancellationToken;
 
 use super::call::Job;
 use super::platform::Platform;
@@ -18,7 +16,6 @@
 use crate::core::waiting::{
     Lane, Outlook, ReturnInput, Returns, Verdict, WaitQueue, Waiter, admit,
 };
-use crate::kernel::Service;
 
 /// Wait predicted for an adapter that is loaded on demand, in milliseconds:
 /// the way to the acting host and back, and the load.
@@ -37,8 +34,6 @@
 /// Part of its time left after which a refused caller comes back at the latest;
 /// the rest is for its second try, and callers wait no longer anyway.
 const LATEST_RETURN: f64 = 1.0 / 3.0;
-/// Longest pause between two passes while requests wait.
-const MAX_PASS_PAUSE: Duration = Duration::from_millis(200);
 
 /// Waiting requests and the tasks behind them.
 #[derive(Debug, Default)]
@@ -83,6 +78,16 @@
         self.queue.len()
     }
 
+    /// Fires when waiting requests may find room.
+    pub(super) fn woken(&self) -> Rc<Notify> {
+        Rc::clone(&self.wake)
+    }
+
+    /// Earliest time at which a waiting request is given up.
+    pub(super) fn next_give_up_ms(&self) -> Option<u64> {
+        self.queue.next_give_up_ms()
+    }
+
     /// Lets waiting requests look for room again.
     pub fn wake(&self) {
         if !self.queue.is_empty() {
@@ -431,7 +436,7 @@
     }
 
     /// Lets all waiting requests that find room leave.
-    fn pass(&self) {
+    pub(super) fn pass(&self) {
         let now_ms = self.now_ms();
         let mut places = self.places.borrow_mut();
         let pass = places
@@ -478,47 +483,3 @@
         .map(|e| e.source_of(&weights.model));
     spec.load_time(sources.min().unwrap_or(WeightSource::Store))
 }
-
-/// Service that lets waiting requests leave.
-#[derive(Debug)]
-pub struct Placer<P: Platform> {
-    gateway: Rc<Gateway<P>>,
-}
-
-impl<P: Platform> Placer<P> {
-    /// Service over the shared state.
-    pub fn new(gateway: Rc<Gateway<P>>) -> Self {
-        Self { gateway }
-    }
-
-    fn pause(&self) -> Duration {
-        let now_ms = self.gateway.now_ms();
-        let next_ms = self.gateway.places.borrow().queue.next_give_up_ms();
-        let until_ms = next_ms.map_or(u64::MAX, |at| at.saturating_sub(now_ms).max(1));
-        MAX_PASS_PAUSE.min(Duration::from_millis(until_ms))
-    }
-}
-
-impl<P: Platform> Service for Placer<P> {
-    const NAME: &'static str = "gateway-placer";
-
-    async fn run(self: Rc<Self>, cancel: CancellationToken) {
-        let wake = Rc::clone(&self.gateway.places.borrow().wake);
-        loop {
-            let is_idle = self.gateway.places.borrow().queue.is_empty();
-            if is_idle {
-                futures_util::select_biased! {
-                    () = cancel.cancelled().fuse() => return,
-                    () = wake.notified().fuse() => {}
-                }
-            } else {
-                let timeout = compio::time::timeout(self.pause(), wake.notified());
-                futures_util::select_biased! {
-                    () = cancel.cancelled().fuse() => return,
-                    _ = timeout.fuse() => {}
-                }
-            }
-            self.gateway.pass();
-        }
-    }
-}
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -22,7 +22,7 @@
 use super::logs::LogBuffer;
 use super::membership::Membership;
 use super::peers::PeerLink;
-use super::place::Placer;
+use super::placer::Placer;
 use super::platform::Platform;
 use super::settings::{self, GatewaySettings};
 use super::state::Gateway;
