--- a/src/core/balance.rs
+++ b/src/core/balance.rs
@@ -61,6 +61,13 @@
     pub max_read_ms: f64,
 }
 
+impl Need {
+    /// Adapter that it needs, if it names one.
+    pub fn adapter(&self) -> Option<&AdapterId> {
+        self.weights.as_ref().and_then(|w| w.adapter.as_ref())
+    }
+}
+
 /// Why no upstream was chosen.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum NoUpstream {
@@ -244,6 +251,7 @@
     need: &Need,
     allowed: &Allowed,
 ) -> Option<Room> {
+    let fresh = Load::default();
     let mut first_ms = f64::MAX;
     let mut turns_per_ms = 0.0;
     for entry in registry.of_service(&need.service) {
@@ -252,7 +260,6 @@
         if entry.is_draining || !has_weights || !allowed.allows(&entry.id) {
             continue;
         }
-        let fresh = Load::default();
         let load = loads.get(entry.id.as_str()).unwrap_or(&fresh);
         if load.is_ejected(now_ms) || load.is_silent(now_ms) {
             continue;
--- a/src/core/catalog.rs
+++ b/src/core/catalog.rs
@@ -4,7 +4,7 @@
 //! go. It replaces the former one as a whole; an older version never follows
 //! a newer one.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -107,11 +107,11 @@
 }
 
 impl WeightSource {
-    /// Source for a model, by what an engine has outside the accelerator.
-    pub fn of(model: &ModelId, in_memory: &BTreeSet<ModelId>, on_disk: &BTreeSet<ModelId>) -> Self {
-        if in_memory.contains(model) {
+    /// Source for a model, by what an engine has of it outside the accelerator.
+    pub fn of(is_in_memory: bool, is_on_disk: bool) -> Self {
+        if is_in_memory {
             Self::Memory
-        } else if on_disk.contains(model) {
+        } else if is_on_disk {
             Self::Disk
         } else {
             Self::Store
--- a/src/core/copy_planner.rs
+++ b/src/core/copy_planner.rs
@@ -85,13 +85,10 @@
     }
 
     fn source_of(&self, model: ModelNo) -> WeightSource {
-        if self.in_memory.contains(&model) {
-            WeightSource::Memory
-        } else if self.on_disk.contains(&model) {
-            WeightSource::Disk
-        } else {
-            WeightSource::Store
-        }
+        WeightSource::of(
+            self.in_memory.contains(&model),
+            self.on_disk.contains(&model),
+        )
     }
 }
 
--- a/src/core/log_trace.rs
+++ b/src/core/log_trace.rs
@@ -5,6 +5,7 @@
 //! id: orders for its model, listings of its upstreams, the configuration it
 //! was routed by. This module picks them out and says what they amount to.
 
+use jiff::Timestamp;
 use serde_json::{Map, Value};
 
 /// Time before a request's end within which orders for its model explain why it
@@ -95,22 +96,8 @@
 
 /// Seconds since the epoch of a time in the form `2026-06-22T22:13:03.010876Z`.
 fn seconds_of(value: &Value) -> Option<f64> {
-    let (date, time) = value.as_str()?.trim_end_matches('Z').split_once('T')?;
-    let mut date = date.split('-').map(str::parse::<i64>);
-    let mut time = time.split(':').map(str::parse::<f64>);
-    let (year, month, day) = (date.next()?.ok()?, date.next()?.ok()?, date.next()?.ok()?);
-    let (hours, minutes, seconds) = (time.next()?.ok()?, time.next()?.ok()?, time.next()?.ok()?);
-    let days = days_since_epoch(year, month, day) as f64;
-    Some(((days * 24.0 + hours) * 60.0 + minutes) * 60.0 + seconds)
-}
-
-/// Days since the epoch of a date of the Gregorian calendar.
-fn days_since_epoch(year: i64, month: i64, day: i64) -> i64 {
-    // Years begin in March, so that the leap day is their last.
-    let year = if month <= 2 { year - 1 } else { year };
-    let month = (month + 9) % 12;
-    let days = 365 * year + year / 4 - year / 100 + year / 400;
-    days + (153 * month + 2) / 5 + day - 719_469
+    let time: Timestamp = value.as_str()?.parse().ok()?;
+    Some(time.as_microsecond() as f64 / 1e6)
 }
 
 /// What is known of a request.
--- a/src/core/peer_list.rs
+++ b/src/core/peer_list.rs
@@ -33,6 +33,12 @@
             unlisted_ms: None,
         }
     }
+
+    /// True if it is listed or was lately.
+    fn is_told(&self, now_ms: u64) -> bool {
+        let is_recent = |at_ms| now_ms < at_ms + UNLISTED_FOR_MS;
+        self.unlisted_ms.is_none_or(is_recent)
+    }
 }
 
 /// All hosts that are listed or were lately.
@@ -62,17 +68,12 @@
             }
         }
         self.peers.extend(listed);
-        self.peers.retain(|_, peer| {
-            let is_kept = |at_ms| now_ms < at_ms + UNLISTED_FOR_MS;
-            peer.unlisted_ms.is_none_or(is_kept)
-        });
+        self.peers.retain(|_, peer| peer.is_told(now_ms));
     }
 
     /// Hosts that are to be told something.
     pub fn reachable(&self, now_ms: u64) -> impl Iterator<Item = (&HostId, &Peer)> {
-        let is_kept = move |at_ms| now_ms < at_ms + UNLISTED_FOR_MS;
-        let mut all = self.peers.iter();
-        std::iter::from_fn(move || all.find(|(_, p)| p.unlisted_ms.is_none_or(is_kept)))
+        self.peers.iter().filter(move |(_, p)| p.is_told(now_ms))
     }
 
     /// Hosts that are listed.
--- a/src/core/registry.rs
+++ b/src/core/registry.rs
@@ -50,7 +50,7 @@
 impl Entry {
     /// Where the engine finds the weights of a model.
     pub fn source_of(&self, model: &ModelId) -> WeightSource {
-        WeightSource::of(model, &self.in_memory, &self.on_disk)
+        WeightSource::of(self.in_memory.contains(model), self.on_disk.contains(model))
     }
 
     /// True if requests for the model, and its adapter if one is named, can
--- a/src/core/waiting.rs
+++ b/src/core/waiting.rs
@@ -80,14 +80,10 @@
 }
 
 impl Waiter {
-    fn adapter(&self) -> Option<&AdapterId> {
-        self.need.weights.as_ref().and_then(|w| w.adapter.as_ref())
-    }
-
     /// True if a request waits until this one has found room.
     fn blocks(&self, lane: &Lane, need: &Need) -> bool {
-        let adapter = need.weights.as_ref().and_then(|w| w.adapter.as_ref());
-        let same_copies = self.adapter().is_none() || self.adapter() == adapter;
+        let adapter = self.need.adapter();
+        let same_copies = adapter.is_none() || adapter == need.adapter();
         self.reason == NoUpstream::Full && same_copies && Lane::of(&self.need) == *lane
     }
 }
@@ -174,7 +170,7 @@
         let waiters = std::mem::take(&mut self.waiters);
         for mut waiter in waiters {
             let lane = Lane::of(&waiter.need);
-            let adapter = waiter.adapter().cloned();
+            let adapter = waiter.need.adapter().cloned();
             // A request that found no room blocks those behind it that need
             // the same copies, so that large ones are not passed over for ever.
             let is_blocked = full.contains(&(lane.clone(), adapter.clone()))
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -219,15 +219,16 @@
             }
             Err(reason) => reason,
         };
+        let room = self.next_room(job, allowed);
         let outlook = Outlook {
             reason,
-            wait_ms: self.predicted_wait_ms(job, allowed, &lane, reason, ahead),
+            wait_ms: self.predicted_wait_ms(job, &lane, reason, room, ahead),
         };
         let give_up_ms = Self::give_up_ms(job, reason, due_ms, is_starved);
         let waiting = self.places.borrow().queue.len();
         let useful_ms = give_up_ms.saturating_sub(now_ms);
         if admit(waiting, outlook, useful_ms) == Verdict::Refuse {
-            let no_place = self.turn_away(job, allowed, &lane, outlook);
+            let no_place = self.turn_away(job, &lane, outlook, room);
             tracing::info!(
                 event = "turned_away",
                 request = job.request_id,
@@ -301,9 +302,9 @@
     fn predicted_wait_ms(
         &self,
         job: &Job,
-        allowed: &Allowed,
         lane: &Lane,
         reason: NoUpstream,
+        room: Option<Room>,
         ahead: usize,
     ) -> u64 {
         match reason {
@@ -311,7 +312,7 @@
             NoUpstream::NoAdapter => ADAPTER_WAIT_MS,
             NoUpstream::NoneListed | NoUpstream::AllTried => NONE_LISTED_WAIT_MS,
             NoUpstream::Full | NoUpstream::Failing => {
-                let Some(room) = self.next_room(job, allowed) else {
+                let Some(room) = room else {
                     return NONE_LISTED_WAIT_MS;
                 };
                 let places = self.places.borrow();
@@ -412,14 +413,15 @@
                 .queue
                 .ahead_of(now_ms, &job.need, job.priority, due_ms)
         };
-        let wait_ms = self.predicted_wait_ms(job, allowed, lane, reason, ahead);
-        self.turn_away(job, allowed, lane, Outlook { reason, wait_ms })
+        let room = self.next_room(job, allowed);
+        let wait_ms = self.predicted_wait_ms(job, lane, reason, room, ahead);
+        self.turn_away(job, lane, Outlook { reason, wait_ms }, room)
     }
 
     /// Tells a refused caller when to come back.
-    fn turn_away(&self, job: &Job, allowed: &Allowed, lane: &Lane, outlook: Outlook) -> NoPlace {
+    fn turn_away(&self, job: &Job, lane: &Lane, outlook: Outlook, room: Option<Room>) -> NoPlace {
         let now_ms = self.now_ms();
-        let room = self.next_room(job, allowed).unwrap_or_default();
+        let room = room.unwrap_or_default();
         let mut places = self.places.borrow_mut();
         let ready_at_ms = places.ready_at_ms.get(lane).copied().unwrap_or(0);
         let input = ReturnInput {
