--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -53,7 +53,7 @@
 impl<P: Platform> CallerServer<P> {
     /// Server on a bound listener.
     pub fn new(gateway: Rc<Gateway<P>>, listener: TcpListener) -> Self {
-        let memory_bytes = gateway.settings().memory_mb as usize * 1024 * 1024;
+        let memory_bytes = (gateway.settings().memory_mb * 1024.0 * 1024.0) as usize;
         Self {
             gateway,
             body_reader: BodyReader::new(memory_bytes / BODY_MEMORY_DIVISOR),
@@ -181,7 +181,7 @@
         let Some(listener) = self.listener.take() else {
             return;
         };
-        let descriptors = self.gateway.settings().max_descriptors;
+        let descriptors = self.gateway.settings().max_descriptors as usize;
         let max_connections = descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(64);
         let handler = Rc::new(CallerHandler(Rc::clone(&self)));
         serve(listener, max_connections, handler, cancel).await;
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -147,7 +147,7 @@
     async fn register(&self) -> Result<(), KvError> {
         let store = self.gateway.platform.store();
         let settings = self.gateway.settings();
-        let ttl = LEASE_TTL.max(Duration::from_millis(settings.min_lease_ms));
+        let ttl = LEASE_TTL.max(settings.min_lease);
         let sent_ms = boottime_ms();
         let lease = store.grant_lease(ttl).await?;
         let ttl_ms = lease.ttl.as_millis() as u64;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -72,7 +72,8 @@
     Print(String),
 }
 
-/// Runs a host; `file` is the platform's default settings file.
+/// Runs a host. `args` starts with the program's name; `file` is the platform's
+/// default settings file.
 pub fn main<P: Platform>(
     args: impl IntoIterator<Item = OsString>,
     file: Option<PathBuf>,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -224,7 +224,7 @@
     ) -> T {
         let settings = self.settings();
         let hosts = self.host_count() as f64;
-        let max_permille = f64::from(settings.retry_slack) * 1000.0 * RETRY_SAFETY_FACTOR / hosts;
+        let max_permille = settings.retry_slack * 1000.0 * RETRY_SAFETY_FACTOR / hosts;
         let mut budgets = self.retry_budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_insert_with(|| {
             let share_permille = settings.retry_share * 1000.0 * RETRY_SAFETY_FACTOR;
