Hold grants, revisions and terms of the store by era; heed upstreams' notices

A store that comes back from an older copy: its revisions go back and are assigned again, and leases granted since are gone or another host's. - core/store_era: the era orders terms before the revision does; a response of an earlier era is ignored. - A watch or listing that spans a restore is dropped, and everything is read again. Upstreams that the copy lacks are kept as after an outage; those that are known to be gone, draining or leaving stay out, whatever the copy lists. - The lease and the term are dropped at the first response of the new era, and hosts register again over half a second; a new holder that takes over from another waits for the order lease.

Upstreams say in their responses that they leave (Server-Leaving) and, with a 503, for how long they want nothing (Retry-After): core/upstream_notice, gateway/notices. A leaving incarnation takes no requests from then on, here and, by a peer message, at the other hosts. A closed upstream receives neither requests nor orders nor report calls of this host; if all are closed, callers are told at once when to come back. Times without meaning are logged.

--- a/src/core/balance.rs
+++ b/src/core/balance.rs
@@ -10,6 +10,11 @@
 //! its prefill backlog exceeds the longest gap that its running streams may
 //! have. The request then waits in this host's queue, where it can still be
 //! reordered or rejected.
+//!
+//! Load pattern: an overloaded upstream refuses a request and states for how long
+//! it wants none. It is no candidate until then. If all upstreams are closed, the
+//! time until the first one reopens is the predicted wait, so that a request that
+//! cannot wait for so long is rejected at once.
 
 use super::ids::{AdapterId, ModelId, ServiceId, UpstreamId, ZoneId};
 use super::load::{Load, LoadTable, RequestSize};
@@ -82,6 +87,8 @@
     NoAdapter,
     /// All eligible upstreams are full.
     Full,
+    /// All eligible upstreams want no requests from this host for now.
+    Closed,
     /// All eligible upstreams are failing or unresponsive.
     Failing,
     /// All eligible upstreams were tried already.
@@ -96,6 +103,7 @@
             Self::NoModel => "no_model",
             Self::NoAdapter => "no_adapter",
             Self::Full => "full",
+            Self::Closed => "closed",
             Self::Failing => "failing",
             Self::AllTried => "all_tried",
         }
@@ -206,6 +214,9 @@
     let Some(load) = load else {
         return Ok((0.0, false));
     };
+    if load.closed_for_ms(now_ms) > 0 {
+        return Err(NoUpstream::Closed);
+    }
     if refusal_backoff_ms(now_ms, load, requirements) > 0
         || !has_capacity(now_ms, load, entry, requirements)
     {
@@ -292,6 +303,10 @@
 
 /// Time until one upstream can accept the request.
 fn capacity_wait_ms(now_ms: u64, load: &Load, entry: &Entry, requirements: &Requirements) -> f64 {
+    let closed_for_ms = load.closed_for_ms(now_ms);
+    if closed_for_ms > 0 {
+        return closed_for_ms as f64;
+    }
     if has_capacity(now_ms, load, entry, requirements) {
         return refusal_backoff_ms(now_ms, load, requirements) as f64;
     }
@@ -330,8 +345,9 @@
         NoUpstream::NoModel => 1,
         NoUpstream::NoAdapter => 2,
         NoUpstream::AllTried => 3,
-        NoUpstream::Failing => 4,
-        NoUpstream::Full => 5,
+        NoUpstream::Closed => 4,
+        NoUpstream::Failing => 5,
+        NoUpstream::Full => 6,
     };
     if rank(a) >= rank(b) { a } else { b }
 }
--- a/src/core/load.rs
+++ b/src/core/load.rs
@@ -111,6 +111,8 @@
     consecutive_failures: u32,
     ejections: u32,
     ejected_until_ms: u64,
+    /// Time until which the upstream wants no requests from this host.
+    closed_until_ms: u64,
     /// Recent refusals by weights.
     refused: Vec<Refusal>,
     /// Moving average of the share of failed responses.
@@ -135,6 +137,7 @@
             consecutive_failures: 0,
             ejections: 0,
             ejected_until_ms: 0,
+            closed_until_ms: 0,
             refused: Vec::new(),
             failure_share: 0.0,
             first_response_ms: 0.0,
@@ -167,6 +170,11 @@
         now_ms < self.ejected_until_ms
     }
 
+    /// Remaining time for which the upstream wants no requests from this host.
+    pub fn closed_for_ms(&self, now_ms: u64) -> u64 {
+        self.closed_until_ms.saturating_sub(now_ms)
+    }
+
     /// Remaining backoff after a refusal of some weights; 0 if there is none.
     pub fn refusal_backoff_ms(&self, now_ms: u64, weights: &Weights) -> u64 {
         let refusal = self.refused.iter().find(|r| r.weights == *weights);
@@ -357,6 +365,12 @@
         }
     }
 
+    /// Records until when an upstream wants no requests from this host.
+    pub fn close(&mut self, id: &UpstreamId, until_ms: u64) {
+        let load = self.entry(id);
+        load.closed_until_ms = load.closed_until_ms.max(until_ms);
+    }
+
     /// Records that an upstream has sent data.
     pub fn on_activity(&mut self, now_ms: u64, id: &str) {
         if let Some(load) = self.loads.get_mut(id) {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -30,6 +30,8 @@
 pub mod retry;
 pub mod routing;
 pub mod slots;
+pub mod store_era;
 pub mod timeline;
+pub mod upstream_notice;
 pub mod view;
 pub mod waiting;
--- a/src/core/registry.rs
+++ b/src/core/registry.rs
@@ -4,12 +4,17 @@
 //! entry that is missing after an outage of the store may only have lapsed
 //! during the outage. It stays in use for a grace period, within which its
 //! upstream registers again.
+//!
+//! Fault: the store is restored from an older copy, which lists upstreams as they
+//! were. An upstream that this host knows to be gone or leaving stays out of
+//! service until it announces itself anew.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use super::catalog::WeightSource;
 use super::ids::{AdapterId, ModelId, ServiceId, UpstreamId, ZoneId};
+use super::store_era::Era;
 
 /// Time for which an entry that lapsed during an outage stays in use, in
 /// milliseconds; running upstreams are listed again about two seconds after the
@@ -85,9 +90,33 @@
 /// Order of an observation by acting hosts: term and number within it.
 pub type ObservationNumber = (u64, u64);
 
+/// Time for which a removed or leaving upstream is remembered, in milliseconds;
+/// copies of the store are some seconds old.
+const DEPARTURE_MEMORY_MS: u64 = 120_000;
+
+/// Upstream that was deleted from the list.
+#[derive(Clone, Copy, Debug)]
+struct Removal {
+    started_ms: u64,
+    sequence: u64,
+    era: Era,
+    removed_ms: u64,
+}
+
+/// Upstream that has stated that it is about to stop.
+#[derive(Clone, Copy, Debug)]
+struct Leaving {
+    started_ms: u64,
+    noticed_ms: u64,
+}
+
 /// All listed upstreams.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
+    /// Era of the listings that are being applied.
+    era: Era,
+    removals: BTreeMap<UpstreamId, Removal>,
+    leaving: BTreeMap<UpstreamId, Leaving>,
     entries: BTreeMap<UpstreamId, Entry>,
     observations: BTreeMap<UpstreamId, (ObservationNumber, u64)>,
     lapsed_until_ms: BTreeMap<UpstreamId, u64>,
@@ -119,10 +148,59 @@
         self.entries.is_empty()
     }
 
+    /// Starts to apply listings of an era of the store.
+    pub fn start_era(&mut self, era: Era) {
+        self.era = era;
+    }
+
+    /// Takes an incarnation out of service that has stated that it is about to
+    /// stop; `None` if that was known or another incarnation is listed.
+    pub fn mark_leaving(
+        &mut self,
+        id: &UpstreamId,
+        started_ms: u64,
+        now_ms: u64,
+    ) -> Option<RegistryChange> {
+        let is_superseded = |at_ms: u64| at_ms > started_ms;
+        if self
+            .leaving
+            .get(id)
+            .is_some_and(|l| is_superseded(l.started_ms))
+        {
+            return None;
+        }
+        let leaving = Leaving {
+            started_ms,
+            noticed_ms: now_ms,
+        };
+        self.leaving.insert(id.clone(), leaving);
+        let entry = self.entries.get_mut(id)?;
+        if entry.started_ms != started_ms || entry.is_draining {
+            return None;
+        }
+        entry.is_draining = true;
+        Some(RegistryChange::Draining(id.clone()))
+    }
+
+    /// True if an announcement was written before this host learned that the
+    /// upstream is gone; only a restored store still lists it.
+    fn predates_removal(&self, entry: &Entry) -> bool {
+        self.removals.get(&entry.id).is_some_and(|removal| {
+            let announced = (entry.started_ms, entry.sequence);
+            removal.era < self.era && announced <= (removal.started_ms, removal.sequence)
+        })
+    }
+
     /// Inserts or updates an entry.
     pub fn upsert(&mut self, mut entry: Entry, now_ms: u64) -> Option<RegistryChange> {
+        if self.predates_removal(&entry) {
+            return None;
+        }
         self.lapsed_until_ms.remove(&entry.id);
         entry.read_ms = now_ms;
+        if let Some(leaving) = self.leaving.get(&entry.id) {
+            entry.is_draining |= leaving.started_ms >= entry.started_ms;
+        }
         let id = entry.id.clone();
         let Some(old) = self.entries.get(&entry.id) else {
             self.entries.insert(entry.id.clone(), entry);
@@ -195,12 +273,29 @@
             self.lapsed_until_ms.entry(id.clone()).or_insert(until_ms);
             return Some(RegistryChange::Lapsed(id));
         }
-        self.entries.remove(&id);
+        if let Some(entry) = self.entries.remove(&id) {
+            let removal = Removal {
+                started_ms: entry.started_ms,
+                sequence: entry.sequence,
+                era: self.era,
+                removed_ms: now_ms,
+            };
+            self.removals.insert(id.clone(), removal);
+        }
         self.observations.remove(&id);
         self.lapsed_until_ms.remove(&id);
         Some(RegistryChange::Removed(id))
     }
 
+    /// Drops what is remembered of upstreams that left long ago.
+    fn forget_departed(&mut self, now_ms: u64) {
+        let is_recent = |at_ms: u64| now_ms < at_ms + DEPARTURE_MEMORY_MS;
+        self.removals.retain(|_, r| is_recent(r.removed_ms));
+        let entries = &self.entries;
+        self.leaving
+            .retain(|id, l| is_recent(l.noticed_ms) || entries.contains_key(id));
+    }
+
     /// Replaces all entries by a complete listing.
     pub fn replace(
         &mut self,
@@ -233,15 +328,21 @@
 
     /// Removes lapsed entries whose grace period has ended.
     pub fn expire_lapsed(&mut self, now_ms: u64) -> Vec<RegistryChange> {
+        self.forget_departed(now_ms);
         let expired: Vec<UpstreamId> = self
             .lapsed_until_ms
             .iter()
             .filter(|(_, until_ms)| now_ms >= **until_ms)
             .map(|(id, _)| id.clone())
             .collect();
-        expired
+        let changes: Vec<RegistryChange> = expired
             .iter()
             .filter_map(|id| self.remove(id.as_str(), false, now_ms))
-            .collect()
+            .collect();
+        for id in &expired {
+            // The upstream was only not listed, so that any announcement counts.
+            self.removals.remove(id);
+        }
+        changes
     }
 }
--- /dev/null
+++ b/src/core/upstream_notice.rs
@@ -0,0 +1,58 @@
+//! Notices that an upstream attaches to its responses.
+//!
+//! Load patterns: an upstream that is about to stop says so in every response,
+//! before its entry in the platform's list changes or while the list cannot be
+//! read; an overloaded upstream refuses requests and states for how long it
+//! wants none.
+
+use super::routing::Rng;
+
+/// Longest time for which an upstream can close itself to this host, in
+/// milliseconds.
+pub const MAX_CLOSURE_MS: u64 = 600_000;
+/// The end of a closure is delayed by a random time of at most this, in
+/// milliseconds, so that hosts do not return all at once.
+const REOPEN_SPREAD_MS: usize = 200;
+
+/// Notice in the headers of a response.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct UpstreamNotice {
+    /// True if the upstream is about to stop and must receive no new requests.
+    pub is_leaving: bool,
+    /// Time for which it wants no requests from this host, as stated with a
+    /// refusal.
+    pub closed_for: Closure,
+}
+
+/// Time for which an upstream wants no requests from this host.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Closure {
+    /// Not stated.
+    #[default]
+    None,
+    /// Stated, in milliseconds.
+    Millis(u64),
+    /// Stated in a form that has no meaning, such as a negative number.
+    Invalid,
+}
+
+impl Closure {
+    /// Reads a number of seconds. A time beyond [`MAX_CLOSURE_MS`] is shortened.
+    pub fn from_seconds(text: &str) -> Self {
+        match text.trim().parse::<f64>() {
+            Ok(seconds) if seconds.is_finite() && seconds >= 0.0 => {
+                Self::Millis(((seconds * 1000.0).ceil() as u64).min(MAX_CLOSURE_MS))
+            }
+            Ok(seconds) if seconds == f64::INFINITY => Self::Millis(MAX_CLOSURE_MS),
+            _ => Self::Invalid,
+        }
+    }
+
+    /// Time at which requests may be sent again, if the upstream has closed itself.
+    pub fn reopens_ms(self, now_ms: u64, rng: &mut Rng) -> Option<u64> {
+        match self {
+            Self::Millis(ms) if ms > 0 => Some(now_ms + ms + rng.below(REOPEN_SPREAD_MS) as u64),
+            Self::None | Self::Millis(_) | Self::Invalid => None,
+        }
+    }
+}
--- a/src/gateway/acting.rs
+++ b/src/gateway/acting.rs
@@ -224,8 +224,11 @@
             let has_orders = orders
                 .get(&entry.id)
                 .is_some_and(OrderQueue::has_model_orders);
-            let accepts_orders =
-                !entry.is_draining && !is_lost && !has_orders && ledger.accepts_orders(now_ms);
+            let accepts_orders = !entry.is_draining
+                && !is_lost
+                && !has_orders
+                && ledger.accepts_orders(now_ms)
+                && load.is_none_or(|l| l.closed_for_ms(now_ms) == 0);
             engines.push(PlannedEngine {
                 id: entry.id.clone(),
                 accepts_orders,
@@ -412,6 +415,7 @@
                 free_slots: slots.saturating_sub(ledger.charged_adapter_slots()),
                 victim_idle_ms: now_ms.saturating_sub(victim_ms),
                 is_blocked: !ledger.accepts_orders(now_ms)
+                    || load.is_some_and(|l| l.closed_for_ms(now_ms) > 0)
                     || ledger.unloading_adapters.contains(&key),
                 has_adapter: adapters.contains(adapter),
                 is_loading: ledger.is_adapter_loading(&key),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -200,7 +200,8 @@
         let is_accepting_requests = || {
             let registry = self.registry.borrow();
             let entry = registry.get(upstream.as_str());
-            entry.is_some_and(|e| !e.is_draining)
+            let is_in_service = entry.is_some_and(|e| !e.is_draining);
+            is_in_service && !self.is_closed(upstream)
         };
         let result = self
             .pool
@@ -217,10 +218,21 @@
         let response = response?;
         let status = response.status().as_u16();
         let id = &request.request_id;
-        match self
+        let kind = self
             .platform
-            .classify_response(status, response.headers(), id)
-        {
+            .classify_response(status, response.headers(), id);
+        let is_from_another = matches!(
+            kind,
+            ResponseKind::Invalid
+                | ResponseKind::NotRun {
+                    is_misdirected: true
+                }
+        );
+        if !is_from_another {
+            let notice = self.platform.notice(status, response.headers());
+            self.apply_notice(upstream, notice);
+        }
+        match kind {
             ResponseKind::Valid => Ok(response),
             ResponseKind::NotRun { is_misdirected } => {
                 // The pool reuses the connection only if the short body is read to its
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -215,6 +215,8 @@
             let metrics = &gateway.metrics;
             let calls = super::platform::FleetStore::call_count(gateway.platform.store());
             metrics.store_calls.set(calls.cast_signed());
+            let era = super::platform::FleetStore::era(gateway.platform.store());
+            metrics.store_era.set(era.0.cast_signed());
             let upstreams = gateway.registry.borrow().len().cast_signed() as i64;
             metrics.upstreams.set(upstreams);
             let dropped_lines = gateway.logs.dropped_lines().cast_signed();
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -5,6 +5,11 @@
 //! fencing token of all orders. A host acts only until its lease expires by a
 //! clock that also advances during suspension, counted from before the renewal
 //! was sent.
+//!
+//! When the store is restored from an older copy, its leases and the role of the
+//! acting host may be gone or belong to another host. Whatever was granted before
+//! is dropped as soon as a response shows the new era, and the host registers
+//! again.
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
@@ -19,6 +24,7 @@
 use super::state::{ActingHost, Gateway};
 use super::sync::{ACTING_KEY, HOSTS_KEY, HostRecord};
 use crate::core::ids::HostId;
+use crate::core::store_era::{Era, term_number};
 use crate::edge::kv::{Cas, CasAllOutcome, KvError};
 use crate::kernel::Service;
 
@@ -34,17 +40,22 @@
 /// Delay between the election attempts of consecutive candidates, so that they
 /// do not all write at once.
 const ELECTION_STAGGER_MS: u64 = 120;
+/// Time over which the hosts of a fleet spread their registrations after the store
+/// was restored, in milliseconds.
+const RESTORE_SPREAD_MS: usize = 500;
 
 /// Lease that this host holds, as of its last renewal.
 #[derive(Clone, Copy, Debug, Default)]
 struct HeldLease {
     lease: u64,
+    /// Era of the store that granted it.
+    era: Era,
     ttl_ms: u64,
     /// Expiry by `boottime_ms`.
     expires_ms: u64,
     renewed_ms: u64,
-    /// Revision at which this host's entry was written under the lease.
-    listed_revision: u64,
+    /// Number of a term that would start with this host's entry under the lease.
+    listed_term: u64,
 }
 
 /// Service that keeps this host registered and takes part in the election.
@@ -56,6 +67,11 @@
     term: Cell<Option<u64>>,
     /// Time from which this host may send orders, by `boottime_ms`.
     orders_from_ms: Cell<u64>,
+    /// Time until which the holder before a restore of the store may still send
+    /// orders, by `boottime_ms`.
+    restored_until_ms: Cell<u64>,
+    /// Time from which this host registers, by `boottime_ms`.
+    register_from_ms: Cell<u64>,
     vacant_since_ms: Cell<Option<u64>>,
     last_other_acting: RefCell<Option<HostId>>,
 }
@@ -89,6 +105,8 @@
             held: Cell::new(None),
             term: Cell::new(None),
             orders_from_ms: Cell::new(0),
+            restored_until_ms: Cell::new(0),
+            register_from_ms: Cell::new(0),
             vacant_since_ms: Cell::new(None),
             last_other_acting: RefCell::default(),
         }
@@ -98,7 +116,8 @@
     pub fn acting_term(&self) -> Option<u64> {
         let now_ms = boottime_ms();
         let held = self.held.get()?;
-        let is_valid = now_ms + LEASE_MARGIN_MS < held.expires_ms;
+        let is_valid = now_ms + LEASE_MARGIN_MS < held.expires_ms
+            && held.era == self.gateway.platform.store().era();
         let may_order = now_ms >= self.orders_from_ms.get();
         self.term.get().filter(|_| is_valid && may_order)
     }
@@ -126,8 +145,10 @@
     }
 
     async fn tick(&self) -> Result<(), KvError> {
+        self.drop_grants_of_earlier_era();
         let now_ms = boottime_ms();
         match self.held.get() {
+            None if now_ms < self.register_from_ms.get() => return Ok(()),
             None => self.register().await?,
             Some(held) if now_ms >= held.renewed_ms + RENEW_INTERVAL.as_millis() as u64 => {
                 self.renew(held).await?;
@@ -144,21 +165,52 @@
         self.check_acting_host().await
     }
 
+    /// Drops the lease and the term if the store was restored since they were
+    /// granted. The lease is neither renewed nor ended, as its number may have been
+    /// granted to another host.
+    fn drop_grants_of_earlier_era(&self) {
+        let era = self.gateway.platform.store().era();
+        let Some(held) = self.held.get().filter(|h| h.era != era) else {
+            return;
+        };
+        self.held.set(None);
+        self.step_down("store_restored");
+        self.vacant_since_ms.set(None);
+        let delay_ms = self.gateway.rng.borrow_mut().below(RESTORE_SPREAD_MS) as u64;
+        self.register_from_ms.set(boottime_ms() + delay_ms);
+        // Engines may still receive an order of the holder before the restore.
+        self.restored_until_ms
+            .set(boottime_ms() + self.gateway.settings().order_lease.as_millis() as u64);
+        tracing::info!(
+            event = "membership",
+            lease = held.lease,
+            era = era.0,
+            granted_in = held.era.0,
+            delay_ms,
+            "store restored; registering again"
+        );
+    }
+
     async fn register(&self) -> Result<(), KvError> {
         let store = self.gateway.platform.store();
         let settings = self.gateway.settings();
         let ttl = LEASE_TTL.max(settings.min_lease);
         let sent_ms = boottime_ms();
         let lease = store.grant_lease(ttl).await?;
+        let era = store.era();
         let ttl_ms = lease.ttl.as_millis() as u64;
         let value = serde_json::to_vec(&self.own_record()).map_err(|_| KvError::NotSent)?;
-        let listed_revision = store.put(&self.host_key(), &value, lease.id).await?;
+        let revision = store.put(&self.host_key(), &value, lease.id).await?;
+        if store.era() != era {
+            return Err(KvError::Unknown);
+        }
         self.held.set(Some(HeldLease {
             lease: lease.id,
+            era,
             ttl_ms,
             expires_ms: sent_ms + ttl_ms,
             renewed_ms: sent_ms,
-            listed_revision,
+            listed_term: term_number(era, revision),
         }));
         tracing::info!(event = "membership", lease = lease.id, "listed");
         Ok(())
@@ -172,6 +224,10 @@
             .store()
             .renew_lease(held.lease)
             .await?;
+        if self.gateway.platform.store().era() != held.era {
+            self.drop_grants_of_earlier_era();
+            return Ok(());
+        }
         if state == LeaseState::Ended {
             tracing::info!(event = "membership", lease = held.lease, "lease ended");
             self.held.set(None);
@@ -219,7 +275,7 @@
     /// current lease although the host has no term: the response to its election
     /// was lost, or it has stepped down since.
     fn has_orphaned_entry(&self, term: u64) -> bool {
-        let is_on_lease = self.held.get().is_some_and(|h| term > h.listed_revision);
+        let is_on_lease = self.held.get().is_some_and(|h| term > h.listed_term);
         is_on_lease && self.term.get().is_none()
     }
 
@@ -243,8 +299,13 @@
             value: serde_json::to_vec(&value).ok(),
             lease: held.lease.cast_signed(),
         };
-        match gateway.platform.store().commit(&[write]).await? {
-            CasAllOutcome::Written(term) => {
+        let store = gateway.platform.store();
+        match store.commit(&[write]).await? {
+            // The lease belongs to an earlier era, so that the entry is not kept alive
+            // by this host.
+            CasAllOutcome::Written(_) if store.era() != held.era => {}
+            CasAllOutcome::Written(revision) => {
+                let term = term_number(held.era, revision);
                 self.term.set(Some(term));
                 let settings = gateway.settings();
                 let is_takeover = self.last_other_acting.borrow().is_some();
@@ -253,7 +314,13 @@
                 } else {
                     0
                 };
-                self.orders_from_ms.set(boottime_ms() + wait_ms);
+                let restored_ms = if is_takeover {
+                    self.restored_until_ms.get()
+                } else {
+                    0
+                };
+                self.orders_from_ms
+                    .set(restored_ms.max(boottime_ms() + wait_ms));
                 gateway.set_acting_host(Some(ActingHost {
                     host: value.host,
                     addr: value.addr,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -52,6 +52,12 @@
     pub orders: Family<OrderLabels, Counter>,
     /// Datagrams sent to other hosts.
     pub peer_datagrams: Counter,
+    /// Upstreams taken out of service because they stated that they leave.
+    pub upstreams_leaving: Counter,
+    /// Times that an upstream stated for how long it wants no requests.
+    pub upstream_closures: Counter,
+    /// Era of the store.
+    pub store_era: Gauge,
     /// Log lines dropped because the reader was too slow.
     pub dropped_log_lines: Gauge,
 }
@@ -73,6 +79,9 @@
             store_calls: Gauge::default(),
             orders: Family::default(),
             peer_datagrams: Counter::default(),
+            upstreams_leaving: Counter::default(),
+            upstream_closures: Counter::default(),
+            store_era: Gauge::default(),
             dropped_log_lines: Gauge::default(),
         };
         metrics.register();
@@ -135,6 +144,17 @@
             "Datagrams sent to hosts",
             self.peer_datagrams.clone(),
         );
+        registry.register(
+            "upstreams_leaving",
+            "Upstreams that stated that they leave",
+            self.upstreams_leaving.clone(),
+        );
+        registry.register(
+            "upstream_closures",
+            "Times that an upstream stated for how long it wants no requests",
+            self.upstream_closures.clone(),
+        );
+        registry.register("store_era", "Era of the store", self.store_era.clone());
         registry.register(
             "dropped_log_lines",
             "Log lines dropped for a slow reader",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,9 +2,11 @@
 //!
 //! - `front` accepts requests, `call` executes them with the pure functions of
 //!   `core`, `place` and `placer` admit and queue them, `exchange` sends one to
-//!   an upstream, and `relay` forwards an event stream.
+//!   an upstream, and `relay` forwards an event stream. `notices` applies what an
+//!   upstream states about itself in its responses.
 //! - `sync` watches the platform's store, `membership` registers this host and
-//!   elects the acting host, and `peers` exchanges load and demand between hosts.
+//!   elects the acting host, `store_era` detects that the store was restored from an
+//!   older copy, and `peers` exchanges load and demand between hosts.
 //! - `acting` plans the placement of models and adapters, and `orders`,
 //!   `order_models` and `order_adapters` carry it out.
 
@@ -16,6 +18,7 @@
 pub mod logs;
 pub mod membership;
 pub mod metrics;
+pub mod notices;
 pub mod order_adapters;
 pub mod order_models;
 pub mod orders;
@@ -28,4 +31,5 @@
 pub mod run;
 pub mod settings;
 pub mod state;
+pub mod store_era;
 pub mod sync;
--- /dev/null
+++ b/src/gateway/notices.rs
@@ -0,0 +1,100 @@
+//! Applies the notices that upstreams attach to their responses, and tells other
+//! hosts which upstreams are leaving.
+
+use super::peer_messages::PeerMessage;
+use super::peers::MAX_FULL_MESH_HOSTS;
+use super::platform::Platform;
+use super::state::Gateway;
+use crate::core::ids::UpstreamId;
+use crate::core::upstream_notice::{Closure, UpstreamNotice};
+
+impl<P: Platform> Gateway<P> {
+    /// Applies the notice in a response of an upstream's incarnation.
+    pub fn apply_notice(&self, upstream: &UpstreamId, notice: UpstreamNotice) {
+        if notice.is_leaving {
+            let registry = self.registry.borrow();
+            let started_ms = registry.get(upstream.as_str()).map(|e| e.started_ms);
+            drop(registry);
+            if let Some(started_ms) = started_ms
+                && self.mark_leaving(upstream, started_ms, "response")
+            {
+                self.publish_leaving(upstream, started_ms);
+            }
+        }
+        if notice.closed_for == Closure::Invalid {
+            tracing::warn!(
+                event = "upstream",
+                upstream = %upstream,
+                "cannot read for how long the upstream wants no requests"
+            );
+        }
+        let now_ms = self.now_ms();
+        let reopens_ms = notice
+            .closed_for
+            .reopens_ms(now_ms, &mut self.rng.borrow_mut());
+        if let Some(reopens_ms) = reopens_ms {
+            let closed_for_ms = reopens_ms - now_ms;
+            tracing::info!(event = "upstream", upstream = %upstream, change = "closed", closed_for_ms);
+            self.metrics.upstream_closures.inc();
+            self.loads.borrow_mut().close(upstream, reopens_ms);
+        }
+    }
+
+    /// Takes an upstream out of service that is about to stop; false if that was
+    /// known or another incarnation is listed.
+    pub fn mark_leaving(
+        &self,
+        upstream: &UpstreamId,
+        started_ms: u64,
+        source: &'static str,
+    ) -> bool {
+        let now_ms = self.now_ms();
+        let change = {
+            let mut registry = self.registry.borrow_mut();
+            registry.mark_leaving(upstream, started_ms, now_ms)
+        };
+        let Some(change) = change else {
+            return false;
+        };
+        tracing::info!(event = "upstream", upstream = %upstream, change = "leaving", source);
+        self.metrics.upstreams_leaving.inc();
+        self.on_registry_change(&change, 0);
+        if let Some(entry) = self.registry.borrow().get(upstream.as_str()) {
+            self.pool.close_idle(entry.addr);
+        }
+        // Requests that wait for this upstream go elsewhere.
+        self.admission_queue.borrow().wake();
+        true
+    }
+
+    /// Tells the other hosts that an upstream is leaving. In a large fleet the
+    /// acting host passes it on.
+    pub fn publish_leaving(&self, upstream: &UpstreamId, started_ms: u64) {
+        let message = PeerMessage::Leaving {
+            upstream: upstream.clone(),
+            started_ms,
+        };
+        let own = self.settings().host.clone();
+        let acting = self.acting_host.borrow().clone();
+        let is_acting = acting.as_ref().is_some_and(|a| a.host == own);
+        if self.host_count() <= MAX_FULL_MESH_HOSTS || is_acting {
+            let peers = self.peers.borrow();
+            for (host, peer) in peers.recipients(self.now_ms()) {
+                if *host != own {
+                    self.send_peer(peer.addr, &message);
+                }
+            }
+        } else if let Some(acting) = acting {
+            self.send_peer(acting.addr, &message);
+        }
+    }
+
+    /// True while an upstream wants no requests from this host.
+    pub fn is_closed(&self, upstream: &UpstreamId) -> bool {
+        let now_ms = self.now_ms();
+        let loads = self.loads.borrow();
+        loads
+            .get(upstream.as_str())
+            .is_some_and(|l| l.closed_for_ms(now_ms) > 0)
+    }
+}
--- a/src/gateway/order_adapters.rs
+++ b/src/gateway/order_adapters.rs
@@ -174,7 +174,7 @@
             let Some(addr) = self.addr_of(upstream) else {
                 return;
             };
-            let Some(report) = self.gateway.platform.fetch_report(addr).await else {
+            let Some(report) = self.request_report(upstream, addr).await else {
                 continue;
             };
             if Some(report.started_ms) != started_ms {
--- a/src/gateway/order_models.rs
+++ b/src/gateway/order_models.rs
@@ -66,7 +66,7 @@
             let Some(addr) = self.addr_of(upstream) else {
                 return;
             };
-            if let Some(report) = self.gateway.platform.fetch_report(addr).await {
+            if let Some(report) = self.request_report(upstream, addr).await {
                 let is_same = self.with_ledger(upstream, |l| l.started_ms == report.started_ms);
                 if is_same != Some(true) {
                     return;
@@ -130,7 +130,7 @@
             let Some(addr) = self.addr_of(upstream) else {
                 return;
             };
-            if let Some(report) = self.gateway.platform.fetch_report(addr).await {
+            if let Some(report) = self.request_report(upstream, addr).await {
                 let accepted = self.with_ledger(upstream, |l| l.orders_accepted);
                 let is_recent = accepted.flatten() == Some(report.orders_accepted);
                 if is_recent && !report.is_busy {
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -7,9 +7,12 @@
 
 use super::acting::ActingHostService;
 use super::metrics::OrderLabels;
-use super::platform::{EngineReport, Order, OrderPreconditions, OrderReply, Platform};
+use super::platform::{
+    EngineReport, Order, OrderPreconditions, OrderReply, OrderResponse, Platform,
+};
 use crate::core::engine_ledger::{EngineLedger, REPORT_LAG_MS, ReportedState};
 use crate::core::ids::UpstreamId;
+use crate::core::upstream_notice::UpstreamNotice;
 
 /// Limit of the queue of one engine.
 const MAX_QUEUED_ORDERS: usize = 64;
@@ -163,10 +166,20 @@
                 term,
                 expected_order_count,
             };
+            if self.gateway.is_closed(upstream) {
+                return if has_unanswered_attempt {
+                    OrderReply::Unknown
+                } else {
+                    OrderReply::NotSent
+                };
+            }
             let platform = &self.gateway.platform;
-            let reply = platform
+            let OrderResponse { reply, notice } = platform
                 .send_order(addr, upstream, order, &preconditions)
                 .await;
+            if reply != OrderReply::WrongInstance {
+                self.gateway.apply_notice(upstream, notice);
+            }
             self.record_reply(upstream, order, &preconditions, reply);
             match reply {
                 OrderReply::Unknown => {
@@ -250,10 +263,35 @@
         }
     }
 
+    /// Requests an engine's report, unless the engine wants no requests, and applies
+    /// its notice.
+    pub(super) async fn request_report(
+        &self,
+        upstream: &UpstreamId,
+        addr: SocketAddr,
+    ) -> Option<EngineReport> {
+        if self.gateway.is_closed(upstream) {
+            return None;
+        }
+        let response = self.gateway.platform.fetch_report(addr).await;
+        let listed_ms = {
+            let registry = self.gateway.registry.borrow();
+            registry.get(upstream.as_str()).map(|e| e.started_ms)
+        };
+        // A report is not addressed to an incarnation; another one may have sent it.
+        let reported_ms = response.report.as_ref().map(|r| r.started_ms);
+        let notice = UpstreamNotice {
+            is_leaving: response.notice.is_leaving && reported_ms == listed_ms,
+            ..response.notice
+        };
+        self.gateway.apply_notice(upstream, notice);
+        response.report
+    }
+
     /// Requests an engine's report and updates its holdings and its count of
     /// accepted orders in the ledger.
     async fn update_from_report(&self, upstream: &UpstreamId, addr: SocketAddr) -> ReportOutcome {
-        let Some(report) = self.gateway.platform.fetch_report(addr).await else {
+        let Some(report) = self.request_report(upstream, addr).await else {
             return ReportOutcome::Nothing;
         };
         let now_ms = self.gateway.now_ms();
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -85,6 +85,16 @@
         #[serde(rename = "i")]
         ready_in_ms: u64,
     },
+    /// An upstream is about to stop.
+    #[serde(rename = "g")]
+    Leaving {
+        /// Upstream.
+        #[serde(rename = "u")]
+        upstream: UpstreamId,
+        /// Start of its incarnation, in milliseconds since the epoch.
+        #[serde(rename = "s")]
+        started_ms: u64,
+    },
     /// A host has a request for weights that no upstream can serve now.
     #[serde(rename = "w")]
     Want {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -187,6 +187,17 @@
                     gateway.apply_holdings(&upstream, started_ms, (term, number), &holds);
                 }
             }
+            PeerMessage::Leaving {
+                upstream,
+                started_ms,
+            } => {
+                let acting = gateway.acting_host.borrow().clone();
+                let is_acting = acting.is_some_and(|a| a.host == gateway.settings().host);
+                let is_news = gateway.mark_leaving(&upstream, started_ms, "peer");
+                if is_news && is_acting && gateway.host_count() > MAX_FULL_MESH_HOSTS {
+                    gateway.publish_leaving(&upstream, started_ms);
+                }
+            }
             PeerMessage::Loading {
                 term,
                 service,
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -333,7 +333,7 @@
             NoUpstream::NoModel => self.load_wait_ms(request, queue_key),
             NoUpstream::NoAdapter => ADAPTER_WAIT_MS,
             NoUpstream::NoneListed | NoUpstream::AllTried => NONE_LISTED_WAIT_MS,
-            NoUpstream::Full | NoUpstream::Failing => {
+            NoUpstream::Full | NoUpstream::Failing | NoUpstream::Closed => {
                 let Some(capacity) = capacity else {
                     return NONE_LISTED_WAIT_MS;
                 };
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -15,6 +15,8 @@
 use crate::core::ids::{AdapterId, ModelId, UpstreamId};
 use crate::core::load::RequestSize;
 use crate::core::registry::{Entry, Holdings};
+use crate::core::store_era::Era;
+use crate::core::upstream_notice::UpstreamNotice;
 use crate::edge::kv::{Cas, CasAllOutcome, Change, KvError, Snapshot};
 
 /// Invalid header, configuration or entry of the platform.
@@ -77,7 +79,14 @@
 }
 
 /// Key-value store with revisions, transactions, leases and watches.
+///
+/// Revisions and leases are only valid in the era in which the store returned
+/// them. The era is up to date as soon as a call returns.
 pub trait FleetStore {
+    /// Latest era of the store.
+    fn era(&self) -> Era;
+    /// Waits until the store's era is another than `era`.
+    fn until_era_after(&self, era: Era) -> impl Future<Output = ()>;
     /// Reads all keys with a prefix.
     fn list(&self, prefix: &str) -> impl Future<Output = Result<Snapshot, KvError>>;
     /// Waits for changes with a prefix after a revision, for at most `wait`.
@@ -178,6 +187,24 @@
     pub loading_adapters: Vec<(ModelId, AdapterId)>,
 }
 
+/// Response to an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OrderResponse {
+    /// Outcome of the order.
+    pub reply: OrderReply,
+    /// Notice in the headers, if there was a response.
+    pub notice: UpstreamNotice,
+}
+
+/// Response to a request for a report.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ReportResponse {
+    /// Report; none if there is no valid one.
+    pub report: Option<EngineReport>,
+    /// Notice in the headers, if there was a response.
+    pub notice: UpstreamNotice,
+}
+
 /// Client of the engines' control interface.
 pub trait EngineControl {
     /// Sends an order.
@@ -187,9 +214,9 @@
         id: &UpstreamId,
         order: &Order,
         preconditions: &OrderPreconditions,
-    ) -> impl Future<Output = OrderReply>;
-    /// Requests an engine's state; `None` if there is no valid response.
-    fn fetch_report(&self, addr: SocketAddr) -> impl Future<Output = Option<EngineReport>>;
+    ) -> impl Future<Output = OrderResponse>;
+    /// Requests an engine's state.
+    fn fetch_report(&self, addr: SocketAddr) -> impl Future<Output = ReportResponse>;
 }
 
 /// Decoded headers of a caller's request.
@@ -249,6 +276,8 @@
     /// Classifies an upstream's response to the request with an ID.
     fn classify_response(&self, status: u16, headers: &HeaderMap, request_id: &str)
     -> ResponseKind;
+    /// Notice of the upstream that sent a response.
+    fn notice(&self, status: u16, headers: &HeaderMap) -> UpstreamNotice;
     /// Headers of an upstream's response that are passed on to the caller.
     fn response_headers(&self, from: &HeaderMap) -> HeaderMap;
     /// Sets the time after which a rejected caller may retry.
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -1,7 +1,8 @@
 //! Mirrors the platform's store: configuration, upstreams and hosts.
 //!
 //! A single watch over all keys costs one call per batch of changes. After an
-//! error or a compaction all keys are read again.
+//! error or a compaction, and when the store was restored from an older copy, all
+//! keys are read again. Revisions are never compared across a restore.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -17,6 +18,7 @@
 use crate::core::ids::HostId;
 use crate::core::peer_list::Peer;
 use crate::core::registry::{Entry, LAPSE_GRACE_MS};
+use crate::core::store_era::{Era, term_number};
 use crate::edge::kv::{Change, KeyValue, KvError};
 use crate::kernel::Service;
 
@@ -56,6 +58,8 @@
 pub struct StoreSync<P: Platform> {
     gateway: Rc<Gateway<P>>,
     outage_ended_ms: Cell<u64>,
+    /// Era of the last complete listing.
+    era: Cell<Option<Era>>,
 }
 
 impl<P: Platform> StoreSync<P> {
@@ -64,6 +68,7 @@
         Self {
             gateway,
             outage_ended_ms: Cell::new(0),
+            era: Cell::new(None),
         }
     }
 
@@ -74,12 +79,25 @@
         if self.gateway.record_store_state(true, "read") && self.gateway.is_synced.get() {
             self.outage_ended_ms.set(self.gateway.now_ms());
         }
+        let era = store.era();
+        if self.era.replace(Some(era)).is_some_and(|last| last != era) {
+            // The copy lacks the upstreams that registered after it was made; they
+            // register again as they do after an outage.
+            self.outage_ended_ms.set(self.gateway.now_ms());
+        }
+        self.gateway.registry.borrow_mut().start_era(era);
         let mut after = snapshot.revision;
-        self.apply_snapshot(snapshot.kvs);
+        self.apply_snapshot(snapshot.kvs, era);
         loop {
-            let response = store
-                .poll_changes(P::WATCH_PREFIX, after, WATCH_TIMEOUT)
-                .await?;
+            let response = futures_util::select_biased! {
+                () = store.until_era_after(era).fuse() => return Ok(()),
+                response = store
+                    .poll_changes(P::WATCH_PREFIX, after, WATCH_TIMEOUT)
+                    .fuse() => response?,
+            };
+            if store.era() != era {
+                return Ok(());
+            }
             let WatchResponse::Changes { changes, revision } = response else {
                 tracing::info!(event = "store", what = "history_lost", after);
                 return Ok(());
@@ -87,7 +105,7 @@
             after = revision.max(after);
             let is_idle = changes.is_empty();
             for change in changes {
-                self.apply_change(change);
+                self.apply_change(change, era);
             }
             self.gateway.admission_queue.borrow().wake();
             if !is_idle {
@@ -99,12 +117,12 @@
     }
 
     /// True if missing entries may have lapsed during an outage of the store that
-    /// has just ended.
+    /// has just ended, or are missing in the copy from which it was restored.
     fn is_after_outage(&self) -> bool {
         self.gateway.now_ms() < self.outage_ended_ms.get() + LAPSE_GRACE_MS
     }
 
-    fn apply_snapshot(&self, kvs: Vec<KeyValue>) {
+    fn apply_snapshot(&self, kvs: Vec<KeyValue>, era: Era) {
         let gateway = &self.gateway;
         let mut entries = Vec::new();
         let mut peers = std::collections::HashMap::new();
@@ -117,7 +135,7 @@
             } else if let Some(suffix) = kv.key.strip_prefix(P::GATEWAY_PREFIX) {
                 let value = decode_host(&kv);
                 if suffix == ACTING_KEY {
-                    acting = value.map(|v| acting_host(v, kv.mod_revision));
+                    acting = value.map(|v| acting_host(v, term_number(era, kv.mod_revision)));
                 } else if let Some(value) = value.filter(|_| suffix.starts_with(HOSTS_KEY)) {
                     peers.insert(value.host.clone(), peer_from(&value));
                 }
@@ -137,14 +155,14 @@
         gateway.is_synced.set(true);
     }
 
-    fn apply_change(&self, change: Change) {
+    fn apply_change(&self, change: Change, era: Era) {
         match change {
-            Change::Put(kv) => self.apply_put(&kv),
+            Change::Put(kv) => self.apply_put(&kv, era),
             Change::Delete { key, mod_revision } => self.apply_delete(&key, mod_revision),
         }
     }
 
-    fn apply_put(&self, kv: &KeyValue) {
+    fn apply_put(&self, kv: &KeyValue, era: Era) {
         let gateway = &self.gateway;
         if kv.key == P::CATALOG_KEY {
             self.update_catalog(kv);
@@ -162,7 +180,8 @@
                 return;
             };
             if suffix == ACTING_KEY {
-                gateway.set_acting_host(Some(acting_host(value, kv.mod_revision)));
+                let term = term_number(era, kv.mod_revision);
+                gateway.set_acting_host(Some(acting_host(value, term)));
             } else if suffix.starts_with(HOSTS_KEY) {
                 let mut peers = gateway.peers.borrow_mut();
                 peers.insert(value.host.clone(), peer_from(&value));
