Let the acting host work in turns; a message causes no plan of its own

Cause: each request of a host for a missing model was followed by a plan of the whole fleet, and each for an adapter by a sum over the loads of all hosts. Change: messages are recorded; a turn places the adapters, plans if a plan is due (core/pacing: all plans take under a tenth of the time) and publishes what changed. Holdings of several engines share a datagram, which is encoded once for all hosts. An adapter whose load is queued counts as loading. Turns over 20 ms are logged, all are in the histogram turn.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -21,6 +21,7 @@
 pub mod log_trace;
 pub mod membership;
 pub mod outcome;
+pub mod pacing;
 pub mod peer_list;
 pub mod peer_loads;
 pub mod placement;
--- a/src/gateway/acting.rs
+++ b/src/gateway/acting.rs
@@ -1,34 +1,39 @@
 //! Control loop of the acting host: aggregates the reports of all hosts, plans
 //! which engines hold copies of which models, and places requested adapters.
+//!
+//! The loop works in turns. Whatever happens between two turns is only recorded:
+//! a message of another host never causes a plan or a broadcast by itself.
 
-use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::FutureExt;
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use super::demand::{ModelCounts, ServiceModel};
 use super::membership::Membership;
 use super::orders::OrderQueue;
-use super::peer_messages::PeerMessage;
-use super::peers::{ActingHostInbox, MAX_FULL_MESH_HOSTS, datagram_chunk};
+use super::peers::{ActingHostInbox, MAX_FULL_MESH_HOSTS, report_interval};
 use super::platform::{Order, Platform};
 use super::state::Gateway;
-use crate::core::adapters::{CandidateEngine, select_engine};
 use crate::core::balance::Weights;
 use crate::core::catalog::{EngineSpec, WeightSource};
 use crate::core::copies::{ModelDemand, PlannedEngine, Step, plan};
 use crate::core::demand_rate::DemandRate;
 use crate::core::engine_ledger::EngineLedger;
 use crate::core::ids::{AdapterId, HostId, ModelId, ServiceId, UpstreamId};
-use crate::core::load::{InFlight, min_prefill_us_per_token};
+use crate::core::load::min_prefill_us_per_token;
+use crate::core::pacing::PlanPacer;
 use crate::core::registry::Entry;
 use crate::kernel::Service;
 
-/// Time between two planning cycles.
-const PLAN_INTERVAL: Duration = Duration::from_millis(200);
+/// Shortest time between two turns.
+const MIN_TURN_INTERVAL: Duration = Duration::from_millis(15);
+/// Turn that is logged because it delays everything else on the host.
+const SLOW_TURN: Duration = Duration::from_millis(20);
 /// Time until the next report is requested from an engine that did not respond
 /// or is busy with another host's order.
 const REPORT_RETRY_MS: u64 = 400;
@@ -52,8 +57,14 @@
     pub engines: BTreeMap<UpstreamId, EngineLedger>,
     store_load_tokens: f64,
     store_loads_refilled_ms: u64,
-    term: u64,
-    holdings_number: u64,
+    /// Term for which this state was built.
+    pub(super) term: u64,
+    /// Number of the last published holdings within the term.
+    pub(super) holdings_number: u64,
+    /// Engines whose holdings have changed since they were published.
+    pub(super) unpublished: BTreeSet<UpstreamId>,
+    /// Adapters that hosts have requested since the last turn.
+    pub(super) requested_adapters: BTreeSet<(ServiceId, ModelId, AdapterId)>,
 }
 
 impl ActingHostState {
@@ -113,6 +124,12 @@
     pub state: RefCell<ActingHostState>,
     /// Queued orders by engine.
     pub orders: RefCell<HashMap<UpstreamId, OrderQueue>>,
+    /// Spacing of the plans.
+    pacer: RefCell<PlanPacer>,
+    /// Time of the next digests of all hosts' loads.
+    next_digest_ms: Cell<u64>,
+    /// Starts a turn before the next plan is due.
+    pub(super) wake: Notify,
 }
 
 impl<P: Platform> ActingHostService<P> {
@@ -123,6 +140,9 @@
             membership,
             state: RefCell::default(),
             orders: RefCell::default(),
+            pacer: RefCell::default(),
+            next_digest_ms: Cell::new(0),
+            wake: Notify::new(),
         }
     }
 
@@ -264,26 +284,6 @@
         }
     }
 
-    fn announce_loading(
-        &self,
-        service: &ServiceId,
-        spec: &EngineSpec,
-        upstream: &UpstreamId,
-        model: &ModelId,
-    ) {
-        let ready_in_ms = self.load_time(spec, upstream, model).as_millis() as u64;
-        let term = self.state.borrow().term;
-        let message = PeerMessage::Loading {
-            term,
-            service: service.clone(),
-            model: model.clone(),
-            ready_in_ms,
-        };
-        self.broadcast(&message);
-        let gateway = &self.gateway;
-        gateway.apply_loading(service.clone(), model.clone(), ready_in_ms);
-    }
-
     /// Fastest source from which an engine can load the weights of a model.
     pub fn weight_source(&self, upstream: &UpstreamId, model: &ModelId) -> WeightSource {
         let registry = self.gateway.registry.borrow();
@@ -298,130 +298,44 @@
             s.load_time(self.weight_source(upstream, model))
         })
     }
+}
 
-    /// Sends a message to all other hosts.
-    pub fn broadcast(&self, message: &PeerMessage) {
-        let gateway = &self.gateway;
-        let own = gateway.settings().host.clone();
-        let peers = gateway.peers.borrow();
-        for (host, peer) in peers.recipients(gateway.now_ms()) {
-            if *host != own {
-                gateway.send_peer(peer.addr, message);
-            }
-        }
-    }
-
-    /// Publishes the models and adapters that an engine holds to all hosts.
-    pub fn broadcast_holdings(&self, upstream: &UpstreamId) {
-        let mut state = self.state.borrow_mut();
-        state.holdings_number += 1;
-        let (term, number) = (state.term, state.holdings_number);
-        let Some(ledger) = state.engines.get(upstream) else {
-            return;
-        };
-        let message = PeerMessage::Holdings {
-            term,
-            upstream: upstream.clone(),
-            started_ms: ledger.started_ms,
-            number,
-            holds: ledger.resident.clone(),
-        };
-        self.broadcast(&message);
-        let started_ms = ledger.started_ms;
-        self.gateway
-            .apply_holdings(upstream, started_ms, (term, number), &ledger.resident);
-    }
-
-    /// Sends each host the sum of what all other hosts have in flight.
-    fn send_digests(&self, term: u64) {
+impl<P: Platform> ActingHostService<P> {
+    /// Plans if a plan is due, places requested adapters and publishes changes.
+    fn take_turn(self: &Rc<Self>) {
         let gateway = &self.gateway;
         let now_ms = gateway.now_ms();
-        let own = gateway.settings().host.clone();
-        let peer_loads = gateway.peer_loads.borrow();
-        let totals = peer_loads.totals(now_ms);
-        let peers = gateway.peers.borrow();
-        for (host, peer) in peers.recipients(now_ms) {
-            let others: Vec<(UpstreamId, InFlight)> = totals
-                .iter()
-                .map(|(id, total)| (id.clone(), total.minus(peer_loads.from_host(host, id))))
-                .collect();
-            if *host == own {
-                let mut loads = gateway.loads.borrow_mut();
-                for (id, others) in &others {
-                    loads.set_remote(now_ms, id, *others);
-                }
-                continue;
-            }
-            for index in 0..others.len().div_ceil(super::peers::MAX_ITEMS_PER_DATAGRAM) {
-                let others = datagram_chunk(&others, index);
-                gateway.send_peer(peer.addr, &PeerMessage::Digest { term, others });
+        let is_plan_due = self.pacer.borrow().due_in_ms(now_ms) == 0;
+        if is_plan_due {
+            gateway.pool.close_expired();
+            let expired = gateway.registry.borrow_mut().expire_lapsed(now_ms);
+            for change in &expired {
+                gateway.on_registry_change(change, 0);
             }
         }
-    }
-
-    /// Orders an engine that holds the model to load an adapter, if no copy can
-    /// serve it yet.
-    fn place_adapter(self: &Rc<Self>, service: &ServiceId, model: &ModelId, adapter: &AdapterId) {
-        let Some(catalog) = self.gateway.catalog() else {
-            return;
-        };
-        let engine = catalog
-            .services
-            .get(service)
-            .and_then(|s| s.engine.as_ref());
-        let Some(spec) = engine else {
+        let Some(term) = self.membership.acting_term() else {
+            self.state.borrow_mut().requested_adapters.clear();
+            self.pacer.borrow_mut().finish(now_ms, Duration::ZERO);
             return;
         };
-        let (ids, candidates) = self.adapter_candidates(service, spec, model, adapter);
-        if let Some(index) = select_engine(&candidates) {
-            let order = Order::LoadAdapter(model.clone(), adapter.clone());
-            self.enqueue(ids[index].clone(), order);
+        if is_plan_due {
+            let started = Instant::now();
+            self.plan_fleet(term);
+            let now_ms = gateway.now_ms();
+            self.pacer.borrow_mut().finish(now_ms, started.elapsed());
+            self.send_due_digests(term, now_ms);
         }
+        self.place_requested_adapters();
+        self.flush_holdings();
     }
 
-    fn adapter_candidates(
-        &self,
-        service: &ServiceId,
-        spec: &EngineSpec,
-        model: &ModelId,
-        adapter: &AdapterId,
-    ) -> (Vec<UpstreamId>, Vec<CandidateEngine>) {
-        let now_ms = self.gateway.now_ms();
-        let registry = self.gateway.registry.borrow();
-        let loads = self.gateway.loads.borrow();
-        let state = self.state.borrow();
-        let totals = self.gateway.peer_loads.borrow().totals(now_ms);
-        let key = (model.clone(), adapter.clone());
-        let mut ids = Vec::new();
-        let mut candidates = Vec::new();
-        for entry in registry.of_service(service).filter(|e| !e.is_draining) {
-            let Some(ledger) = state.engines.get(&entry.id) else {
-                continue;
-            };
-            let Some(adapters) = ledger.resident.get(model) else {
-                continue;
-            };
-            let load = loads.get(entry.id.as_str());
-            if load.is_some_and(|l| l.is_ejected(now_ms) || l.is_unresponsive(now_ms)) {
-                continue;
-            }
-            let requests = totals.get(&entry.id).map_or(0, |t| t.requests);
-            let slots = spec.adapter_slots as usize;
-            let victim = ledger.adapter_to_evict(|m, a| state.last_requested_ms(m, a));
-            let victim_ms = victim.map_or(0, |(m, a)| state.last_requested_ms(&m, &a));
-            ids.push(entry.id.clone());
-            candidates.push(CandidateEngine {
-                batch_fill: f64::from(requests) / f64::from(entry.slots.max(1)),
-                free_slots: slots.saturating_sub(ledger.charged_adapter_slots()),
-                victim_idle_ms: now_ms.saturating_sub(victim_ms),
-                is_blocked: !ledger.accepts_orders(now_ms)
-                    || load.is_some_and(|l| l.closed_for_ms(now_ms) > 0)
-                    || ledger.unloading_adapters.contains(&key),
-                has_adapter: adapters.contains(adapter),
-                is_loading: ledger.is_adapter_loading(&key),
-            });
+    fn send_due_digests(&self, term: u64, now_ms: u64) {
+        let hosts = self.gateway.host_count();
+        if now_ms >= self.next_digest_ms.get() && hosts > MAX_FULL_MESH_HOSTS {
+            let every_ms = report_interval(hosts).as_millis() as u64;
+            self.next_digest_ms.set(now_ms + every_ms);
+            self.send_digests(term);
         }
-        (ids, candidates)
     }
 }
 
@@ -462,9 +376,9 @@
 
     fn on_weights_request(&self, service: &ServiceId, weights: &Weights) {
         let now_ms = self.gateway.now_ms();
-        let Some(term) = self.membership.acting_term() else {
+        if self.membership.acting_term().is_none() {
             return;
-        };
+        }
         {
             let mut state = self.state.borrow_mut();
             let key = (service.clone(), weights.model.clone());
@@ -480,10 +394,12 @@
             ledgers.any(|l| l.resident.contains_key(&weights.model))
         };
         if !has_copy {
-            self.plan_fleet(term);
+            self.pacer.borrow_mut().request();
         } else if let Some(adapter) = &weights.adapter {
-            self.place_adapter(service, &weights.model, adapter);
+            let key = (service.clone(), weights.model.clone(), adapter.clone());
+            self.state.borrow_mut().requested_adapters.insert(key);
         }
+        self.wake.notify_one();
     }
 }
 
@@ -491,28 +407,23 @@
     const NAME: &'static str = "gateway-acting";
 
     async fn run(self: Rc<Self>, cancel: CancellationToken) {
-        let mut next_digest_ms = 0;
         loop {
+            let due_in_ms = self.pacer.borrow().due_in_ms(self.gateway.now_ms());
+            let due = compio::time::sleep(Duration::from_millis(due_in_ms));
             futures_util::select_biased! {
                 () = cancel.cancelled().fuse() => return,
-                () = compio::time::sleep(PLAN_INTERVAL).fuse() => {}
-            }
-            self.gateway.pool.close_expired();
-            let now_ms = self.gateway.now_ms();
-            let expired = self.gateway.registry.borrow_mut().expire_lapsed(now_ms);
-            for change in &expired {
-                self.gateway.on_registry_change(change, 0);
+                () = due.fuse() => {}
+                () = self.wake.notified().fuse() => {}
             }
-            let Some(term) = self.membership.acting_term() else {
-                continue;
-            };
-            self.plan_fleet(term);
-            let hosts = self.gateway.host_count();
-            let every_ms = super::peers::report_interval(hosts).as_millis() as u64;
-            if now_ms >= next_digest_ms && hosts > MAX_FULL_MESH_HOSTS {
-                next_digest_ms = now_ms + every_ms;
-                self.send_digests(term);
+            let started = Instant::now();
+            self.take_turn();
+            let took = started.elapsed();
+            self.gateway.metrics.turn_time_s.observe(took.as_secs_f64());
+            if took > SLOW_TURN {
+                let took_ms = took.as_millis() as u64;
+                tracing::info!(event = "turn", took_ms, hosts = self.gateway.host_count());
             }
+            compio::time::sleep(MIN_TURN_INTERVAL).await;
         }
     }
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -54,6 +54,8 @@
     pub peer_datagrams: Counter,
     /// Upstreams taken out of service because they stated that they leave.
     pub upstreams_leaving: Counter,
+    /// Time of one turn of the acting host.
+    pub turn_time_s: Histogram,
     /// Times that an upstream stated for how long it wants no requests.
     pub upstream_closures: Counter,
     /// Era of the store.
@@ -80,6 +82,7 @@
             orders: Family::default(),
             peer_datagrams: Counter::default(),
             upstreams_leaving: Counter::default(),
+            turn_time_s: Histogram::new(buckets()),
             upstream_closures: Counter::default(),
             store_era: Gauge::default(),
             dropped_log_lines: Gauge::default(),
@@ -154,6 +157,12 @@
             "Times that an upstream stated for how long it wants no requests",
             self.upstream_closures.clone(),
         );
+        registry.register_with_unit(
+            "turn",
+            "Time of one turn of the acting host",
+            Unit::Seconds,
+            self.turn_time_s.clone(),
+        );
         registry.register("store_era", "Era of the store", self.store_era.clone());
         registry.register(
             "dropped_log_lines",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,10 +7,13 @@
 //! - `sync` watches the platform's store, `membership` registers this host and
 //!   elects the acting host, `store_era` detects that the store was restored from an
 //!   older copy, and `peers` exchanges load and demand between hosts.
-//! - `acting` plans the placement of models and adapters, and `orders`,
-//!   `order_models` and `order_adapters` carry it out.
+//! - `acting` plans the placement of models, `adapter_requests` that of adapters,
+//!   `announce` publishes the result, and `orders`, `order_models` and
+//!   `order_adapters` carry it out.
 
 pub mod acting;
+pub mod adapter_requests;
+pub mod announce;
 pub mod call;
 pub mod demand;
 pub mod exchange;
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -79,11 +79,10 @@
         let is_acting = acting.as_ref().is_some_and(|a| a.host == own);
         if self.host_count() <= MAX_FULL_MESH_HOSTS || is_acting {
             let peers = self.peers.borrow();
-            for (host, peer) in peers.recipients(self.now_ms()) {
-                if *host != own {
-                    self.send_peer(peer.addr, &message);
-                }
-            }
+            let recipients = peers.recipients(self.now_ms());
+            let others = recipients.filter(|(host, _)| **host != own);
+            let addrs = others.map(|(_, peer)| peer.addr).collect();
+            self.send_peers(addrs, &message);
         } else if let Some(acting) = acting {
             self.send_peer(acting.addr, &message);
         }
--- a/src/gateway/order_adapters.rs
+++ b/src/gateway/order_adapters.rs
@@ -88,7 +88,7 @@
         }
     }
 
-    fn finish_adapter_load(&self, upstream: &UpstreamId, key: &(ModelId, AdapterId)) {
+    fn finish_adapter_load(self: &Rc<Self>, upstream: &UpstreamId, key: &(ModelId, AdapterId)) {
         self.with_ledger(upstream, |ledger| {
             if ledger.loading_adapters.remove(key).is_some()
                 && let Some(adapters) = ledger.resident.get_mut(&key.0)
@@ -96,7 +96,7 @@
                 adapters.insert(key.1.clone());
             }
         });
-        self.broadcast_holdings(upstream);
+        self.publish_holdings(upstream);
     }
 
     /// Unloads an adapter; false if that failed. An adapter in use is unloaded
@@ -121,7 +121,7 @@
         if is_resident != Some(true) {
             return false;
         }
-        self.broadcast_holdings(upstream);
+        self.publish_holdings_now(upstream);
         let order = Order::UnloadAdapter(model.clone(), adapter.clone());
         let reply = self.send_order(upstream, &order).await;
         match reply {
@@ -148,7 +148,7 @@
     /// Records the end of an unload; an adapter that is still loaded is returned
     /// to the ledger's holdings.
     fn finish_adapter_unload(
-        &self,
+        self: &Rc<Self>,
         upstream: &UpstreamId,
         key: &(ModelId, AdapterId),
         is_unloaded: bool,
@@ -163,11 +163,15 @@
             }
         });
         if !is_unloaded {
-            self.broadcast_holdings(upstream);
+            self.publish_holdings(upstream);
         }
     }
 
-    async fn await_adapter_unload(&self, upstream: &UpstreamId, key: &(ModelId, AdapterId)) {
+    async fn await_adapter_unload(
+        self: &Rc<Self>,
+        upstream: &UpstreamId,
+        key: &(ModelId, AdapterId),
+    ) {
         let started_ms = self.with_ledger(upstream, |l| l.started_ms);
         for _ in 0..MAX_ORDER_POLLS {
             compio::time::sleep(UNLOAD_POLL_INTERVAL).await;
--- a/src/gateway/order_models.rs
+++ b/src/gateway/order_models.rs
@@ -83,14 +83,14 @@
     }
 
     /// Applies a report and clears the model loads and unloads in progress.
-    fn apply_idle_report(&self, upstream: &UpstreamId, report: &EngineReport) {
+    fn apply_idle_report(self: &Rc<Self>, upstream: &UpstreamId, report: &EngineReport) {
         let now_ms = self.gateway.now_ms();
         self.with_ledger(upstream, |ledger| {
             ledger.loading = None;
             ledger.unloading = None;
             ledger.apply_report(&report_view(report), now_ms);
         });
-        self.broadcast_holdings(upstream);
+        self.publish_holdings(upstream);
     }
 
     pub(super) async fn unload_model(self: &Rc<Self>, upstream: &UpstreamId, model: &ModelId) {
@@ -106,7 +106,7 @@
             return;
         }
         // Hosts must stop sending requests for the model before it is unloaded.
-        self.broadcast_holdings(upstream);
+        self.publish_holdings_now(upstream);
         let order = Order::UnloadModel(model.clone());
         match self.send_order(upstream, &order).await {
             OrderReply::Accepted | OrderReply::Holds => self.await_idle(upstream).await,
@@ -117,7 +117,7 @@
                         ledger.resident.entry(model).or_insert(adapters);
                     }
                 });
-                self.broadcast_holdings(upstream);
+                self.publish_holdings(upstream);
                 self.block_engine(upstream);
             }
         }
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -37,6 +37,17 @@
 }
 
 impl OrderQueue {
+    /// True if an order is queued or in progress.
+    pub fn contains(&self, order: &Order) -> bool {
+        self.in_progress.as_ref() == Some(order) || self.orders.contains(order)
+    }
+
+    /// Number of adapter loads that are queued and not yet in progress.
+    pub fn adapter_load_count(&self) -> usize {
+        let is_load = |o: &&Order| matches!(o, Order::LoadAdapter(..));
+        self.orders.iter().filter(is_load).count()
+    }
+
     /// True if an order for a model is queued or in progress.
     pub fn has_model_orders(&self) -> bool {
         let is_model = |o: &Order| matches!(o, Order::LoadModel(_) | Order::UnloadModel(_));
@@ -50,9 +61,7 @@
     pub fn enqueue(self: &Rc<Self>, upstream: UpstreamId, order: Order) {
         let mut orders = self.orders.borrow_mut();
         let queue = orders.entry(upstream.clone()).or_default();
-        let is_duplicate =
-            queue.orders.contains(&order) || queue.in_progress.as_ref() == Some(&order);
-        if is_duplicate || queue.orders.len() >= MAX_QUEUED_ORDERS {
+        if queue.contains(&order) || queue.orders.len() >= MAX_QUEUED_ORDERS {
             return;
         }
         queue.orders.push_back(order);
@@ -248,7 +257,7 @@
 
     /// Updates the ledger from the engine's report, unless orders are queued for it,
     /// and publishes changed holdings.
-    pub async fn refresh_holdings(&self, upstream: &UpstreamId) {
+    pub async fn refresh_holdings(self: &Rc<Self>, upstream: &UpstreamId) {
         let Some(addr) = self.addr_of(upstream) else {
             return;
         };
@@ -259,7 +268,7 @@
         self.update_from_report(upstream, addr).await;
         let is_changed = before != self.with_ledger(upstream, |l| l.resident.clone());
         if is_changed {
-            self.broadcast_holdings(upstream);
+            self.publish_holdings(upstream);
         }
     }
 
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -7,6 +7,23 @@
 use crate::core::load::InFlight;
 use crate::core::registry::Holdings;
 
+/// Holdings of one engine.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EngineHoldings {
+    /// Engine.
+    #[serde(rename = "u")]
+    pub upstream: UpstreamId,
+    /// Start of the engine's incarnation, in milliseconds since the epoch.
+    #[serde(rename = "s")]
+    pub started_ms: u64,
+    /// Sequence number within the term of the acting host.
+    #[serde(rename = "n")]
+    pub number: u64,
+    /// Models and adapters ready for requests.
+    #[serde(rename = "h")]
+    pub holds: Holdings,
+}
+
 /// Message from one host to another.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PeerMessage {
@@ -50,24 +67,15 @@
         #[serde(rename = "u")]
         others: Vec<(UpstreamId, InFlight)>,
     },
-    /// Holdings of an engine after an order.
+    /// Holdings of engines after orders.
     #[serde(rename = "o")]
     Holdings {
         /// Term of the acting host.
         #[serde(rename = "t")]
         term: u64,
-        /// Engine.
-        #[serde(rename = "u")]
-        upstream: UpstreamId,
-        /// Start of the engine's incarnation, in milliseconds since the epoch.
-        #[serde(rename = "s")]
-        started_ms: u64,
-        /// Sequence number within the term.
-        #[serde(rename = "n")]
-        number: u64,
-        /// Models and adapters ready for requests.
-        #[serde(rename = "h")]
-        holds: Holdings,
+        /// Engines whose holdings have changed.
+        #[serde(rename = "e")]
+        engines: Vec<EngineHoldings>,
     },
     /// An engine starts to load a model.
     #[serde(rename = "l")]
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -21,13 +21,12 @@
 use tokio_util::sync::CancellationToken;
 
 use super::demand::ModelCounts;
-use super::peer_messages::PeerMessage;
+use super::peer_messages::{EngineHoldings, PeerMessage};
 use super::platform::Platform;
 use super::state::Gateway;
 use crate::core::balance::Weights;
 use crate::core::ids::{AdapterId, HostId, ModelId, ServiceId, UpstreamId};
 use crate::core::load::InFlight;
-use crate::core::registry::{Holdings, ObservationNumber};
 use crate::core::waiting::QueueKey;
 use crate::kernel::Service;
 
@@ -76,8 +75,9 @@
 }
 
 impl PeerSender {
-    /// Sends a message without delivery guarantee; false if it cannot be sent.
-    pub fn send(&self, addr: SocketAddr, message: &PeerMessage) -> bool {
+    /// Sends a message to some hosts without delivery guarantee; false if it cannot
+    /// be sent.
+    pub fn send(&self, addrs: Vec<SocketAddr>, message: &PeerMessage) -> bool {
         let Some(socket) = self.socket.borrow().clone() else {
             return false;
         };
@@ -87,9 +87,12 @@
             return false;
         }
         compio::runtime::spawn(async move {
-            let BufResult(sent, _) = socket.send_to(bytes, addr).await;
-            if let Err(error) = sent {
-                tracing::debug!(event = "peers", %addr, %error, "cannot send datagram");
+            for addr in addrs {
+                let BufResult(sent, buffer) = socket.send_to(bytes, addr).await;
+                bytes = buffer;
+                if let Err(error) = sent {
+                    tracing::debug!(event = "peers", %addr, %error, "cannot send datagram");
+                }
             }
         })
         .detach();
@@ -176,15 +179,11 @@
                 drop(loads);
                 gateway.admission_queue.borrow().wake();
             }
-            PeerMessage::Holdings {
-                term,
-                upstream,
-                started_ms,
-                number,
-                holds,
-            } => {
+            PeerMessage::Holdings { term, engines } => {
                 if gateway.is_current_term(term) {
-                    gateway.apply_holdings(&upstream, started_ms, (term, number), &holds);
+                    for engine in &engines {
+                        gateway.apply_holdings(term, engine);
+                    }
                 }
             }
             PeerMessage::Leaving {
@@ -267,9 +266,7 @@
                 started_ms,
                 in_flight: datagram_chunk(in_flight, index),
             };
-            for addr in &addrs {
-                gateway.send_peer(*addr, &message);
-            }
+            gateway.send_peers(addrs.clone(), &message);
         }
     }
 
@@ -332,8 +329,14 @@
 impl<P: Platform> Gateway<P> {
     /// Sends a message to another host.
     pub fn send_peer(&self, addr: SocketAddr, message: &PeerMessage) {
-        if self.peer_sender.send(addr, message) {
-            self.metrics.peer_datagrams.inc();
+        self.send_peers(vec![addr], message);
+    }
+
+    /// Sends a message to some other hosts.
+    pub fn send_peers(&self, addrs: Vec<SocketAddr>, message: &PeerMessage) {
+        let count = addrs.len() as u64;
+        if count > 0 && self.peer_sender.send(addrs, message) {
+            self.metrics.peer_datagrams.inc_by(count);
         }
     }
 
@@ -366,18 +369,18 @@
         self.admission_queue.borrow().wake();
     }
 
-    /// Updates the holdings of an engine after an order.
-    pub fn apply_holdings(
-        &self,
-        upstream: &UpstreamId,
-        started_ms: u64,
-        number: ObservationNumber,
-        holds: &Holdings,
-    ) {
+    /// Updates the holdings of an engine after an order of the acting host.
+    pub fn apply_holdings(&self, term: u64, engine: &EngineHoldings) {
         let now_ms = self.now_ms();
         let mut registry = self.registry.borrow_mut();
-        let id = upstream.as_str();
-        if registry.apply_holdings(now_ms, id, started_ms, number, holds) {
+        let is_changed = registry.apply_holdings(
+            now_ms,
+            engine.upstream.as_str(),
+            engine.started_ms,
+            (term, engine.number),
+            &engine.holds,
+        );
+        if is_changed {
             drop(registry);
             self.admission_queue.borrow().wake();
         }
