Pass changes of the store on between hosts of a large fleet

Change: in a fleet of more than 16 hosts two hosts of each zone and the acting host watch the store and pass changes on by datagram, with era and revision (core/store_relay, gateway/store_relay); the others follow. A follower that hears no confirmed position for 3/8 of the shortest bound, or misses a change, reads from its own position; the configuration is always read from the store. sync is split into the loop and store_facts. A host's entry gets a lease of 10 s; the acting host's entry keeps a short one of its own (gateway/lease), so that only the holder renews often. Tests: tests/gateway_store_relay.rs, platform/tests/relay.rs (a silent, a dead and a lossy watching host, a restored store). host_becomes_acting_after_the_election_ response_was_lost waited for the orphaned entry in the list; its lease is now ended at once, so that the test waits for the lost response instead and checks the entry and the term at the end as well.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -32,6 +32,7 @@
 pub mod routing;
 pub mod slots;
 pub mod store_era;
+pub mod store_relay;
 pub mod timeline;
 pub mod upstream_notice;
 pub mod view;
--- a/src/core/peer_list.rs
+++ b/src/core/peer_list.rs
@@ -7,19 +7,20 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use super::ids::HostId;
+use super::ids::{HostId, ZoneId};
 
 /// Time for which an unlisted host still receives peer messages, in
 /// milliseconds; outages of the store last some seconds for one host.
 pub const UNLISTED_GRACE_MS: u64 = 20_000;
 
 /// One host.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Peer {
     /// Address for traffic between hosts.
     pub addr: SocketAddr,
     /// CPU capacity of its machine, in thousandths of a core.
     pub cpu_milli: u32,
+    zone: Option<ZoneId>,
     /// Time at which it was found to be unlisted, if it is.
     unlisted_ms: Option<u64>,
 }
@@ -30,10 +31,24 @@
         Self {
             addr,
             cpu_milli,
+            zone: None,
             unlisted_ms: None,
         }
     }
 
+    /// The same host in an availability zone.
+    pub fn in_zone(self, zone: &str) -> Self {
+        Self {
+            zone: Some(ZoneId::new(zone)),
+            ..self
+        }
+    }
+
+    /// Availability zone, if known.
+    pub fn zone(&self) -> Option<&str> {
+        self.zone.as_ref().map(ZoneId::as_str)
+    }
+
     /// True if it is listed or was until recently.
     fn is_recipient(&self, now_ms: u64) -> bool {
         let is_recent = |at_ms| now_ms < at_ms + UNLISTED_GRACE_MS;
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -1,10 +1,11 @@
 //! Registers this host in the store and elects the acting host of the fleet.
 //!
-//! A host's entry and, on the acting host, the acting-host entry are attached to
-//! one lease. The revision of the acting-host entry is the term, which is the
-//! fencing token of all orders. A host acts only until its lease expires by a
-//! clock that also advances during suspension, counted from before the renewal
-//! was sent.
+//! A host's entry is attached to a lease of some seconds; a lapse only delays the
+//! news that the host is gone. The entry of the acting host is attached to a short
+//! lease of its own, so that another host takes over soon. The revision of that
+//! entry gives the term, which is the fencing token of all orders. A host acts only
+//! until that lease expires by a clock that also advances during suspension,
+//! counted from before the renewal was sent.
 //!
 //! When the store is restored from an older copy, its leases and the role of the
 //! acting host may be gone or belong to another host. Whatever was granted before
@@ -17,26 +18,32 @@
 use std::time::Duration;
 
 use futures_util::FutureExt;
-use rustix::time::{ClockId, clock_gettime};
 use tokio_util::sync::CancellationToken;
 
-use super::platform::{FleetStore, LeaseState, Platform};
+use super::lease::{LeaseKeeper, Renewal, boottime_ms};
+use super::platform::{FleetStore, Platform};
 use super::state::{ActingHost, Gateway};
-use super::sync::{ACTING_KEY, HOSTS_KEY, HostRecord};
+use super::store_facts::{ACTING_KEY, HOSTS_KEY, HostRecord};
 use crate::core::ids::HostId;
-use crate::core::store_era::{Era, term_number};
+use crate::core::store_era::term_number;
 use crate::edge::kv::{Cas, CasAllOutcome, KvError};
 use crate::kernel::Service;
 
-/// Time to live of a host's lease.
-const LEASE_TTL: Duration = Duration::from_secs(3);
-/// Time between two renewals; two can fail before the lease expires.
-const RENEW_INTERVAL: Duration = Duration::from_millis(900);
-/// Time before the lease expires at which a host stops sending orders, to allow
-/// for clock drift and the network delay of an order.
+/// Time to live of a host's entry.
+const ENTRY_TTL: Duration = Duration::from_secs(10);
+/// Time between two renewals of it; two can fail before it expires.
+const ENTRY_RENEW_INTERVAL: Duration = Duration::from_secs(3);
+/// Time to live of the acting host's entry.
+const ACTING_TTL: Duration = Duration::from_secs(3);
+/// Time between two renewals of it; two can fail before it expires.
+const ACTING_RENEW_INTERVAL: Duration = Duration::from_millis(900);
+/// Time before the acting host's lease expires at which it stops sending orders, to
+/// allow for clock drift and the network delay of an order.
 const LEASE_MARGIN_MS: u64 = 400;
 /// Time between two checks of the acting-host entry.
 const TICK_INTERVAL: Duration = Duration::from_millis(150);
+/// Time until the next check after an error.
+const ERROR_PAUSE: Duration = Duration::from_millis(300);
 /// Delay between the election attempts of consecutive candidates, so that they
 /// do not all write at once.
 const ELECTION_STAGGER_MS: u64 = 120;
@@ -44,25 +51,12 @@
 /// was restored, in milliseconds.
 const RESTORE_SPREAD_MS: usize = 500;
 
-/// Lease that this host holds, as of its last renewal.
-#[derive(Clone, Copy, Debug, Default)]
-struct HeldLease {
-    lease: u64,
-    /// Era of the store that granted it.
-    era: Era,
-    ttl_ms: u64,
-    /// Expiry by `boottime_ms`.
-    expires_ms: u64,
-    renewed_ms: u64,
-    /// Number of a term that would start with this host's entry under the lease.
-    listed_term: u64,
-}
-
 /// Service that keeps this host registered and takes part in the election.
 #[derive(Debug)]
 pub struct Membership<P: Platform> {
     gateway: Rc<Gateway<P>>,
-    held: Cell<Option<HeldLease>>,
+    entry_lease: LeaseKeeper,
+    acting_lease: LeaseKeeper,
     /// Term of this host while it is the acting host.
     term: Cell<Option<u64>>,
     /// Time from which this host may send orders, by `boottime_ms`.
@@ -76,13 +70,6 @@
     last_other_acting: RefCell<Option<HostId>>,
 }
 
-/// Milliseconds since boot, including the time in which the machine was
-/// suspended.
-pub fn boottime_ms() -> u64 {
-    let now = clock_gettime(ClockId::Boottime);
-    now.tv_sec.unsigned_abs() * 1000 + now.tv_nsec.unsigned_abs() / 1_000_000
-}
-
 /// Position of a host in the order of election attempts, from 0. Hosts with a
 /// larger CPU share are first, because the acting host's work takes most of a
 /// small machine's time.
@@ -102,7 +89,8 @@
     pub fn new(gateway: Rc<Gateway<P>>) -> Self {
         Self {
             gateway,
-            held: Cell::new(None),
+            entry_lease: LeaseKeeper::new(ENTRY_TTL, ENTRY_RENEW_INTERVAL),
+            acting_lease: LeaseKeeper::new(ACTING_TTL, ACTING_RENEW_INTERVAL),
             term: Cell::new(None),
             orders_from_ms: Cell::new(0),
             restored_until_ms: Cell::new(0),
@@ -112,12 +100,15 @@
         }
     }
 
+    fn store(&self) -> &P::Store {
+        self.gateway.platform.store()
+    }
+
     /// Term under which this host may send orders now.
     pub fn acting_term(&self) -> Option<u64> {
         let now_ms = boottime_ms();
-        let held = self.held.get()?;
-        let is_valid = now_ms + LEASE_MARGIN_MS < held.expires_ms
-            && held.era == self.gateway.platform.store().era();
+        let held = self.acting_lease.held()?;
+        let is_valid = now_ms + LEASE_MARGIN_MS < held.expires_ms && held.era == self.store().era();
         let may_order = now_ms >= self.orders_from_ms.get();
         self.term.get().filter(|_| is_valid && may_order)
     }
@@ -145,103 +136,60 @@
     }
 
     async fn tick(&self) -> Result<(), KvError> {
-        self.drop_grants_of_earlier_era();
-        let now_ms = boottime_ms();
-        match self.held.get() {
-            None if now_ms < self.register_from_ms.get() => return Ok(()),
-            None => self.register().await?,
-            Some(held) if now_ms >= held.renewed_ms + RENEW_INTERVAL.as_millis() as u64 => {
-                self.renew(held).await?;
-            }
-            Some(_) => {}
-        }
-        if self
-            .held
-            .get()
-            .is_some_and(|h| boottime_ms() >= h.expires_ms)
-        {
-            self.step_down("lease_ended");
+        self.keep_term().await?;
+        match self.entry_lease.keep(self.store()).await? {
+            Renewal::Held => {}
+            Renewal::Ended if boottime_ms() < self.register_from_ms.get() => {}
+            Renewal::Ended => self.register().await?,
+            Renewal::Superseded => self.prepare_registration(),
         }
         self.check_acting_host().await
     }
 
-    /// Drops the lease and the term if the store was restored since they were
-    /// granted. The lease is neither renewed nor ended, as its number may have been
-    /// granted to another host.
-    fn drop_grants_of_earlier_era(&self) {
-        let era = self.gateway.platform.store().era();
-        let Some(held) = self.held.get().filter(|h| h.era != era) else {
-            return;
-        };
-        self.held.set(None);
-        self.step_down("store_restored");
+    /// Renews the lease of the acting host, and steps down without it.
+    async fn keep_term(&self) -> Result<(), KvError> {
+        let renewal = self.acting_lease.keep(self.store()).await;
+        let held = self.acting_lease.held();
+        if held.is_none_or(|h| boottime_ms() >= h.expires_ms) {
+            let is_superseded = renewal == Ok(Renewal::Superseded);
+            self.step_down(if is_superseded {
+                "store_restored"
+            } else {
+                "lease_ended"
+            });
+        }
+        renewal.map(|_| ())
+    }
+
+    /// Schedules the next registration after the store was restored.
+    fn prepare_registration(&self) {
         self.vacant_since_ms.set(None);
         let delay_ms = self.gateway.rng.borrow_mut().below(RESTORE_SPREAD_MS) as u64;
         self.register_from_ms.set(boottime_ms() + delay_ms);
-        // Engines may still receive an order of the holder before the restore.
-        self.restored_until_ms
-            .set(boottime_ms() + self.gateway.settings().order_lease.as_millis() as u64);
+        let order_lease_ms = self.gateway.settings().order_lease.as_millis() as u64;
+        self.restored_until_ms.set(boottime_ms() + order_lease_ms);
         tracing::info!(
             event = "membership",
-            lease = held.lease,
-            era = era.0,
-            granted_in = held.era.0,
+            era = self.store().era().0,
             delay_ms,
             "store restored; registering again"
         );
     }
 
     async fn register(&self) -> Result<(), KvError> {
-        let store = self.gateway.platform.store();
-        let settings = self.gateway.settings();
-        let ttl = LEASE_TTL.max(settings.min_lease);
-        let sent_ms = boottime_ms();
-        let lease = store.grant_lease(ttl).await?;
-        let era = store.era();
-        let ttl_ms = lease.ttl.as_millis() as u64;
+        let store = self.store();
+        let min_ttl = self.gateway.settings().min_lease;
+        let lease = self.entry_lease.grant(store, min_ttl).await?;
         let value = serde_json::to_vec(&self.own_record()).map_err(|_| KvError::NotSent)?;
-        let revision = store.put(&self.host_key(), &value, lease.id).await?;
-        if store.era() != era {
+        store.put(&self.host_key(), &value, lease.id).await?;
+        if store.era() != lease.era {
             return Err(KvError::Unknown);
         }
-        self.held.set(Some(HeldLease {
-            lease: lease.id,
-            era,
-            ttl_ms,
-            expires_ms: sent_ms + ttl_ms,
-            renewed_ms: sent_ms,
-            listed_term: term_number(era, revision),
-        }));
+        self.entry_lease.hold(lease);
         tracing::info!(event = "membership", lease = lease.id, "listed");
         Ok(())
     }
 
-    async fn renew(&self, held: HeldLease) -> Result<(), KvError> {
-        let sent_ms = boottime_ms();
-        let state = self
-            .gateway
-            .platform
-            .store()
-            .renew_lease(held.lease)
-            .await?;
-        if self.gateway.platform.store().era() != held.era {
-            self.drop_grants_of_earlier_era();
-            return Ok(());
-        }
-        if state == LeaseState::Ended {
-            tracing::info!(event = "membership", lease = held.lease, "lease ended");
-            self.held.set(None);
-            self.step_down("lease_ended");
-            return Ok(());
-        }
-        self.held.set(Some(HeldLease {
-            expires_ms: sent_ms + held.ttl_ms,
-            renewed_ms: sent_ms,
-            ..held
-        }));
-        Ok(())
-    }
-
     async fn check_acting_host(&self) -> Result<(), KvError> {
         let gateway = &self.gateway;
         let acting = gateway.acting_host.borrow().clone();
@@ -251,14 +199,17 @@
             if acting.host != own {
                 self.step_down("another_acts");
                 *self.last_other_acting.borrow_mut() = Some(acting.host);
-            } else if self.has_orphaned_entry(acting.term) {
-                // Renewing the lease would keep the entry alive and block the
+            }
+            if self.term.get().is_none() && self.acting_lease.held().is_some() {
+                // The response to the election was lost, or the host has stepped
+                // down. Renewing the lease would keep the entry alive and block the
                 // election of another host.
-                self.deregister("entry_without_term").await;
+                self.acting_lease.end(self.store()).await;
             }
             return Ok(());
         }
-        let is_candidate = gateway.is_ready() && gateway.is_store_up.get();
+        let is_candidate =
+            gateway.is_ready() && gateway.is_store_up.get() && self.entry_lease.held().is_some();
         if self.term.get().is_some() || !is_candidate {
             return Ok(());
         }
@@ -271,14 +222,6 @@
         self.try_become_acting().await
     }
 
-    /// True if the acting-host entry, which names this host, is attached to its
-    /// current lease although the host has no term: the response to its election
-    /// was lost, or it has stepped down since.
-    fn has_orphaned_entry(&self, term: u64) -> bool {
-        let is_on_lease = self.held.get().is_some_and(|h| term > h.listed_term);
-        is_on_lease && self.term.get().is_none()
-    }
-
     /// Rank of this host among the listed hosts.
     fn own_rank(&self) -> u64 {
         let own = self.own_record();
@@ -288,24 +231,35 @@
     }
 
     async fn try_become_acting(&self) -> Result<(), KvError> {
-        let Some(held) = self.held.get() else {
+        let gateway = &self.gateway;
+        let store = self.store();
+        if self.acting_lease.held().is_none() {
+            let min_ttl = gateway.settings().min_lease;
+            let lease = self.acting_lease.grant(store, min_ttl).await?;
+            self.acting_lease.hold(lease);
+        }
+        let Some(lease) = self.acting_lease.held() else {
             return Ok(());
         };
-        let gateway = &self.gateway;
         let value = self.own_record();
         let write = Cas {
             key: format!("{}{ACTING_KEY}", P::GATEWAY_PREFIX),
             expected_revision: 0,
             value: serde_json::to_vec(&value).ok(),
-            lease: held.lease.cast_signed(),
+            lease: lease.id.cast_signed(),
         };
-        let store = gateway.platform.store();
-        match store.commit(&[write]).await? {
-            // The lease belongs to an earlier era, so that the entry is not kept alive
-            // by this host.
-            CasAllOutcome::Written(_) if store.era() != held.era => {}
+        let outcome = match store.commit(&[write]).await {
+            // An entry that was written under this lease must not be kept alive.
+            Err(error) => {
+                self.acting_lease.end(store).await;
+                return Err(error);
+            }
+            Ok(outcome) => outcome,
+        };
+        match outcome {
+            CasAllOutcome::Written(_) if store.era() != lease.era => {}
             CasAllOutcome::Written(revision) => {
-                let term = term_number(held.era, revision);
+                let term = term_number(lease.era, revision);
                 self.term.set(Some(term));
                 let settings = gateway.settings();
                 let is_takeover = self.last_other_acting.borrow().is_some();
@@ -327,24 +281,19 @@
                     term,
                 }));
             }
-            CasAllOutcome::Conflict(_) => self.vacant_since_ms.set(None),
+            CasAllOutcome::Conflict(_) => {
+                self.vacant_since_ms.set(None);
+                self.acting_lease.end(store).await;
+            }
         }
         Ok(())
     }
 
-    /// Ends the lease, so that another host can be elected at once.
+    /// Ends both leases, so that another host can be elected at once.
     pub async fn deregister(&self, reason: &'static str) {
         self.step_down(reason);
-        if let Some(held) = self.held.take() {
-            let ended = self.gateway.platform.store().end_lease(held.lease).await;
-            tracing::info!(
-                event = "membership",
-                lease = held.lease,
-                ended = ended.is_ok(),
-                reason,
-                "left"
-            );
-        }
+        self.acting_lease.end(self.store()).await;
+        self.entry_lease.end(self.store()).await;
     }
 }
 
@@ -358,7 +307,7 @@
                 return;
             } else if let Err(error) = self.tick().await {
                 tracing::debug!(event = "membership", error = error.as_str());
-                RENEW_INTERVAL / 3
+                ERROR_PAUSE
             } else {
                 TICK_INTERVAL
             };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,8 +4,9 @@
 //!   `core`, `place` and `placer` admit and queue them, `exchange` sends one to
 //!   an upstream, and `relay` forwards an event stream. `notices` applies what an
 //!   upstream states about itself in its responses.
-//! - `sync` watches the platform's store, `membership` registers this host and
-//!   elects the acting host, `store_era` detects that the store was restored from an
+//! - `sync` mirrors the platform's store with `store_facts`, which decodes its keys,
+//!   and `store_relay`, which passes changes on between hosts; `membership` registers this host and
+//!   elects the acting host with leases of `lease`, `store_era` detects that the store was restored from an
 //!   older copy, and `peers` exchanges load and demand between hosts.
 //! - `acting` plans the placement of models, `adapter_requests` that of adapters,
 //!   `announce` publishes the result, and `orders`, `order_models` and
@@ -18,6 +19,7 @@
 pub mod demand;
 pub mod exchange;
 pub mod front;
+pub mod lease;
 pub mod logs;
 pub mod membership;
 pub mod metrics;
@@ -35,4 +37,6 @@
 pub mod settings;
 pub mod state;
 pub mod store_era;
+pub mod store_facts;
+pub mod store_relay;
 pub mod sync;
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::demand::ModelCounts;
+use super::store_relay::StoreChanges;
 use crate::core::ids::{AdapterId, HostId, ModelId, ServiceId, UpstreamId};
 use crate::core::load::InFlight;
 use crate::core::registry::Holdings;
@@ -93,6 +94,9 @@
         #[serde(rename = "i")]
         ready_in_ms: u64,
     },
+    /// Changes of the store, from a watching host.
+    #[serde(rename = "c")]
+    StoreChanges(StoreChanges),
     /// An upstream is about to stop.
     #[serde(rename = "g")]
     Leaving {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -186,6 +186,7 @@
                     }
                 }
             }
+            PeerMessage::StoreChanges(changes) => gateway.apply_relayed(changes),
             PeerMessage::Leaving {
                 upstream,
                 started_ms,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -22,6 +22,7 @@
 use crate::core::registry::{Registry, RegistryChange};
 use crate::core::retry::RetryBudget;
 use crate::core::routing::Rng;
+use crate::core::store_relay::{Follower, Position};
 use crate::edge::pool::Pool;
 use crate::kernel::Service;
 use crate::services::clock::Clock;
@@ -82,6 +83,12 @@
     pub logs: LogBuffer,
     /// True while the store responds.
     pub is_store_up: Cell<bool>,
+    /// State of the store up to which this host knows all changes.
+    pub position: Cell<Position>,
+    /// What watching hosts have passed on.
+    pub follower: Cell<Follower>,
+    /// End of the last outage of the store.
+    pub outage_ended_ms: Cell<u64>,
     /// True once a snapshot of the store was read.
     pub is_synced: Cell<bool>,
     /// Cancelled when the process receives a stop signal.
@@ -111,6 +118,9 @@
             metrics: GatewayMetrics::default(),
             logs,
             is_store_up: Cell::new(false),
+            position: Cell::default(),
+            follower: Cell::default(),
+            outage_ended_ms: Cell::new(0),
             is_synced: Cell::new(false),
             stopping: CancellationToken::new(),
             clock,
--- /dev/null
+++ b/src/gateway/store_relay.rs
@@ -0,0 +1,296 @@
+//! Passes changes of the store on to the followers of this host's zone, and applies
+//! those that watching hosts pass on.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use super::peer_messages::PeerMessage;
+use super::platform::Platform;
+use super::state::Gateway;
+use super::store_facts::{HostRecord, RevisedFact, StoreFact};
+use crate::core::ids::{HostId, ServiceId, UpstreamId, ZoneId};
+use crate::core::registry::{Entry, Holdings};
+use crate::core::store_era::Era;
+use crate::core::store_relay::{Fit, MAX_WATCHING_FLEET, Position, is_watcher};
+
+/// Limit of the changes in one datagram; keeps it within a packet of the usual
+/// size.
+const MAX_FACTS_PER_DATAGRAM: usize = 4;
+
+/// Entry of an upstream as passed on; leaves out what only the acting host uses.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RelayedEntry {
+    #[serde(rename = "i")]
+    id: UpstreamId,
+    #[serde(rename = "s")]
+    service: ServiceId,
+    #[serde(rename = "a")]
+    addr: SocketAddr,
+    #[serde(rename = "z")]
+    zone: ZoneId,
+    #[serde(rename = "n")]
+    slots: u32,
+    #[serde(rename = "d")]
+    is_draining: bool,
+    #[serde(rename = "b")]
+    started_ms: u64,
+    #[serde(rename = "q")]
+    sequence: u64,
+    #[serde(rename = "m")]
+    resident: Holdings,
+}
+
+/// Change of one key as passed on.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum RelayedFact {
+    /// Entry of an upstream.
+    #[serde(rename = "u")]
+    Upstream(RelayedEntry),
+    /// An upstream is not listed.
+    #[serde(rename = "v")]
+    NoUpstream(UpstreamId),
+    /// Entry of a host.
+    #[serde(rename = "h")]
+    Host(HostRecord),
+    /// A host is not listed.
+    #[serde(rename = "i")]
+    NoHost(HostId),
+    /// Entry of the acting host.
+    #[serde(rename = "a")]
+    Acting(HostRecord),
+    /// There is no acting host.
+    #[serde(rename = "b")]
+    NoActing,
+    /// The configuration has changed; it is read from the store.
+    #[serde(rename = "c")]
+    Catalog,
+}
+
+/// Consecutive changes of the store.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StoreChanges {
+    /// Era of the store.
+    #[serde(rename = "e")]
+    pub era: u64,
+    /// Revision before the changes.
+    #[serde(rename = "f")]
+    pub after: u64,
+    /// Revision up to which these are all changes.
+    #[serde(rename = "r")]
+    pub until: u64,
+    /// True if missing upstreams may only have lapsed.
+    #[serde(rename = "o")]
+    pub is_after_outage: bool,
+    /// Changes with their revisions, oldest first.
+    #[serde(rename = "c")]
+    pub facts: Vec<(u64, RelayedFact)>,
+}
+
+impl RelayedFact {
+    fn from_fact(fact: &StoreFact) -> Self {
+        match fact {
+            StoreFact::Catalog(_) => Self::Catalog,
+            StoreFact::Upstream(entry) => Self::Upstream(RelayedEntry {
+                id: entry.id.clone(),
+                service: entry.service.clone(),
+                addr: entry.addr,
+                zone: entry.zone.clone(),
+                slots: entry.slots,
+                is_draining: entry.is_draining,
+                started_ms: entry.started_ms,
+                sequence: entry.sequence,
+                resident: entry.resident.clone(),
+            }),
+            StoreFact::NoUpstream(id) => Self::NoUpstream(id.clone()),
+            StoreFact::Host(record) => Self::Host(record.clone()),
+            StoreFact::NoHost(host) => Self::NoHost(host.clone()),
+            StoreFact::Acting(record) => Self::Acting(record.clone()),
+            StoreFact::NoActing => Self::NoActing,
+        }
+    }
+}
+
+/// Splits changes so that each part fits into one datagram and continues from the
+/// one before.
+pub fn split_changes(changes: &StoreChanges) -> Vec<StoreChanges> {
+    let mut parts = Vec::new();
+    let mut after = changes.after;
+    let mut rest = changes.facts.as_slice();
+    while rest.len() > MAX_FACTS_PER_DATAGRAM {
+        // Changes of one transaction have the same revision and stay together.
+        let last = rest[MAX_FACTS_PER_DATAGRAM - 1].0;
+        let count = rest.partition_point(|(revision, _)| *revision <= last);
+        let (facts, following) = rest.split_at(count);
+        if following.is_empty() {
+            break;
+        }
+        parts.push(StoreChanges {
+            after,
+            until: last,
+            facts: facts.to_vec(),
+            ..*changes
+        });
+        after = last;
+        rest = following;
+    }
+    parts.push(StoreChanges {
+        after,
+        facts: rest.to_vec(),
+        ..*changes
+    });
+    parts
+}
+
+impl<P: Platform> Gateway<P> {
+    /// True if the fleet is so large that only some hosts watch the store.
+    pub fn is_store_relayed(&self) -> bool {
+        self.host_count() > MAX_WATCHING_FLEET
+    }
+
+    /// True if this host watches the store itself.
+    pub fn is_store_watcher(&self) -> bool {
+        if !self.is_store_relayed() {
+            return true;
+        }
+        let settings = self.settings();
+        let acting = self.acting_host.borrow();
+        let is_acting = acting.as_ref().is_some_and(|a| a.host == settings.host);
+        let peers = self.peers.borrow();
+        let zone_hosts = peers
+            .listed()
+            .filter(|(_, peer)| peer.zone() == Some(settings.zone.as_str()))
+            .map(|(host, peer)| (host, peer.cpu_milli));
+        let cpu_milli = (settings.cpu_share * 1000.0) as u32;
+        is_acting || is_watcher(zone_hosts, &settings.host, cpu_milli)
+    }
+
+    /// Records that all changes up to a position are known, as the store has
+    /// confirmed.
+    pub fn confirm_position(&self, position: Position) {
+        self.position.set(position);
+        let mut follower = self.follower.get();
+        follower.on_confirmed(self.now_ms());
+        self.follower.set(follower);
+    }
+
+    /// Passes changes on to the other hosts of the zone; without changes, only the
+    /// position.
+    pub fn relay_changes(&self, from: Position, until: Position, facts: &[RevisedFact]) {
+        let settings = self.settings();
+        let mut relayed: Vec<(u64, RelayedFact)> = facts
+            .iter()
+            .map(|f| (f.revision, RelayedFact::from_fact(&f.fact)))
+            .collect();
+        relayed.sort_by_key(|(revision, _)| *revision);
+        let changes = StoreChanges {
+            era: until.era.0,
+            after: from.revision,
+            until: until.revision,
+            is_after_outage: self.is_after_outage(),
+            facts: relayed,
+        };
+        let addrs: Vec<SocketAddr> = {
+            let peers = self.peers.borrow();
+            let recipients = peers.recipients(self.now_ms());
+            let followers = recipients.filter(|(host, peer)| {
+                **host != settings.host && peer.zone() == Some(settings.zone.as_str())
+            });
+            followers.map(|(_, peer)| peer.addr).collect()
+        };
+        for part in split_changes(&changes) {
+            self.send_peers(addrs.clone(), &PeerMessage::StoreChanges(part));
+        }
+    }
+
+    /// Applies changes that a watching host passes on.
+    pub fn apply_relayed(&self, changes: StoreChanges) {
+        if !self.is_synced.get() || self.is_store_watcher() {
+            return;
+        }
+        let now_ms = self.now_ms();
+        let mut follower = self.follower.get();
+        let position = self.position.get();
+        let until = Position {
+            era: Era(changes.era),
+            revision: changes.until,
+        };
+        match position.fit(changes.after, until) {
+            Fit::Known => {
+                // The position that the watching host has confirmed may be older than
+                // one that this host has confirmed.
+                if until == position {
+                    follower.on_confirmed(now_ms);
+                }
+                self.follower.set(follower);
+            }
+            Fit::Gap => {
+                follower.on_gap(now_ms);
+                self.follower.set(follower);
+            }
+            Fit::Continues
+                if changes
+                    .facts
+                    .iter()
+                    .any(|(_, f)| *f == RelayedFact::Catalog) =>
+            {
+                let spread_ms = self.relay_times().batch_pause.as_millis() as usize;
+                let delay_ms = self.rng.borrow_mut().below(spread_ms) as u64;
+                follower.on_change_to_read(now_ms, delay_ms);
+                self.follower.set(follower);
+            }
+            Fit::Continues => {
+                let is_after_outage = changes.is_after_outage || self.is_after_outage();
+                for (revision, fact) in changes.facts {
+                    if revision > position.revision {
+                        self.apply_relayed_fact(revision, fact, until.era, is_after_outage);
+                    }
+                }
+                self.confirm_position(until);
+                self.admission_queue.borrow().wake();
+            }
+        }
+    }
+
+    fn apply_relayed_fact(
+        &self,
+        revision: u64,
+        fact: RelayedFact,
+        era: Era,
+        is_after_outage: bool,
+    ) {
+        let fact = match fact {
+            RelayedFact::Upstream(entry) => StoreFact::Upstream(Box::new(self.entry_from(entry))),
+            RelayedFact::NoUpstream(id) => StoreFact::NoUpstream(id),
+            RelayedFact::Host(record) => StoreFact::Host(record),
+            RelayedFact::NoHost(host) => StoreFact::NoHost(host),
+            RelayedFact::Acting(record) => StoreFact::Acting(record),
+            RelayedFact::NoActing => StoreFact::NoActing,
+            RelayedFact::Catalog => return,
+        };
+        self.apply_fact(RevisedFact { revision, fact }, era, is_after_outage);
+    }
+
+    /// Entry of an upstream; the copies of weights are those known of the same
+    /// incarnation.
+    fn entry_from(&self, relayed: RelayedEntry) -> Entry {
+        let registry = self.registry.borrow();
+        let known = registry
+            .get(relayed.id.as_str())
+            .filter(|e| e.started_ms == relayed.started_ms);
+        Entry {
+            in_memory: known.map(|e| e.in_memory.clone()).unwrap_or_default(),
+            on_disk: known.map(|e| e.on_disk.clone()).unwrap_or_default(),
+            id: relayed.id,
+            service: relayed.service,
+            addr: relayed.addr,
+            zone: relayed.zone,
+            slots: relayed.slots,
+            is_draining: relayed.is_draining,
+            started_ms: relayed.started_ms,
+            sequence: relayed.sequence,
+            read_ms: 0,
+            resident: relayed.resident,
+        }
+    }
+}
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -391,8 +391,8 @@
     let addr = std::net::SocketAddr::from(([10, 0, 0, 1], 7000));
     let peer = Peer::new(addr, 250);
     let mut peers = PeerList::default();
-    peers.insert(HostId::new("h1"), peer);
-    peers.insert(HostId::new("h2"), peer);
+    peers.insert(HostId::new("h1"), peer.clone());
+    peers.insert(HostId::new("h2"), peer.clone());
     let names = |now_ms: u64, peers: &PeerList| -> Vec<String> {
         let recipients = peers.recipients(now_ms);
         let mut names: Vec<String> = recipients.map(|(h, _)| h.to_string()).collect();
