Count reported requests of a plain service for as long as they run; report idle upstreams

Cause: in a fleet of 89 hosts the load of all others is known as a sum that is 0.7 s old, while a booking takes 30 ms. All hosts took the bookings' servers for full at once, refused, and then all for empty. And the acting host's digest left out upstreams without requests, so that their last load stood for 2.5 s. Change: reported requests of a plain service decay with the time that requests take (Load::total_still_running); beyond them the upstream's own refusals limit the load. The digest holds every listed upstream, is one message for all hosts (each subtracts its part) and goes out every 2 ms a host instead of 8. An upstream to which no connection can be established is ejected at the first attempt, and a connection attempt ends after 300 ms instead of 500.

--- a/src/core/balance.rs
+++ b/src/core/balance.rs
@@ -11,6 +11,12 @@
 //! have. The request then waits in this host's queue, where it can still be
 //! reordered or rejected.
 //!
+//! Load pattern: hundreds of hosts share a plain service whose requests end within
+//! less time than reports between hosts take. If reported requests counted for as
+//! long as the report is the latest one, all hosts would at once take the service
+//! for full, and later all at once for empty. They count for as long as they
+//! probably run; beyond that, the upstream's own refusals limit the load.
+//!
 //! Load pattern: an overloaded upstream refuses a request and states for how long
 //! it wants none. It is no candidate until then. If all upstreams are closed, the
 //! time until the first one reopens is the predicted wait, so that a request that
@@ -223,7 +229,11 @@
         return Err(NoUpstream::Full);
     }
     let is_failing = load.is_ejected(now_ms) || load.is_unresponsive(now_ms);
-    let total = load.total(now_ms);
+    let total = if requirements.weights.is_some() {
+        load.total(now_ms)
+    } else {
+        load.total_still_running(now_ms)
+    };
     let slots = f64::from(entry.slots.max(1));
     let fill = f64::from(total.requests) / slots;
     let cost_ms = if requirements.weights.is_some() {
@@ -241,10 +251,11 @@
 }
 
 fn has_capacity(now_ms: u64, load: &Load, entry: &Entry, requirements: &Requirements) -> bool {
-    let total = load.total(now_ms);
     if requirements.weights.is_none() {
+        let total = load.total_still_running(now_ms);
         return total.requests < entry.slots * REQUESTS_PER_SERVICE_SLOT;
     }
+    let total = load.total(now_ms);
     if total.requests >= entry.slots {
         return false;
     }
--- a/src/core/load.rs
+++ b/src/core/load.rs
@@ -165,6 +165,24 @@
         self.local.plus(self.remote)
     }
 
+    /// Requests in flight from all hosts, less those of the others that have
+    /// probably ended since they were reported. Requests of a plain service take
+    /// less time than reports of a large fleet take to arrive.
+    pub fn total_still_running(&self, now_ms: u64) -> InFlight {
+        let age_ms = now_ms.saturating_sub(self.remote_at_ms) as f64;
+        let share = if self.completion_ms > 0.0 {
+            (-age_ms / self.completion_ms).exp()
+        } else {
+            1.0
+        };
+        let requests =
+            (f64::from(self.total(now_ms).requests - self.local.requests) * share) as u32;
+        InFlight {
+            requests: self.local.requests + requests,
+            ..self.local
+        }
+    }
+
     /// True while the upstream receives no new requests.
     pub fn is_ejected(&self, now_ms: u64) -> bool {
         now_ms < self.ejected_until_ms
@@ -394,6 +412,11 @@
                 load.last_activity_ms = now_ms;
             }
             AttemptOutcome::Failed => load.record_failure(now_ms),
+            AttemptOutcome::Unreachable => {
+                // Nothing listens there, so that further attempts would fail as well.
+                load.consecutive_failures = load.consecutive_failures.max(EJECT_AFTER_FAILURES - 1);
+                load.record_failure(now_ms);
+            }
             AttemptOutcome::Neutral => {}
         }
     }
@@ -443,6 +466,8 @@
     Succeeded,
     /// The upstream failed.
     Failed,
+    /// No connection could be established.
+    Unreachable,
     /// Says nothing about health: the caller disconnected, or the upstream was
     /// full.
     Neutral,
--- a/src/core/peer_loads.rs
+++ b/src/core/peer_loads.rs
@@ -70,6 +70,19 @@
         totals
     }
 
+    /// Sums for some upstreams; those without requests are included, since a host
+    /// that once saw them loaded must learn that they are idle.
+    pub fn digest<'a>(
+        &self,
+        now_ms: u64,
+        upstreams: impl Iterator<Item = &'a UpstreamId>,
+    ) -> Vec<(UpstreamId, InFlight)> {
+        let totals = self.totals(now_ms);
+        upstreams
+            .map(|id| (id.clone(), totals.get(id).copied().unwrap_or_default()))
+            .collect()
+    }
+
     /// Requests that one host has in flight at an upstream.
     pub fn from_host(&self, host: &HostId, id: &UpstreamId) -> InFlight {
         let loads = self.hosts.get(host).and_then(|h| h.in_flight.get(id));
--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -148,7 +148,7 @@
             return OrderOutcome::NotSent;
         };
         match compio::time::timeout(ORDER_TIMEOUT, self.pool.send(addr, request)).await {
-            Ok(Err(SendError::NotSent)) => OrderOutcome::NotSent,
+            Ok(Err(SendError::NotConnected | SendError::NotSent)) => OrderOutcome::NotSent,
             Ok(Ok(response)) if response.status().is_success() => OrderOutcome::Accepted,
             Ok(Ok(response)) if response.status().is_client_error() => OrderOutcome::Refused,
             Err(_) | Ok(Err(SendError::MaybeSent) | Ok(_)) => OrderOutcome::Unknown,
--- a/src/edge/kv.rs
+++ b/src/edge/kv.rs
@@ -213,7 +213,7 @@
             .send(self.addr, request)
             .await
             .map_err(|e| match e {
-                SendError::NotSent => KvError::NotSent,
+                SendError::NotConnected | SendError::NotSent => KvError::NotSent,
                 SendError::MaybeSent => KvError::Unknown,
             })?;
         match response.status().as_u16() {
--- a/src/edge/pool.rs
+++ b/src/edge/pool.rs
@@ -24,7 +24,7 @@
 use socket2::{SockRef, TcpKeepalive};
 
 /// Timeout of a connection attempt.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum number of idle connections per address.
 const MAX_IDLE_PER_ADDR: usize = 1024;
 /// Idle time after which a connection is not reused, unless the server's
@@ -47,6 +47,8 @@
 /// Error of a request without a response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SendError {
+    /// No connection was established.
+    NotConnected,
     /// No byte of the request was sent.
     NotSent,
     /// Part or all of the request may have been sent.
@@ -87,7 +89,7 @@
         loop {
             let (mut sender, is_reused) = match self.checkout(addr).await {
                 Some(sender) => (sender, true),
-                None => (connect(addr).await.ok_or(SendError::NotSent)?, false),
+                None => (connect(addr).await.ok_or(SendError::NotConnected)?, false),
             };
             if !is_still_allowed() {
                 return Err(SendError::NotSent);
--- a/src/gateway/announce.rs
+++ b/src/gateway/announce.rs
@@ -15,7 +15,6 @@
 use super::platform::Platform;
 use crate::core::catalog::EngineSpec;
 use crate::core::ids::{ModelId, ServiceId, UpstreamId};
-use crate::core::load::InFlight;
 
 /// Limit of the models and adapters in one datagram, unless a single engine has
 /// more; keeps it within a packet of the usual size.
@@ -96,30 +95,26 @@
         }
     }
 
-    /// Sends each host the sum of what all other hosts have in flight.
+    /// Sends all hosts the sums of what they have in flight; each subtracts its own
+    /// part.
     pub(super) fn send_digests(&self, term: u64) {
         let gateway = &self.gateway;
         let now_ms = gateway.now_ms();
         let own = gateway.settings().host.clone();
         let peer_loads = gateway.peer_loads.borrow();
-        let totals = peer_loads.totals(now_ms);
-        let peers = gateway.peers.borrow();
-        for (host, peer) in peers.recipients(now_ms) {
-            let others: Vec<(UpstreamId, InFlight)> = totals
-                .iter()
-                .map(|(id, total)| (id.clone(), total.minus(peer_loads.from_host(host, id))))
-                .collect();
-            if *host == own {
-                let mut loads = gateway.loads.borrow_mut();
-                for (id, others) in &others {
-                    loads.set_remote(now_ms, id, *others);
-                }
-                continue;
-            }
-            for index in 0..others.len().div_ceil(super::peers::MAX_ITEMS_PER_DATAGRAM) {
-                let others = datagram_chunk(&others, index);
-                gateway.send_peer(peer.addr, &PeerMessage::Digest { term, others });
-            }
+        let totals = {
+            let registry = gateway.registry.borrow();
+            peer_loads.digest(now_ms, registry.entries().map(|e| &e.id))
+        };
+        let mut loads = gateway.loads.borrow_mut();
+        for (id, total) in &totals {
+            loads.set_remote(now_ms, id, total.minus(peer_loads.from_host(&own, id)));
+        }
+        drop(loads);
+        drop(peer_loads);
+        for index in 0..totals.len().div_ceil(super::peers::MAX_ITEMS_PER_DATAGRAM) {
+            let totals = datagram_chunk(&totals, index);
+            self.broadcast(&PeerMessage::Digest { term, totals });
         }
     }
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -279,7 +279,7 @@
         failure: AttemptFailure,
     ) -> RetryDecision {
         match failure {
-            AttemptFailure::NotSent => {
+            AttemptFailure::NotConnected | AttemptFailure::NotSent => {
                 attempts.unsent += 1;
                 attempts.filter.excluded.push(upstream.clone());
                 if attempts.unsent < MAX_UNSENT_ATTEMPTS {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -24,6 +24,8 @@
 /// Why an attempt failed.
 #[derive(Clone, Debug)]
 pub enum AttemptFailure {
+    /// No connection was established.
+    NotConnected,
     /// No byte was sent.
     NotSent,
     /// The upstream states that it did not run the request.
@@ -44,6 +46,7 @@
     /// Name in logs.
     pub fn as_str(&self) -> &'static str {
         match self {
+            Self::NotConnected => "not_connected",
             Self::NotSent => "not_sent",
             Self::NotRun {
                 is_misdirected: true,
@@ -61,6 +64,7 @@
     pub fn attempt_outcome(&self) -> AttemptOutcome {
         match self {
             Self::NotRun { .. } => AttemptOutcome::Neutral,
+            Self::NotConnected => AttemptOutcome::Unreachable,
             Self::NotSent | Self::Unknown | Self::TimedOut | Self::FailureResponse(_) => {
                 AttemptOutcome::Failed
             }
@@ -208,6 +212,7 @@
             .send_if(addr, forwarded, is_accepting_requests)
             .await;
         let response = result.map_err(|e| match e {
+            SendError::NotConnected => AttemptFailure::NotConnected,
             SendError::NotSent => AttemptFailure::NotSent,
             SendError::MaybeSent => AttemptFailure::Unknown,
         });
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -58,15 +58,15 @@
         #[serde(rename = "a", default)]
         adapters: Vec<(ServiceId, ModelId, AdapterId)>,
     },
-    /// In-flight loads of all hosts but the receiver, from the acting host.
+    /// In-flight loads of all hosts, from the acting host.
     #[serde(rename = "d")]
     Digest {
         /// Term of the acting host.
         #[serde(rename = "t")]
         term: u64,
-        /// Sum of the other hosts' loads, by upstream.
+        /// Sum of the hosts' loads, by upstream.
         #[serde(rename = "u")]
-        others: Vec<(UpstreamId, InFlight)>,
+        totals: Vec<(UpstreamId, InFlight)>,
     },
     /// Holdings of engines after orders.
     #[serde(rename = "o")]
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -34,7 +34,7 @@
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(200);
 /// Increase of the report interval for each host of the fleet, which bounds the
 /// acting host's work.
-const REPORT_INTERVAL_PER_HOST: Duration = Duration::from_millis(8);
+const REPORT_INTERVAL_PER_HOST: Duration = Duration::from_millis(2);
 /// Largest fleet in which each host sends its loads to all others directly.
 pub const MAX_FULL_MESH_HOSTS: usize = 16;
 /// Time over which load changes are batched into one datagram; much shorter than
@@ -107,6 +107,8 @@
     inbox: A,
     socket: Rc<UdpSocket>,
     reported_models: RefCell<HashMap<(ServiceId, ModelId), ModelCounts>>,
+    /// Loads of this host as last sent.
+    reported_loads: RefCell<HashMap<UpstreamId, InFlight>>,
 }
 
 impl<P: Platform, A: ActingHostInbox> PeerService<P, A> {
@@ -119,6 +121,7 @@
             inbox,
             socket,
             reported_models: RefCell::default(),
+            reported_loads: RefCell::default(),
         }
     }
 
@@ -168,13 +171,15 @@
             } => self
                 .inbox
                 .on_weights_request(&service, &Weights { model, adapter }),
-            PeerMessage::Digest { term, others } => {
+            PeerMessage::Digest { term, totals } => {
                 if !gateway.is_current_term(term) {
                     return;
                 }
+                let reported = self.reported_loads.borrow();
                 let mut loads = gateway.loads.borrow_mut();
-                for (id, others) in &others {
-                    loads.set_remote(now_ms, id, *others);
+                for (id, total) in &totals {
+                    let own = reported.get(id).copied().unwrap_or_default();
+                    loads.set_remote(now_ms, id, total.minus(own));
                 }
                 drop(loads);
                 gateway.admission_queue.borrow().wake();
@@ -248,6 +253,15 @@
         let gateway = &self.gateway;
         let host = gateway.settings().host.clone();
         let started_ms = gateway.clock.started_ms();
+        let mut reported = self.reported_loads.borrow_mut();
+        for (id, load) in in_flight {
+            if load.is_empty() {
+                reported.remove(id);
+            } else {
+                reported.insert(id.clone(), *load);
+            }
+        }
+        drop(reported);
         let acting = gateway.acting_host.borrow().clone();
         if acting.as_ref().is_some_and(|a| a.host == host) {
             gateway.apply_loads(&host, started_ms, in_flight);
--- a/src/services/dispatch.rs
+++ b/src/services/dispatch.rs
@@ -289,7 +289,7 @@
                 progress: AttemptProgress::Sent,
                 is_upstream_fault: true,
             }),
-            Ok(Err(SendError::NotSent)) => Err(AttemptFailure {
+            Ok(Err(SendError::NotConnected | SendError::NotSent)) => Err(AttemptFailure {
                 progress: AttemptProgress::NotSent,
                 is_upstream_fault: true,
             }),
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -232,7 +232,7 @@
             let timeout = Duration::from_millis(flow.deadline_ms + 1_000);
             match compio::time::timeout(timeout, self.pool.send(addr, request)).await {
                 Ok(Ok(response)) => return Ok(response),
-                Ok(Err(SendError::NotSent)) => {}
+                Ok(Err(SendError::NotConnected | SendError::NotSent)) => {}
                 Ok(Err(SendError::MaybeSent)) | Err(_) => return Err(RequestOutcome::Interrupted),
             }
         }
