Treat an engine as lost when its address answers for another or not at all

Cause: an engine that crashed is listed for seconds more. Two failures to connect make it lost for plans until it responds. A failed order blocks the engine for further ones. Tests: three in tests/gateway_registry.rs.

--- a/src/core/engine_ledger.rs
+++ b/src/core/engine_ledger.rs
@@ -5,6 +5,10 @@
 //! exceeded. Each order carries the number of orders accepted before it, so an
 //! order whose response was lost can only take effect until the next one is
 //! accepted.
+//!
+//! Fault: an engine crashes, and its entry is listed for some seconds more. All
+//! adapters that only this engine should load would wait for it. It counts as lost
+//! as soon as another incarnation answers at its address or it cannot be reached.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -21,6 +25,8 @@
 /// Time after which a report is requested on an adapter that is still loading,
 /// in milliseconds; loads take some hundredths of a second.
 const ADAPTER_LOAD_OVERDUE_MS: u64 = 1_000;
+/// Consecutive failures to connect after which an engine counts as lost.
+const LOST_AFTER_FAILED_CONTACTS: u32 = 2;
 /// Upper bound of the lag of reports, in milliseconds.
 pub const REPORT_LAG_MS: u64 = 400;
 
@@ -65,6 +71,10 @@
     last_accepted_ms: u64,
     /// Time until which the engine receives no orders for models.
     pub blocked_until_ms: u64,
+    /// True once another incarnation has answered at the engine's address.
+    pub is_gone: bool,
+    /// Consecutive orders and reports for which no connection was established.
+    failed_contacts: u32,
 }
 
 impl EngineLedger {
@@ -95,10 +105,39 @@
         let is_overdue = |(key, at_ms): (&(ModelId, AdapterId), &u64)| {
             now_ms > *at_ms + ADAPTER_LOAD_OVERDUE_MS && !self.unanswered.contains(key)
         };
+        if self.is_gone {
+            return false;
+        }
         let is_due = self.orders_accepted.is_none() || self.loading_adapters.iter().any(is_overdue);
         is_due && now_ms >= self.blocked_until_ms
     }
 
+    /// Records that no connection was established.
+    pub fn on_unreachable(&mut self) {
+        self.failed_contacts += 1;
+    }
+
+    /// Records any response of the engine's incarnation.
+    pub fn on_contact(&mut self) {
+        self.failed_contacts = 0;
+    }
+
+    /// Records the start of the incarnation that answered at the engine's address;
+    /// true if it shows for the first time that the engine is gone.
+    pub fn on_incarnation(&mut self, started_ms: u64) -> bool {
+        if started_ms <= self.started_ms || self.is_gone {
+            return false;
+        }
+        self.is_gone = true;
+        self.resident.clear();
+        true
+    }
+
+    /// True if the engine's models should be loaded elsewhere.
+    pub fn is_lost(&self) -> bool {
+        self.is_gone || self.failed_contacts >= LOST_AFTER_FAILED_CONTACTS
+    }
+
     /// True if an adapter is known to be loading.
     pub fn is_adapter_loading(&self, key: &(ModelId, AdapterId)) -> bool {
         self.loading_adapters.contains_key(key) && !self.unanswered.contains(key)
@@ -182,6 +221,7 @@
         self.orders_accepted.is_some()
             && self.loading.is_none()
             && self.unloading.is_none()
+            && !self.is_gone
             && now_ms >= self.blocked_until_ms
     }
 
--- a/src/gateway/acting.rs
+++ b/src/gateway/acting.rs
@@ -240,7 +240,7 @@
                 continue;
             };
             let load = loads.get(entry.id.as_str());
-            let is_lost = load.is_some_and(|l| l.is_presumed_lost(now_ms));
+            let is_lost = ledger.is_lost() || load.is_some_and(|l| l.is_presumed_lost(now_ms));
             let has_orders = orders
                 .get(&entry.id)
                 .is_some_and(OrderQueue::has_model_orders);
--- a/src/gateway/adapter_requests.rs
+++ b/src/gateway/adapter_requests.rs
@@ -85,7 +85,9 @@
                 continue;
             };
             let load = loads.get(entry.id.as_str());
-            if load.is_some_and(|l| l.is_ejected(now_ms) || l.is_unresponsive(now_ms)) {
+            if ledger.is_lost()
+                || load.is_some_and(|l| l.is_ejected(now_ms) || l.is_unresponsive(now_ms))
+            {
                 continue;
             }
             let requests = totals.get(&entry.id).map_or(0, |t| t.requests);
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -133,7 +133,7 @@
 
     /// Fetches the engine's count of accepted orders if it is unknown; false if
     /// it stays unknown.
-    pub(super) async fn ensure_order_count(&self, upstream: &UpstreamId) -> bool {
+    pub(super) async fn ensure_order_count(self: &Rc<Self>, upstream: &UpstreamId) -> bool {
         if self
             .with_ledger(upstream, |l| l.orders_accepted)
             .flatten()
@@ -190,6 +190,10 @@
                 self.gateway.apply_notice(upstream, notice);
             }
             self.record_reply(upstream, order, &preconditions, reply);
+            if reply == OrderReply::WrongInstance {
+                // The engine is gone, or it does not have the model of an adapter.
+                self.refresh_after_refusal(upstream, addr).await;
+            }
             match reply {
                 OrderReply::Unknown => {
                     has_unanswered_attempt = true;
@@ -229,6 +233,17 @@
         let now_ms = self.gateway.now_ms();
         self.with_ledger(upstream, |ledger| {
             ledger.updated_ms = now_ms;
+            match reply {
+                OrderReply::NotSent => {
+                    ledger.on_unreachable();
+                    ledger.blocked_until_ms = now_ms + FAILED_ORDER_BLOCK_MS;
+                }
+                OrderReply::WrongInstance => {
+                    ledger.blocked_until_ms = now_ms + FAILED_ORDER_BLOCK_MS;
+                }
+                OrderReply::Unknown => {}
+                _ => ledger.on_contact(),
+            }
             let is_immediate = matches!(order, Order::UnloadAdapter(..));
             if reply == OrderReply::Accepted || (reply == OrderReply::Holds && is_immediate) {
                 ledger.on_order_accepted(now_ms);
@@ -297,17 +312,37 @@
         response.report
     }
 
+    /// Updates the ledger after the engine's address refused an order, and publishes
+    /// changed holdings.
+    async fn refresh_after_refusal(self: &Rc<Self>, upstream: &UpstreamId, addr: SocketAddr) {
+        let before = self.with_ledger(upstream, |l| l.resident.clone());
+        self.update_from_report(upstream, addr).await;
+        if before != self.with_ledger(upstream, |l| l.resident.clone()) {
+            self.publish_holdings(upstream);
+        }
+    }
+
     /// Requests an engine's report and updates its holdings and its count of
     /// accepted orders in the ledger.
-    async fn update_from_report(&self, upstream: &UpstreamId, addr: SocketAddr) -> ReportOutcome {
+    async fn update_from_report(
+        self: &Rc<Self>,
+        upstream: &UpstreamId,
+        addr: SocketAddr,
+    ) -> ReportOutcome {
         let Some(report) = self.request_report(upstream, addr).await else {
             return ReportOutcome::Nothing;
         };
         let now_ms = self.gateway.now_ms();
+        let is_gone = self.with_ledger(upstream, |l| l.on_incarnation(report.started_ms));
+        if is_gone == Some(true) {
+            tracing::info!(event = "upstream", upstream = %upstream, change = "replaced");
+            self.publish_holdings(upstream);
+        }
         let outcome = self.with_ledger(upstream, |ledger| {
             if report.started_ms != ledger.started_ms {
                 return ReportOutcome::Nothing;
             }
+            ledger.on_contact();
             let known = ledger.orders_accepted;
             ledger.apply_report(&report_view(&report), now_ms);
             if report.is_busy {
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -415,3 +415,45 @@
         "listed again; the other host is removed"
     );
 }
+
+/// Guards against adapters that wait for an engine that has crashed and is still
+/// listed, while another one could load them.
+#[test]
+fn engine_replaced_at_its_address_is_lost_and_holds_nothing() {
+    let mut ledger = EngineLedger::new(&entry("e1", 1, &[("m0", &["a1"])]));
+    ledger.orders_accepted = Some(3);
+
+    let is_news = ledger.on_incarnation(200);
+    let is_news_again = ledger.on_incarnation(200);
+
+    assert_eq!((is_news, is_news_again), (true, false));
+    assert!(ledger.is_lost() && ledger.resident.is_empty());
+    assert!(!ledger.accepts_orders(10_000) && !ledger.needs_report(10_000));
+}
+
+#[test]
+fn engine_that_cannot_be_reached_twice_is_lost_until_it_responds() {
+    let mut ledger = EngineLedger::new(&entry("e1", 1, &[("m0", &["a1"])]));
+
+    ledger.on_unreachable();
+    let is_lost_once = ledger.is_lost();
+    ledger.on_unreachable();
+    let is_lost_twice = ledger.is_lost();
+    ledger.on_contact();
+
+    assert_eq!((is_lost_once, is_lost_twice), (false, true));
+    assert!(!ledger.is_lost());
+    assert!(
+        !ledger.resident.is_empty(),
+        "it may still serve other hosts"
+    );
+}
+
+#[test]
+fn report_of_the_same_incarnation_does_not_make_an_engine_lost() {
+    let mut ledger = EngineLedger::new(&entry("e1", 1, &[("m0", &[])]));
+
+    let is_news = ledger.on_incarnation(100);
+
+    assert!(!is_news && !ledger.is_lost());
+}
