Send a long prompt to the copy where it pauses the fewest streams

The choice between copies hardly depended on how many streams run there. Change: the cost of a copy includes the streams that would pause too long. Test: long_prompt_goes_to_the_copy_with_fewer_running_streams (fails without).

--- a/src/core/balance.rs
+++ b/src/core/balance.rs
@@ -11,6 +11,10 @@
 //! have. The request then waits in this host's queue, where it can still be
 //! reordered or rejected.
 //!
+//! Load pattern: one prompt in ten is several times as long as the others. An engine
+//! prefills it in a few large pieces, and all streams that run there pause. It goes
+//! to the copy with fewer running streams, even if it waits somewhat longer there.
+//!
 //! Load pattern: hundreds of hosts share a plain service whose requests end within
 //! less time than reports between hosts take. If reported requests counted for as
 //! long as the report is the latest one, all hosts would at once take the service
@@ -34,6 +38,9 @@
 /// Cost of a full batch compared with an empty one, in milliseconds; each
 /// running request slows down decoding for all others.
 const FULL_BATCH_COST_MS: f64 = 250.0;
+/// Cost of a stream that pauses for longer than its objective allows because a long
+/// prompt is prefilled beside it, in milliseconds.
+const PAUSED_STREAM_COST_MS: f64 = 40.0;
 /// Cost of an upstream in another availability zone, in milliseconds; covers
 /// the round trip and the price of traffic between zones.
 const CROSS_ZONE_COST_MS: f64 = 3.0;
@@ -237,14 +244,23 @@
     let slots = f64::from(entry.slots.max(1));
     let fill = f64::from(total.requests) / slots;
     let cost_ms = if requirements.weights.is_some() {
-        load.predicted_prefill_ms(now_ms, requirements.size.prompt_tokens)
+        let prefill_ms = load.predicted_prefill_ms(now_ms, requirements.size.prompt_tokens);
+        prefill_ms
             + fill * fill * FULL_BATCH_COST_MS
+            + pause_cost_ms(prefill_ms, total.requests, requirements.max_prefill_ms)
     } else {
         load.first_response_ms() * (1.0 + fill)
     };
     Ok((cost_ms + load.failure_share() * FAILURE_COST_MS, is_failing))
 }
 
+/// Cost of the pause that the prefill causes in the streams that run there: none
+/// while it is shorter than the longest gap that they may have.
+fn pause_cost_ms(prefill_ms: f64, running: u32, max_prefill_ms: f64) -> f64 {
+    let excess = (prefill_ms / max_prefill_ms - 1.0).clamp(0.0, 1.0);
+    excess * f64::from(running) * PAUSED_STREAM_COST_MS
+}
+
 fn refusal_backoff_ms(now_ms: u64, load: &Load, requirements: &Requirements) -> u64 {
     let weights = requirements.weights.as_ref();
     weights.map_or(0, |w| load.refusal_backoff_ms(now_ms, w))
--- a/tests/gateway_load.rs
+++ b/tests/gateway_load.rs
@@ -604,3 +604,34 @@
     );
     assert_eq!(later, Ok("e1".into()));
 }
+
+/// Guards against streams that pause for longer than their objective allows: a
+/// prompt several times as long as the others went to either copy at random, although
+/// six streams ran at one of them and two at the other.
+#[test]
+fn long_prompt_goes_to_the_copy_with_fewer_running_streams() {
+    let mut busy = engine("e1", &[]);
+    let mut quiet = engine("e2", &[]);
+    (busy.slots, quiet.slots) = (24, 24);
+    let mut fleet = fleet(vec![busy, quiet]);
+    let running = requirements(10, None);
+    for (id, count) in [("e1", 6), ("e2", 2)] {
+        for _ in 0..count {
+            let mut sent = fleet.send(0, id, &running);
+            fleet.loads.on_first_response(5, &mut sent);
+        }
+    }
+
+    let long: Vec<_> = (0..40)
+        .map(|_| fleet.select(7, &requirements(6_000, None), &UpstreamFilter::default()))
+        .collect();
+    let short: Vec<_> = (0..40)
+        .map(|_| fleet.select(7, &requirements(900, None), &UpstreamFilter::default()))
+        .collect();
+
+    assert!(long.iter().all(|id| *id == Ok("e2".to_owned())), "{long:?}");
+    assert!(
+        short.contains(&Ok("e1".to_owned())),
+        "short prompts use both"
+    );
+}
