Plan copies by the batch that responses fill as well as by prefill

Cause: demand was counted in prompt tokens alone. Change: core/engine_work counts the larger of both; the time per output token is measured from the first event to the end. A loaded copy is kept for 5 s after its load instead of 14 s from the order, which was the load time of one deployment.

--- a/src/core/engine_ledger.rs
+++ b/src/core/engine_ledger.rs
@@ -19,9 +19,8 @@
 /// Time after the last order or report from which a differing listing is
 /// relevant, in milliseconds; listings lag by a heartbeat or two.
 const LISTING_LAG_MS: u64 = 3_500;
-/// Time after its load order for which a copy is not evicted, in milliseconds;
-/// a load from the weight store takes most of it.
-const MIN_RESIDENCE_MS: u64 = 14_000;
+/// Time for which a copy that has been loaded is not evicted, in milliseconds.
+const MIN_RESIDENCE_MS: u64 = 5_000;
 /// Time after which a report is requested on an adapter that is still loading,
 /// in milliseconds; loads take some hundredths of a second.
 const ADAPTER_LOAD_OVERDUE_MS: u64 = 1_000;
@@ -63,8 +62,8 @@
     pub unanswered: Vec<(ModelId, AdapterId)>,
     /// Adapters that are or may be unloading.
     pub unloading_adapters: BTreeSet<(ModelId, AdapterId)>,
-    /// Times at which loads of models were ordered.
-    pub load_ordered_ms: BTreeMap<ModelId, u64>,
+    /// Times at which ordered loads of models were expected to be ready.
+    pub load_ready_ms: BTreeMap<ModelId, u64>,
     /// Time of the last order or report.
     pub updated_ms: u64,
     /// Time at which the last order was accepted.
@@ -294,7 +293,7 @@
     /// Models that were loaded too recently to be evicted.
     pub fn recently_loaded(&self, now_ms: u64) -> BTreeSet<ModelId> {
         let is_recent = |at_ms: &u64| now_ms < at_ms + MIN_RESIDENCE_MS;
-        let recently_loaded = self.load_ordered_ms.iter().filter(|(_, at)| is_recent(at));
+        let recently_loaded = self.load_ready_ms.iter().filter(|(_, at)| is_recent(at));
         recently_loaded.map(|(m, _)| m.clone()).collect()
     }
 
--- a/src/core/load.rs
+++ b/src/core/load.rs
@@ -124,6 +124,9 @@
     /// Moving average of the time to the first event per prompt token,
     /// including the backlog.
     prefill_us_per_token: f64,
+    /// Moving average of the time of a stream per output token; 0 before the first
+    /// sample.
+    decode_us_per_token: f64,
 }
 
 impl Default for Load {
@@ -143,6 +146,7 @@
             first_response_ms: 0.0,
             completion_ms: 0.0,
             prefill_us_per_token: INITIAL_PREFILL_US_PER_TOKEN,
+            decode_us_per_token: 0.0,
         }
     }
 }
@@ -274,6 +278,13 @@
         .fold(INITIAL_PREFILL_US_PER_TOKEN, f64::min)
 }
 
+/// Lowest time of a stream per output token of all upstreams, in microseconds; 0 if
+/// none is known.
+pub fn min_decode_us_per_token<'a>(loads: impl Iterator<Item = &'a Load>) -> f64 {
+    let known = loads.map(|l| l.decode_us_per_token).filter(|us| *us > 0.0);
+    known.reduce(f64::min).unwrap_or(0.0)
+}
+
 /// Size of one request in tokens.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct RequestSize {
@@ -293,6 +304,7 @@
     sent_ms: u64,
     backlog_tokens: u32,
     is_prefill_pending: bool,
+    first_response_ms: u64,
 }
 
 /// Loads of all upstreams.
@@ -335,6 +347,7 @@
             sent_ms: now_ms,
             backlog_tokens,
             is_prefill_pending: true,
+            first_response_ms: now_ms,
         }
     }
 
@@ -343,6 +356,7 @@
         if !std::mem::take(&mut sent.is_prefill_pending) {
             return;
         }
+        sent.first_response_ms = now_ms;
         let load = self.entry(&sent.upstream);
         let own_tokens = sent.size.prompt_tokens;
         load.local.unread_tokens = load.local.unread_tokens.saturating_sub(own_tokens);
@@ -408,6 +422,11 @@
             AttemptOutcome::Succeeded => {
                 let took_ms = now_ms.saturating_sub(sent.sent_ms) as f64;
                 update_average(&mut load.completion_ms, took_ms.max(1.0));
+                if sent.size.output_tokens > 0 {
+                    let streamed_ms = now_ms.saturating_sub(sent.first_response_ms) as f64;
+                    let tokens = f64::from(sent.size.output_tokens);
+                    update_average(&mut load.decode_us_per_token, streamed_ms * 1000.0 / tokens);
+                }
                 load.record_success();
                 load.last_activity_ms = now_ms;
             }
--- a/src/gateway/acting.rs
+++ b/src/gateway/acting.rs
@@ -24,8 +24,9 @@
 use crate::core::copies::{ModelDemand, PlannedEngine, Step, plan};
 use crate::core::demand_rate::DemandRate;
 use crate::core::engine_ledger::EngineLedger;
+use crate::core::engine_work::EngineSpeed;
 use crate::core::ids::{AdapterId, HostId, ModelId, ServiceId, UpstreamId};
-use crate::core::load::min_prefill_us_per_token;
+use crate::core::load::{min_decode_us_per_token, min_prefill_us_per_token};
 use crate::core::pacing::PlanPacer;
 use crate::core::registry::Entry;
 use crate::kernel::Service;
@@ -52,6 +53,8 @@
 pub struct ActingHostState {
     hosts: HashMap<HostId, HostReport>,
     demand_rates: HashMap<ServiceModel, DemandRate>,
+    /// Speed of the engines of each service.
+    speeds: HashMap<ServiceId, EngineSpeed>,
     adapter_requested_ms: HashMap<(ModelId, AdapterId), u64>,
     /// Engines by ID.
     pub engines: BTreeMap<UpstreamId, EngineLedger>,
@@ -229,10 +232,17 @@
         let registry = self.gateway.registry.borrow();
         let loads = self.gateway.loads.borrow();
         let orders = self.orders.borrow();
-        let service_loads = registry
-            .of_service(service)
-            .filter_map(|e| loads.get(e.id.as_str()));
-        let prefill_us_per_token = min_prefill_us_per_token(service_loads);
+        let service_loads = || {
+            let entries = registry.of_service(service);
+            entries.filter_map(|e| loads.get(e.id.as_str()))
+        };
+        let prefill_us_per_token = min_prefill_us_per_token(service_loads());
+        let speed = EngineSpeed {
+            prefill_us_per_token,
+            decode_us_per_token: min_decode_us_per_token(service_loads()),
+            batch: spec.batch,
+        };
+        state.speeds.insert(service.clone(), speed);
         let demand = state.demand(now_ms, service, prefill_us_per_token);
         let mut engines = Vec::new();
         for entry in registry.of_service(service) {
@@ -362,7 +372,11 @@
             let old = report.models.insert(key.clone(), *counts);
             let old = old.unwrap_or_default();
             if counts.requests > old.requests {
-                let tokens = counts.prompt_tokens.saturating_sub(old.prompt_tokens);
+                let speed = state.speeds.get(service).copied().unwrap_or_default();
+                let tokens = speed.work_tokens(
+                    counts.prompt_tokens.saturating_sub(old.prompt_tokens),
+                    counts.output_tokens.saturating_sub(old.output_tokens),
+                );
                 let rate = state.demand_rates.entry(key).or_default();
                 rate.record(now_ms, tokens);
             }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -194,8 +194,8 @@
         if let Some(weights) = &request.requirements.weights {
             let now_ms = self.now_ms();
             let mut demand = self.demand.borrow_mut();
-            let tokens = request.requirements.size.prompt_tokens;
-            demand.record_request(now_ms, &request.requirements.service, weights, tokens);
+            let size = request.requirements.size;
+            demand.record_request(now_ms, &request.requirements.service, weights, size);
         }
         let mut attempts = Attempts::default();
         let outcome = loop {
--- a/src/gateway/demand.rs
+++ b/src/gateway/demand.rs
@@ -9,6 +9,7 @@
 
 use crate::core::balance::Weights;
 use crate::core::ids::{AdapterId, ModelId, ServiceId};
+use crate::core::load::RequestSize;
 
 /// Service and model.
 pub type ServiceModel = (ServiceId, ModelId);
@@ -22,6 +23,9 @@
     /// Prompt tokens of those requests.
     #[serde(rename = "t")]
     pub prompt_tokens: u64,
+    /// Output tokens that their callers expect.
+    #[serde(rename = "o", default)]
+    pub output_tokens: u64,
 }
 
 /// Demand counters of one host.
@@ -38,12 +42,13 @@
         now_ms: u64,
         service: &ServiceId,
         weights: &Weights,
-        prompt_tokens: u32,
+        size: RequestSize,
     ) {
         let key = (service.clone(), weights.model.clone());
         let counts = self.models.entry(key.clone()).or_default();
         counts.requests += 1;
-        counts.prompt_tokens += u64::from(prompt_tokens);
+        counts.prompt_tokens += u64::from(size.prompt_tokens);
+        counts.output_tokens += u64::from(size.output_tokens);
         if let Some(adapter) = &weights.adapter {
             self.requested_adapters
                 .insert((key, adapter.clone()), now_ms);
--- a/src/gateway/order_models.rs
+++ b/src/gateway/order_models.rs
@@ -27,9 +27,7 @@
         let ready_ms = self.gateway.now_ms() + load_ms;
         self.with_ledger(upstream, |ledger| {
             ledger.loading = Some((model.clone(), ready_ms));
-            ledger
-                .load_ordered_ms
-                .insert(model.clone(), ready_ms - load_ms);
+            ledger.load_ready_ms.insert(model.clone(), ready_ms);
         });
         let order = Order::LoadModel(model.clone());
         let reply = self.send_order(upstream, &order).await;
