Keep the charge of an order that a report shows to be executed

An order without a response stays charged until a later one is accepted, which voids it. If it was executed after all and the report listed its adapter as still loading, the acceptance of the next order dropped the charge, and the next adapter could exceed the engine's slots (LIMIT). Test: unanswered_order_that_a_report_shows_to_be_executed_stays_charged.

--- a/src/core/engine_ledger.rs
+++ b/src/core/engine_ledger.rs
@@ -186,6 +186,10 @@
         for key in report.loading_adapters {
             self.loading_adapters.entry(key.clone()).or_insert(now_ms);
         }
+        // These orders have been executed; a later one does not void them.
+        self.unanswered.retain(|key| {
+            !report.loading_adapters.contains(key) && !has_adapter(&self.resident, &key.0, &key.1)
+        });
     }
 
     /// Records an accepted order: earlier unanswered ones can no longer take
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -457,3 +457,28 @@
 
     assert!(!is_news && !ledger.is_lost());
 }
+
+/// Guards against an order that exceeds an engine's adapter slots: an order without
+/// a response was executed after all, the next report listed its adapter as
+/// loading, and the charge was dropped when a later order was accepted.
+#[test]
+fn unanswered_order_that_a_report_shows_to_be_executed_stays_charged() {
+    let mut ledger = EngineLedger::new(&entry("e1", 1, &[("m0", &["a1"])]));
+    ledger.orders_accepted = Some(1);
+    let key = (ModelId::new("m0"), AdapterId::new("a2"));
+    ledger.on_adapter_unanswered(&key, 0);
+    let before = holdings(&[("m0", &["a1"])]);
+    let loading_adapters = [key];
+    let report = ReportedState {
+        orders_accepted: 2,
+        is_busy: false,
+        resident: &before,
+        loading_adapters: &loading_adapters,
+    };
+
+    ledger.apply_report(&report, 600);
+    ledger.on_order_accepted(700);
+
+    assert_eq!(ledger.charged_adapter_slots(), 2);
+    assert!(!ledger.fits_adapter(&spec(2), &ModelId::new("m0")));
+}
