Keep accounts of the room at engines in large fleets

Cause: hosts of a large fleet know the loads of the others as a sum that is 0.4 s old at 195 hosts. Each host tells the keeper of its load within 20 ms, and asks for the load of the others right before it sends; without room it chooses again or waits for news in the order of arrival. No answer within 15 ms: it sends by what it knows. A load that is not reported again within 3 s expires by itself, so that a lost report of its end leaves no phantom. Replayed (tests/gateway_engine_room.rs): 40 hosts that each send a prompt to ten engines at once put four or more on one engine by their own knowledge, one by the account.

--- a/src/core/balance.rs
+++ b/src/core/balance.rs
@@ -287,6 +287,22 @@
     total.requests == 0 || f64::from(reserved_tokens) <= limit
 }
 
+/// True if an upstream has room for a request that is counted in its load and not
+/// yet sent.
+pub fn has_room_for_counted(
+    now_ms: u64,
+    load: &Load,
+    entry: &Entry,
+    requirements: &Requirements,
+) -> bool {
+    has_capacity(
+        now_ms,
+        &load.without(requirements.size),
+        entry,
+        requirements,
+    )
+}
+
 /// Forecast of when full upstreams have capacity again.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct CapacityForecast {
--- a/src/core/load.rs
+++ b/src/core/load.rs
@@ -187,6 +187,15 @@
         }
     }
 
+    /// The same load without one request of this host that is not yet sent.
+    #[must_use]
+    pub fn without(&self, size: RequestSize) -> Self {
+        Self {
+            local: self.local.minus(in_flight(size, true)),
+            ..self.clone()
+        }
+    }
+
     /// True while the upstream receives no new requests.
     pub fn is_ejected(&self, now_ms: u64) -> bool {
         now_ms < self.ejected_until_ms
@@ -312,6 +321,8 @@
 pub struct LoadTable {
     loads: HashMap<UpstreamId, Load>,
     changed: HashSet<UpstreamId>,
+    /// Upstreams whose local load has changed since their keepers were told.
+    untold: HashSet<UpstreamId>,
 }
 
 impl LoadTable {
@@ -340,7 +351,7 @@
         }
         let backlog_tokens = load.total(now_ms).unread_tokens;
         load.local = load.local.plus(in_flight(size, true));
-        self.changed.insert(id.clone());
+        self.mark_changed(id);
         SentRequest {
             upstream: id.clone(),
             size,
@@ -361,7 +372,7 @@
         let own_tokens = sent.size.prompt_tokens;
         load.local.unread_tokens = load.local.unread_tokens.saturating_sub(own_tokens);
         if own_tokens > 0 {
-            self.changed.insert(sent.upstream.clone());
+            self.mark_changed(&sent.upstream);
         }
         let load = self.entry(&sent.upstream);
         let took_ms = now_ms.saturating_sub(sent.sent_ms) as f64;
@@ -416,7 +427,7 @@
         load.local = load
             .local
             .minus(in_flight(sent.size, sent.is_prefill_pending));
-        self.changed.insert(sent.upstream.clone());
+        self.mark_changed(&sent.upstream);
         let load = self.entry(&sent.upstream);
         match outcome {
             AttemptOutcome::Succeeded => {
@@ -457,6 +468,22 @@
         changed.into_iter().map(local).collect()
     }
 
+    /// Returns the upstreams whose local load has changed since the last call of this
+    /// function.
+    pub fn take_untold(&mut self) -> Vec<(UpstreamId, InFlight)> {
+        let untold = std::mem::take(&mut self.untold);
+        let local = |id: UpstreamId| {
+            let load = self.loads.get(&id).map(|l| l.local);
+            (id, load.unwrap_or_default())
+        };
+        untold.into_iter().map(local).collect()
+    }
+
+    fn mark_changed(&mut self, id: &UpstreamId) {
+        self.changed.insert(id.clone());
+        self.untold.insert(id.clone());
+    }
+
     /// Upstreams with requests of this host in flight.
     pub fn local(&self) -> impl Iterator<Item = (&UpstreamId, InFlight)> {
         self.loads
--- a/src/core/peer_loads.rs
+++ b/src/core/peer_loads.rs
@@ -17,7 +17,8 @@
 struct HostLoads {
     started_ms: u64,
     reported_ms: u64,
-    in_flight: HashMap<UpstreamId, InFlight>,
+    /// Loads with the time of the report.
+    in_flight: HashMap<UpstreamId, (InFlight, u64)>,
 }
 
 /// Requests in flight by host and upstream.
@@ -48,7 +49,7 @@
             if load.is_empty() {
                 loads.in_flight.remove(id);
             } else {
-                loads.in_flight.insert(id.clone(), *load);
+                loads.in_flight.insert(id.clone(), (*load, now_ms));
             }
         }
     }
@@ -57,13 +58,18 @@
     pub fn total(&self, now_ms: u64, id: &UpstreamId) -> InFlight {
         let live_hosts = self.live_hosts(now_ms);
         let loads = live_hosts.filter_map(|h| h.in_flight.get(id));
-        loads.fold(InFlight::default(), |sum, load| sum.plus(*load))
+        loads
+            .filter(|(_, reported_ms)| is_recent(now_ms, *reported_ms))
+            .fold(InFlight::default(), |sum, (load, _)| sum.plus(*load))
     }
 
     /// Sums for all upstreams.
     pub fn totals(&self, now_ms: u64) -> HashMap<UpstreamId, InFlight> {
         let mut totals: HashMap<UpstreamId, InFlight> = HashMap::new();
-        for (id, load) in self.live_hosts(now_ms).flat_map(|h| &h.in_flight) {
+        for (id, (load, reported_ms)) in self.live_hosts(now_ms).flat_map(|h| &h.in_flight) {
+            if !is_recent(now_ms, *reported_ms) {
+                continue;
+            }
             let total = totals.entry(id.clone()).or_default();
             *total = total.plus(*load);
         }
@@ -86,11 +92,17 @@
     /// Requests that one host has in flight at an upstream.
     pub fn from_host(&self, host: &HostId, id: &UpstreamId) -> InFlight {
         let loads = self.hosts.get(host).and_then(|h| h.in_flight.get(id));
-        loads.copied().unwrap_or_default()
+        loads.map(|(load, _)| *load).unwrap_or_default()
     }
 
     fn live_hosts(&self, now_ms: u64) -> impl Iterator<Item = &HostLoads> {
-        let is_live = move |h: &&HostLoads| now_ms < h.reported_ms + HOST_LOADS_EXPIRE_MS;
+        let is_live = move |h: &&HostLoads| is_recent(now_ms, h.reported_ms);
         self.hosts.values().filter(is_live)
     }
 }
+
+/// True unless a load would have been reported again since; the report of its end
+/// may have been lost.
+fn is_recent(now_ms: u64, reported_ms: u64) -> bool {
+    now_ms < reported_ms + HOST_LOADS_EXPIRE_MS
+}
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -54,6 +54,8 @@
     pub peer_datagrams: Counter,
     /// Upstreams taken out of service because they stated that they leave.
     pub upstreams_leaving: Counter,
+    /// Questions for room at an engine without an answer in time.
+    pub unanswered_asks: Counter,
     /// Time of one turn of the acting host.
     pub turn_time_s: Histogram,
     /// Times that an upstream stated for how long it wants no requests.
@@ -82,6 +84,7 @@
             orders: Family::default(),
             peer_datagrams: Counter::default(),
             upstreams_leaving: Counter::default(),
+            unanswered_asks: Counter::default(),
             turn_time_s: Histogram::new(buckets()),
             upstream_closures: Counter::default(),
             store_era: Gauge::default(),
@@ -157,6 +160,11 @@
             "Times that an upstream stated for how long it wants no requests",
             self.upstream_closures.clone(),
         );
+        registry.register(
+            "unanswered_asks",
+            "Questions for room at an engine without an answer in time",
+            self.unanswered_asks.clone(),
+        );
         registry.register_with_unit(
             "turn",
             "Time of one turn of the acting host",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,7 +1,8 @@
 //! HTTP gateway for a platform with its own protocol, store and engines.
 //!
 //! - `front` accepts requests, `call` executes them with the pure functions of
-//!   `core`, `place` and `placer` admit and queue them, `exchange` sends one to
+//!   `core`, `place` and `placer` admit and queue them, `room` asks
+//!   whether an engine has room, `exchange` sends one to
 //!   an upstream, and `relay` forwards an event stream. `notices` applies what an
 //!   upstream states about itself in its responses.
 //! - `sync` mirrors the platform's store with `store_facts`, which decodes its keys,
@@ -33,6 +34,7 @@
 pub mod placer;
 pub mod platform;
 pub mod relay;
+pub mod room;
 pub mod run;
 pub mod settings;
 pub mod state;
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -94,6 +94,49 @@
         #[serde(rename = "i")]
         ready_in_ms: u64,
     },
+    /// A host is about to send a request, and asks the keeper of the engine's account
+    /// for the load of the other hosts.
+    #[serde(rename = "q")]
+    AskRoom {
+        /// Sender.
+        #[serde(rename = "h")]
+        host: HostId,
+        /// Start of the sender's process, in milliseconds since the epoch.
+        #[serde(rename = "s")]
+        started_ms: u64,
+        /// Engine.
+        #[serde(rename = "u")]
+        upstream: UpstreamId,
+        /// Requests of the sender in flight there, with this one.
+        #[serde(rename = "l")]
+        load: InFlight,
+        /// Identifies the question.
+        #[serde(rename = "k")]
+        ticket: u64,
+    },
+    /// Load of the other hosts at an engine, from the keeper of its account.
+    #[serde(rename = "p")]
+    Room {
+        /// Question that it answers; 0 if it is news for a host that waits.
+        #[serde(rename = "k")]
+        ticket: u64,
+        /// Engine.
+        #[serde(rename = "u")]
+        upstream: UpstreamId,
+        /// Requests of all other hosts in flight there.
+        #[serde(rename = "l")]
+        others: InFlight,
+    },
+    /// A host has a request for an engine without room.
+    #[serde(rename = "n")]
+    AwaitRoom {
+        /// Sender.
+        #[serde(rename = "h")]
+        host: HostId,
+        /// Engine.
+        #[serde(rename = "u")]
+        upstream: UpstreamId,
+    },
     /// Changes of the store, from a watching host.
     #[serde(rename = "c")]
     StoreChanges(StoreChanges),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -157,7 +157,29 @@
                 host,
                 started_ms,
                 in_flight,
-            } => gateway.apply_loads(&host, started_ms, &in_flight),
+            } => {
+                gateway.apply_loads(&host, started_ms, &in_flight);
+                if gateway.keeps_accounts() {
+                    for (upstream, _) in &in_flight {
+                        gateway.notify_waiter(upstream);
+                    }
+                }
+            }
+            PeerMessage::AskRoom {
+                host,
+                started_ms,
+                upstream,
+                load,
+                ticket,
+            } => gateway.answer_room(&host, started_ms, upstream, load, ticket),
+            PeerMessage::Room {
+                ticket,
+                upstream,
+                others,
+            } => gateway.apply_room(ticket, &upstream, others),
+            PeerMessage::AwaitRoom { host, upstream } => {
+                gateway.add_room_waiter(&host, &upstream);
+            }
             PeerMessage::Report {
                 host,
                 started_ms,
@@ -287,18 +309,22 @@
 
     async fn send_loads_until(&self, cancel: CancellationToken) {
         let mut next_full_ms = 0;
+        let mut next_report_ms = 0;
         loop {
-            let is_large = self.gateway.host_count() > MAX_FULL_MESH_HOSTS;
-            let pause = if is_large {
-                report_interval(self.gateway.host_count())
-            } else {
-                LOADS_INTERVAL
-            };
             futures_util::select_biased! {
                 () = cancel.cancelled().fuse() => return,
-                () = compio::time::sleep(pause).fuse() => {}
+                () = compio::time::sleep(LOADS_INTERVAL).fuse() => {}
             }
             let now_ms = self.gateway.now_ms();
+            let untold = self.gateway.loads.borrow_mut().take_untold();
+            if self.gateway.keeps_accounts() {
+                self.gateway.tell_keepers(&untold);
+                if now_ms < next_report_ms {
+                    continue;
+                }
+                let pause = report_interval(self.gateway.host_count());
+                next_report_ms = now_ms + pause.as_millis() as u64;
+            }
             let changed = self.gateway.loads.borrow_mut().take_changed();
             if now_ms >= next_full_ms {
                 next_full_ms = now_ms + FULL_LOADS_INTERVAL_MS;
@@ -306,6 +332,9 @@
                     let loads = self.gateway.loads.borrow();
                     loads.local().map(|(id, load)| (id.clone(), load)).collect()
                 };
+                if self.gateway.keeps_accounts() {
+                    self.gateway.tell_keepers(&all);
+                }
                 all.extend(changed.into_iter().filter(|(_, load)| load.is_empty()));
                 self.send_loads(&all);
             } else if !changed.is_empty() {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -39,6 +39,8 @@
 /// milliseconds; callers that send requests throughout a day do so at about this
 /// interval.
 const STARVED_AFTER_MS: u64 = 6_000;
+/// Reservations of one request that are checked against the engine's account.
+const MAX_ROOM_CHECKS: u32 = 4;
 /// Share of a caller's timeout that its request may spend in the queue; the rest
 /// is left for the upstream.
 const QUEUE_TIME_SHARE: f64 = 0.7;
@@ -196,11 +198,28 @@
 }
 
 impl<P: Platform> Gateway<P> {
-    /// Reserves an upstream for a request, at once or after a wait in the queue.
+    /// Reserves an upstream for a request, at once or after a wait in the queue. In a
+    /// large fleet the account of the engine has the last word.
     pub async fn acquire_upstream(
         self: &Rc<Self>,
         request: &RoutedRequest,
         filter: &UpstreamFilter,
+    ) -> Result<InFlightAttempt<P>, Rejection> {
+        for _ in 0..MAX_ROOM_CHECKS {
+            let in_flight = self.reserve_or_wait(request, filter).await?;
+            if self.has_room(request, &in_flight.sent.upstream).await {
+                return Ok(in_flight);
+            }
+        }
+        self.reserve_or_wait(request, filter).await
+    }
+
+    /// Reserves an upstream by what this host knows, at once or after a wait in the
+    /// queue.
+    async fn reserve_or_wait(
+        self: &Rc<Self>,
+        request: &RoutedRequest,
+        filter: &UpstreamFilter,
     ) -> Result<InFlightAttempt<P>, Rejection> {
         let now_ms = self.now_ms();
         let queue_key = QueueKey::of(&request.requirements);
--- /dev/null
+++ b/src/gateway/room.rs
@@ -0,0 +1,252 @@
+//! Asks the keeper of an engine's account whether the engine has room, and keeps the
+//! accounts of this host's engines (`core::engine_room`).
+//!
+//! Used in fleets too large for every host to know the loads of all others at once.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+
+use super::call::RoutedRequest;
+use super::peer_messages::PeerMessage;
+use super::peers::{MAX_FULL_MESH_HOSTS, MAX_ITEMS_PER_DATAGRAM, datagram_chunk};
+use super::platform::Platform;
+use super::state::Gateway;
+use crate::core::balance::has_room_for_counted;
+use crate::core::engine_room::{RoomWaiters, keeper_of};
+use crate::core::ids::{HostId, UpstreamId};
+use crate::core::load::InFlight;
+
+/// Time after which a host sends without an answer of the keeper; several times
+/// the round trip between zones.
+const ASK_TIMEOUT: Duration = Duration::from_millis(15);
+
+/// Questions of this host, and the hosts that wait for engines whose accounts it
+/// keeps.
+#[derive(Debug, Default)]
+pub struct RoomDesk {
+    questions: RefCell<HashMap<u64, oneshot::Sender<()>>>,
+    last_ticket: Cell<u64>,
+    waiters: RefCell<RoomWaiters>,
+}
+
+/// Where the account of an engine is kept.
+enum Keeper {
+    ThisHost,
+    Other(SocketAddr),
+}
+
+impl<P: Platform> Gateway<P> {
+    /// True if the fleet keeps accounts of its engines.
+    pub fn keeps_accounts(&self) -> bool {
+        self.host_count() > MAX_FULL_MESH_HOSTS
+    }
+
+    fn keeper(&self, upstream: &UpstreamId) -> Option<Keeper> {
+        let peers = self.peers.borrow();
+        let keeper = keeper_of(upstream, peers.listed().map(|(host, _)| host))?;
+        if *keeper == self.settings().host {
+            return Some(Keeper::ThisHost);
+        }
+        let mut listed = peers.listed();
+        let addr = listed.find(|(host, _)| *host == keeper)?.1.addr;
+        Some(Keeper::Other(addr))
+    }
+
+    /// True if an engine has room for a request that is counted in its load, by the
+    /// account of its keeper, or if the keeper does not answer.
+    pub async fn has_room(&self, request: &RoutedRequest, upstream: &UpstreamId) -> bool {
+        if !self.keeps_accounts() || request.requirements.weights.is_none() {
+            return true;
+        }
+        match self.keeper(upstream) {
+            Some(Keeper::ThisHost) => self.update_own_account(upstream),
+            Some(Keeper::Other(addr)) => {
+                if !self.ask_keeper(addr, upstream).await {
+                    return true;
+                }
+            }
+            None => return true,
+        }
+        let has_room = self.has_room_now(request, upstream);
+        if !has_room {
+            self.await_room(upstream);
+        }
+        has_room
+    }
+
+    fn has_room_now(&self, request: &RoutedRequest, upstream: &UpstreamId) -> bool {
+        let (registry, loads) = (self.registry.borrow(), self.loads.borrow());
+        let (entry, load) = (
+            registry.get(upstream.as_str()),
+            loads.get(upstream.as_str()),
+        );
+        let (Some(entry), Some(load)) = (entry, load) else {
+            return true;
+        };
+        has_room_for_counted(self.now_ms(), load, entry, &request.requirements)
+    }
+
+    /// Load of this host at an engine.
+    fn own_load(&self, upstream: &UpstreamId) -> InFlight {
+        let loads = self.loads.borrow();
+        loads
+            .get(upstream.as_str())
+            .map_or(InFlight::default(), |l| l.local)
+    }
+
+    /// Enters this host's load into an account that it keeps, and takes over the load
+    /// of the others.
+    fn update_own_account(&self, upstream: &UpstreamId) {
+        let now_ms = self.now_ms();
+        let own = self.settings().host.clone();
+        let own_load = (upstream.clone(), self.own_load(upstream));
+        let mut peer_loads = self.peer_loads.borrow_mut();
+        peer_loads.apply_report(now_ms, &own, self.clock.started_ms(), &[own_load]);
+        let others = peer_loads.total(now_ms, upstream);
+        let others = others.minus(peer_loads.from_host(&own, upstream));
+        drop(peer_loads);
+        self.loads.borrow_mut().set_remote(now_ms, upstream, others);
+    }
+
+    /// Asks for the load of the others; false if there is no answer in time.
+    async fn ask_keeper(&self, addr: SocketAddr, upstream: &UpstreamId) -> bool {
+        let (sender, answer) = oneshot::channel();
+        let ticket = self.room.last_ticket.get() + 1;
+        self.room.last_ticket.set(ticket);
+        self.room.questions.borrow_mut().insert(ticket, sender);
+        let message = PeerMessage::AskRoom {
+            host: self.settings().host.clone(),
+            started_ms: self.clock.started_ms(),
+            upstream: upstream.clone(),
+            load: self.own_load(upstream),
+            ticket,
+        };
+        self.send_peer(addr, &message);
+        let is_answered = compio::time::timeout(ASK_TIMEOUT, answer).await.is_ok();
+        if !is_answered {
+            self.room.questions.borrow_mut().remove(&ticket);
+            self.metrics.unanswered_asks.inc();
+        }
+        is_answered
+    }
+
+    /// Asks for news of an engine without room.
+    fn await_room(&self, upstream: &UpstreamId) {
+        let host = self.settings().host.clone();
+        match self.keeper(upstream) {
+            Some(Keeper::ThisHost) => {
+                let now_ms = self.now_ms();
+                let mut waiters = self.room.waiters.borrow_mut();
+                waiters.add(now_ms, upstream, &host);
+            }
+            Some(Keeper::Other(addr)) => {
+                let upstream = upstream.clone();
+                self.send_peer(addr, &PeerMessage::AwaitRoom { host, upstream });
+            }
+            None => {}
+        }
+    }
+
+    /// Answers a host that asks for the load of the others.
+    pub fn answer_room(
+        &self,
+        host: &HostId,
+        started_ms: u64,
+        upstream: UpstreamId,
+        load: InFlight,
+        ticket: u64,
+    ) {
+        let now_ms = self.now_ms();
+        let others = {
+            let mut peer_loads = self.peer_loads.borrow_mut();
+            peer_loads.apply_report(now_ms, host, started_ms, &[(upstream.clone(), load)]);
+            let total = peer_loads.total(now_ms, &upstream);
+            total.minus(peer_loads.from_host(host, &upstream))
+        };
+        self.send_room(host, ticket, upstream, others);
+    }
+
+    fn send_room(&self, host: &HostId, ticket: u64, upstream: UpstreamId, others: InFlight) {
+        let addr = {
+            let peers = self.peers.borrow();
+            let mut recipients = peers.recipients(self.now_ms());
+            recipients.find(|(h, _)| *h == host).map(|(_, p)| p.addr)
+        };
+        if let Some(addr) = addr {
+            let message = PeerMessage::Room {
+                ticket,
+                upstream,
+                others,
+            };
+            self.send_peer(addr, &message);
+        }
+    }
+
+    /// Records that a host waits for an engine.
+    pub fn add_room_waiter(&self, host: &HostId, upstream: &UpstreamId) {
+        let now_ms = self.now_ms();
+        self.room.waiters.borrow_mut().add(now_ms, upstream, host);
+    }
+
+    /// Applies a keeper's answer or news.
+    pub fn apply_room(&self, ticket: u64, upstream: &UpstreamId, others: InFlight) {
+        let now_ms = self.now_ms();
+        self.loads.borrow_mut().set_remote(now_ms, upstream, others);
+        match self.room.questions.borrow_mut().remove(&ticket) {
+            // The task that asked may have ended.
+            Some(question) => drop(question.send(())),
+            None => self.admission_queue.borrow().wake(),
+        }
+    }
+
+    /// Sends changed loads to the keepers of their engines.
+    pub fn tell_keepers(&self, in_flight: &[(UpstreamId, InFlight)]) {
+        let mut by_keeper: BTreeMap<SocketAddr, Vec<(UpstreamId, InFlight)>> = BTreeMap::new();
+        for (upstream, load) in in_flight {
+            match self.keeper(upstream) {
+                Some(Keeper::ThisHost) => {
+                    self.update_own_account(upstream);
+                    self.notify_waiter(upstream);
+                }
+                Some(Keeper::Other(addr)) => {
+                    let loads = by_keeper.entry(addr).or_default();
+                    loads.push((upstream.clone(), *load));
+                }
+                None => {}
+            }
+        }
+        for (addr, loads) in by_keeper {
+            for index in 0..loads.len().div_ceil(MAX_ITEMS_PER_DATAGRAM) {
+                let message = PeerMessage::Loads {
+                    host: self.settings().host.clone(),
+                    started_ms: self.clock.started_ms(),
+                    in_flight: datagram_chunk(&loads, index),
+                };
+                self.send_peer(addr, &message);
+            }
+        }
+    }
+
+    /// Tells the host that has waited longest for an engine its present load.
+    pub fn notify_waiter(&self, upstream: &UpstreamId) {
+        let now_ms = self.now_ms();
+        let host = self.room.waiters.borrow_mut().next(now_ms, upstream);
+        let Some(host) = host else {
+            return;
+        };
+        let others = {
+            let peer_loads = self.peer_loads.borrow();
+            let total = peer_loads.total(now_ms, upstream);
+            total.minus(peer_loads.from_host(&host, upstream))
+        };
+        if host == self.settings().host {
+            self.apply_room(0, upstream, others);
+        } else {
+            self.send_room(&host, 0, upstream.clone(), others);
+        }
+    }
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -13,6 +13,7 @@
 use super::peers::PeerSender;
 use super::place::AdmissionQueue;
 use super::platform::Platform;
+use super::room::RoomDesk;
 use super::settings::GatewaySettings;
 use crate::core::catalog::Catalog;
 use crate::core::ids::{HostId, ServiceId};
@@ -73,6 +74,8 @@
     pub acting_host: RefCell<Option<ActingHost>>,
     /// Requests in flight as reported by the hosts.
     pub peer_loads: RefCell<PeerLoads>,
+    /// Questions and accounts of room at engines.
+    pub room: RoomDesk,
     /// Sends messages to other hosts.
     pub peer_sender: PeerSender,
     /// Random number generator.
@@ -113,6 +116,7 @@
             peers: RefCell::default(),
             acting_host: RefCell::default(),
             peer_loads: RefCell::default(),
+            room: RoomDesk::default(),
             peer_sender: PeerSender::default(),
             rng: RefCell::new(Rng::new(seed)),
             metrics: GatewayMetrics::default(),
--- /dev/null
+++ b/tests/gateway_engine_room.rs
@@ -0,0 +1,161 @@
+//! Accounts of engines that many hosts share.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use currantcove::core::balance::{
+    NoUpstream, Requirements, UpstreamFilter, Weights, has_room_for_counted, select_upstream,
+};
+use currantcove::core::engine_room::{RoomWaiters, keeper_of};
+use currantcove::core::ids::{HostId, ModelId, ServiceId, UpstreamId, ZoneId};
+use currantcove::core::load::{InFlight, LoadTable, RequestSize};
+use currantcove::core::peer_loads::{HOST_LOADS_EXPIRE_MS, PeerLoads};
+use currantcove::core::registry::{Entry, Registry};
+use currantcove::core::routing::Rng;
+
+const PROMPT_TOKENS: u32 = 1_400;
+
+fn engine(id: &str) -> Entry {
+    Entry {
+        id: UpstreamId::new(id),
+        service: ServiceId::new("drafts"),
+        addr: SocketAddr::from(([10, 0, 0, 1], 8000)),
+        zone: ZoneId::new("a"),
+        slots: 24,
+        is_draining: false,
+        started_ms: 1,
+        sequence: 1,
+        read_ms: 0,
+        resident: [(ModelId::new("m0"), BTreeSet::new())].into(),
+        in_memory: BTreeSet::new(),
+        on_disk: BTreeSet::new(),
+    }
+}
+
+fn requirements() -> Requirements {
+    Requirements {
+        service: ServiceId::new("drafts"),
+        weights: Some(Weights {
+            model: ModelId::new("m0"),
+            adapter: None,
+        }),
+        size: RequestSize {
+            prompt_tokens: PROMPT_TOKENS,
+            output_tokens: 171,
+        },
+        cache_tokens: 70_000,
+        max_prefill_ms: 180.0,
+    }
+}
+
+/// Lets each of `hosts` hosts send one prompt within a few milliseconds, when they
+/// know nothing of each other but what the account says; returns the largest number
+/// of prompts that one of the engines has to prefill at once.
+fn largest_backlog(hosts: usize, engines: usize, asks_keeper: bool) -> u32 {
+    let entries = (0..engines).map(|e| engine(&format!("e{e}"))).collect();
+    let mut registry = Registry::default();
+    registry.replace(entries, false, 0);
+    let mut accounts = PeerLoads::default();
+    let mut rng = Rng::new(11);
+    let requirements = requirements();
+    for host in 0..hosts {
+        let id = HostId::new(&format!("h{host}"));
+        let mut loads = LoadTable::default();
+        // A host that finds no room leaves the request in its queue.
+        for _ in 0..engines {
+            let selected: Result<UpstreamId, NoUpstream> = select_upstream(
+                1,
+                &registry,
+                &loads,
+                &ZoneId::new("a"),
+                &requirements,
+                &UpstreamFilter::default(),
+                &mut rng,
+            );
+            let Ok(upstream) = selected else {
+                break;
+            };
+            loads.on_sent(1, &upstream, requirements.size);
+            let load = loads.get(upstream.as_str()).expect("load").local;
+            accounts.apply_report(1, &id, 1, &[(upstream.clone(), load)]);
+            if !asks_keeper {
+                break;
+            }
+            let total = accounts.total(1, &upstream);
+            loads.set_remote(1, &upstream, total.minus(load));
+            let entry = registry.get(upstream.as_str()).expect("entry");
+            let load = loads.get(upstream.as_str()).expect("load");
+            if has_room_for_counted(1, load, entry, &requirements) {
+                break;
+            }
+            accounts.apply_report(1, &id, 1, &[(upstream, InFlight::default())]);
+        }
+    }
+    let totals = accounts.totals(1);
+    totals.values().map(|l| l.requests).max().unwrap_or(0)
+}
+
+/// Guards against several prompts of different hosts at one engine within one step,
+/// which makes all of its running streams pause for longer than callers accept.
+#[test]
+fn prompts_of_many_hosts_do_not_meet_at_one_engine() {
+    let by_own_knowledge = largest_backlog(40, 10, false);
+    let by_account = largest_backlog(40, 10, true);
+
+    assert!(by_own_knowledge >= 4, "{by_own_knowledge}");
+    assert_eq!(by_account, 1);
+}
+
+#[test]
+fn all_hosts_agree_on_the_keeper_and_few_engines_move_when_a_host_leaves() {
+    let hosts: Vec<HostId> = (0..195).map(|i| HostId::new(&format!("h{i}"))).collect();
+    let engines: Vec<UpstreamId> = (0..80)
+        .map(|i| UpstreamId::new(&format!("i-{i}")))
+        .collect();
+
+    let moved = engines.iter().filter(|engine| {
+        let before = keeper_of(engine, hosts.iter());
+        let after = keeper_of(engine, hosts.iter().skip(1));
+        before != after
+    });
+
+    assert!(moved.count() <= 4);
+    let reversed = keeper_of(&engines[0], hosts.iter().rev());
+    assert_eq!(keeper_of(&engines[0], hosts.iter()), reversed);
+}
+
+#[test]
+fn hosts_get_news_in_the_order_in_which_they_began_to_wait() {
+    let mut waiters = RoomWaiters::default();
+    let engine = UpstreamId::new("e0");
+    let [a, b, c] = ["a", "b", "c"].map(HostId::new);
+    for (at_ms, host) in [(0, &a), (900, &b), (910, &a), (950, &c)] {
+        waiters.add(at_ms, &engine, host);
+    }
+
+    // The first one no longer waits.
+    let news: Vec<_> = (0..4).map(|_| waiters.next(1_100, &engine)).collect();
+
+    assert_eq!(news, [Some(b), Some(c), None, None]);
+}
+
+/// Guards against a load that never ends because the datagram with its end is lost,
+/// while the same host reports other loads.
+#[test]
+fn load_whose_end_was_not_reported_expires() {
+    let busy = InFlight {
+        requests: 1,
+        ..InFlight::default()
+    };
+    let (lost, other) = (UpstreamId::new("e0"), UpstreamId::new("e1"));
+    let host = HostId::new("h0");
+    let mut loads = PeerLoads::default();
+    loads.apply_report(0, &host, 1, &[(lost.clone(), busy), (other.clone(), busy)]);
+
+    for at_ms in (0..=HOST_LOADS_EXPIRE_MS).step_by(1_000) {
+        loads.apply_report(at_ms, &host, 1, &[(other.clone(), busy)]);
+    }
+
+    assert!(loads.total(HOST_LOADS_EXPIRE_MS, &lost).is_empty());
+    assert_eq!(loads.total(HOST_LOADS_EXPIRE_MS, &other), busy);
+}
