Charge an unload that is ordered while the report of a load is on its way

Cause: the end of a load cleared the engine's unload as well, and did so even when the report that showed it predated the unload; the report itself was then ignored as outdated, so that the memory of the model being unloaded was free in the ledger. And a conflict after an order without a response counted as a refusal when the report showed nothing yet, although the first attempt may have been in progress. Change: the end of a load ends only that load, by a report that is not outdated; an order with an unanswered attempt is sent again after such a conflict. Tests: three in tests/gateway_registry.rs.

--- a/src/core/engine_ledger.rs
+++ b/src/core/engine_ledger.rs
@@ -192,6 +192,35 @@
         });
     }
 
+    /// Applies a report after the load of a model; false if it may predate the last
+    /// order. An unload that was ordered meanwhile stays charged.
+    pub fn on_load_ended(
+        &mut self,
+        model: &ModelId,
+        report: &ReportedState<'_>,
+        now_ms: u64,
+    ) -> bool {
+        if self.is_outdated(report, now_ms) {
+            return false;
+        }
+        if self.loading.as_ref().is_some_and(|(m, _)| m == model) {
+            self.loading = None;
+        }
+        self.apply_report(report, now_ms);
+        true
+    }
+
+    /// Applies a report of an engine that has ended the unload of a model; false if it
+    /// may predate the last order.
+    pub fn on_unload_ended(&mut self, report: &ReportedState<'_>, now_ms: u64) -> bool {
+        if self.is_outdated(report, now_ms) {
+            return false;
+        }
+        self.unloading = None;
+        self.apply_report(report, now_ms);
+        true
+    }
+
     /// Records an accepted order: earlier unanswered ones can no longer take
     /// effect.
     pub fn on_order_accepted(&mut self, now_ms: u64) {
--- a/src/gateway/order_models.rs
+++ b/src/gateway/order_models.rs
@@ -69,8 +69,8 @@
                 if is_same != Some(true) {
                     return;
                 }
-                if report.resident.contains_key(model) || !report.is_busy {
-                    self.apply_idle_report(upstream, &report);
+                let is_ended = report.resident.contains_key(model) || !report.is_busy;
+                if is_ended && self.record_load_end(upstream, model, &report) {
                     return;
                 }
             }
@@ -80,15 +80,19 @@
         self.block_engine(upstream);
     }
 
-    /// Applies a report and clears the model loads and unloads in progress.
-    fn apply_idle_report(self: &Rc<Self>, upstream: &UpstreamId, report: &EngineReport) {
+    /// Applies a report after a load; false if it may predate the last order.
+    fn record_load_end(
+        self: &Rc<Self>,
+        upstream: &UpstreamId,
+        model: &ModelId,
+        report: &EngineReport,
+    ) -> bool {
         let now_ms = self.gateway.now_ms();
-        self.with_ledger(upstream, |ledger| {
-            ledger.loading = None;
-            ledger.unloading = None;
-            ledger.apply_report(&report_view(report), now_ms);
+        let is_applied = self.with_ledger(upstream, |ledger| {
+            ledger.on_load_ended(model, &report_view(report), now_ms)
         });
         self.publish_holdings(upstream);
+        is_applied != Some(false)
     }
 
     pub(super) async fn unload_model(self: &Rc<Self>, upstream: &UpstreamId, model: &ModelId) {
@@ -131,8 +135,14 @@
             if let Some(report) = self.request_report(upstream, addr).await {
                 let accepted = self.with_ledger(upstream, |l| l.orders_accepted);
                 let is_recent = accepted.flatten() == Some(report.orders_accepted);
-                if is_recent && !report.is_busy {
-                    self.apply_idle_report(upstream, &report);
+                let now_ms = self.gateway.now_ms();
+                let is_applied = is_recent
+                    && !report.is_busy
+                    && self.with_ledger(upstream, |ledger| {
+                        ledger.on_unload_ended(&report_view(&report), now_ms)
+                    }) == Some(true);
+                if is_applied {
+                    self.publish_holdings(upstream);
                     return;
                 }
             }
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -202,16 +202,12 @@
                 OrderReply::Conflict => {
                     // Reports lag behind; this one must be newer than the refusal.
                     compio::time::sleep(Duration::from_millis(REPORT_LAG_MS)).await;
-                    match self.update_from_report(upstream, addr).await {
-                        ReportOutcome::Changed => {}
-                        // An earlier attempt was accepted; its response was lost.
-                        ReportOutcome::Busy if has_unanswered_attempt => {
-                            return OrderReply::Accepted;
-                        }
-                        ReportOutcome::Busy | ReportOutcome::Nothing => {
+                    let outcome = self.update_from_report(upstream, addr).await;
+                    if let Some(reply) = reply_after_conflict(outcome, has_unanswered_attempt) {
+                        if reply == OrderReply::Conflict {
                             self.block_engine(upstream);
-                            return OrderReply::Conflict;
                         }
+                        return reply;
                     }
                 }
                 OrderReply::NotSent if has_unanswered_attempt => {
@@ -364,9 +360,25 @@
     }
 }
 
+/// Reply to an order that conflicts with another one, by the report that follows;
+/// `None` if the order is to be sent again.
+pub fn reply_after_conflict(
+    outcome: ReportOutcome,
+    has_unanswered_attempt: bool,
+) -> Option<OrderReply> {
+    match (outcome, has_unanswered_attempt) {
+        // Without a change, the report may predate an earlier attempt that is being
+        // executed; the next attempt or report shows it.
+        (ReportOutcome::Changed, _) | (ReportOutcome::Nothing, true) => None,
+        // An earlier attempt was accepted; its response was lost.
+        (ReportOutcome::Busy, true) => Some(OrderReply::Accepted),
+        (ReportOutcome::Busy | ReportOutcome::Nothing, false) => Some(OrderReply::Conflict),
+    }
+}
+
 /// Effect of an engine's report on its ledger.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum ReportOutcome {
+pub enum ReportOutcome {
     /// The engine is loading or unloading a model.
     Busy,
     /// The count of accepted orders differs from the ledger's.
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -482,3 +482,63 @@
     assert_eq!(ledger.charged_adapter_slots(), 2);
     assert!(!ledger.fits_adapter(&spec(2), &ModelId::new("m0")));
 }
+
+/// Guards against an order that exceeds an engine's memory: a load ended and an
+/// unload was ordered right afterwards; the report that had shown the end of the load
+/// predated the unload, and the memory of the model that was being unloaded was taken
+/// for free.
+#[test]
+fn report_of_a_load_that_predates_an_unload_leaves_the_unload_charged() {
+    let mut ledger = EngineLedger::new(&entry("e1", 1, &[("m0", &[]), ("m1", &[]), ("m2", &[])]));
+    ledger.orders_accepted = Some(1);
+    let before_unload = holdings(&[("m0", &[]), ("m1", &[]), ("m2", &[])]);
+    let adapters = ledger.resident.remove("m0").expect("resident");
+    ledger.unloading = Some((ModelId::new("m0"), adapters));
+    ledger.on_order_accepted(1_000);
+    let report = ReportedState {
+        orders_accepted: 1,
+        is_busy: false,
+        resident: &before_unload,
+        loading_adapters: &[],
+    };
+
+    let is_applied = ledger.on_load_ended(&ModelId::new("m2"), &report, 1_100);
+
+    assert!(!is_applied, "it may predate the unload");
+    assert!(!ledger.fits_model(&spec(8), &ModelId::new("m3")));
+}
+
+#[test]
+fn report_of_an_ended_load_does_not_end_an_unload() {
+    let mut ledger = EngineLedger::new(&entry("e1", 1, &[("m0", &[]), ("m1", &[]), ("m2", &[])]));
+    ledger.orders_accepted = Some(1);
+    let reported = holdings(&[("m1", &[]), ("m2", &[])]);
+    let adapters = ledger.resident.remove("m0").expect("resident");
+    ledger.unloading = Some((ModelId::new("m0"), adapters));
+    ledger.on_order_accepted(1_000);
+    let report = ReportedState {
+        orders_accepted: 2,
+        is_busy: true,
+        resident: &reported,
+        loading_adapters: &[],
+    };
+
+    ledger.on_load_ended(&ModelId::new("m2"), &report, 1_500);
+
+    assert!(!ledger.fits_model(&spec(8), &ModelId::new("m3")));
+}
+
+/// Guards against an order that exceeds an engine's memory: a load without a response
+/// was being executed, the next attempt conflicted with it, a report from before it
+/// showed nothing, and the load was taken for refused.
+#[test]
+fn conflict_after_an_unanswered_order_is_no_refusal() {
+    use currantcove::gateway::orders::{ReportOutcome, reply_after_conflict};
+    use currantcove::gateway::platform::OrderReply;
+
+    let unanswered = reply_after_conflict(ReportOutcome::Nothing, true);
+    let answered = reply_after_conflict(ReportOutcome::Nothing, false);
+
+    assert_eq!(unanswered, None, "the order is sent again");
+    assert_eq!(answered, Some(OrderReply::Conflict));
+}
