Report demand by term; evict nothing before a new acting host knows it

Cause: hosts reported the requests since their start, and a new acting host took each host's first report for a sudden rise. Change: the counters that hosts report start anew with each term (gateway/demand: DemandReporter), and a new acting host evicts nothing for 2 s.

--- a/src/core/copies.rs
+++ b/src/core/copies.rs
@@ -48,7 +48,7 @@
     pub resident: Holdings,
     /// Model among them that is still being loaded.
     pub loading: Option<ModelId>,
-    /// Models that were loaded too recently to be evicted.
+    /// Models that must not be evicted: loaded recently, or of unknown demand.
     pub recently_loaded: BTreeSet<ModelId>,
     /// Models in host memory.
     pub in_memory: BTreeSet<ModelId>,
--- a/src/core/engine_ledger.rs
+++ b/src/core/engine_ledger.rs
@@ -323,8 +323,12 @@
             .map(|(m, a)| (m.clone(), a.clone()))
     }
 
-    /// Models that were loaded too recently to be evicted.
-    pub fn recently_loaded(&self, now_ms: u64) -> BTreeSet<ModelId> {
+    /// Models that must not be evicted now: those that were loaded recently, or all
+    /// while the demand for them is not known.
+    pub fn protected_models(&self, now_ms: u64, is_demand_known: bool) -> BTreeSet<ModelId> {
+        if !is_demand_known {
+            return self.resident.keys().cloned().collect();
+        }
         let is_recent = |at_ms: &u64| now_ms < at_ms + MIN_RESIDENCE_MS;
         let recently_loaded = self.load_ready_ms.iter().filter(|(_, at)| is_recent(at));
         recently_loaded.map(|(m, _)| m.clone()).collect()
--- a/src/gateway/acting.rs
+++ b/src/gateway/acting.rs
@@ -33,6 +33,9 @@
 
 /// Shortest time between two turns.
 const MIN_TURN_INTERVAL: Duration = Duration::from_millis(15);
+/// Time from the start of a term until hosts have reported the demand for models in
+/// use, in milliseconds; nothing is evicted before.
+const DEMAND_WARM_UP_MS: u64 = 2_000;
 /// Turn that is logged because it delays everything else on the host.
 const SLOW_TURN: Duration = Duration::from_millis(20);
 /// Time until the next report is requested from an engine that did not respond
@@ -62,6 +65,7 @@
     store_loads_refilled_ms: u64,
     /// Term for which this state was built.
     pub(super) term: u64,
+    term_started_ms: u64,
     /// Number of the last published holdings within the term.
     pub(super) holdings_number: u64,
     /// Engines whose holdings have changed since they were published.
@@ -167,6 +171,7 @@
             // Recent orders of the previous acting host are unknown, so the
             // ledgers are rebuilt and the bucket of store loads starts empty.
             state.term = term;
+            state.term_started_ms = now_ms;
             state.engines.clear();
             state.store_load_tokens = 0.0;
             state.store_loads_refilled_ms = now_ms;
@@ -232,6 +237,7 @@
         let registry = self.gateway.registry.borrow();
         let loads = self.gateway.loads.borrow();
         let orders = self.orders.borrow();
+        let is_demand_known = now_ms >= state.term_started_ms + DEMAND_WARM_UP_MS;
         let service_loads = || {
             let entries = registry.of_service(service);
             entries.filter_map(|e| loads.get(e.id.as_str()))
@@ -267,7 +273,7 @@
                 is_serving: !entry.is_draining && !is_lost,
                 resident: ledger.planned_holdings(),
                 loading: ledger.loading.as_ref().map(|(model, _)| model.clone()),
-                recently_loaded: ledger.recently_loaded(now_ms),
+                recently_loaded: ledger.protected_models(now_ms, is_demand_known),
                 in_memory: entry.in_memory.clone(),
                 on_disk: entry.on_disk.clone(),
             });
--- a/src/gateway/demand.rs
+++ b/src/gateway/demand.rs
@@ -1,9 +1,10 @@
 //! Counts the requests that callers send to this host, by model and adapter.
 //!
 //! The counters of a model are cumulative, so that a lost report only delays the
-//! next one.
+//! next one. They start anew with each term of an acting host: a new acting host
+//! would otherwise take everything that was ever requested for a sudden rise.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use serde::{Deserialize, Serialize};
 
@@ -67,3 +68,55 @@
             .collect()
     }
 }
+
+impl ModelCounts {
+    fn since(self, base: Self) -> Self {
+        Self {
+            requests: self.requests.saturating_sub(base.requests),
+            prompt_tokens: self.prompt_tokens.saturating_sub(base.prompt_tokens),
+            output_tokens: self.output_tokens.saturating_sub(base.output_tokens),
+        }
+    }
+}
+
+/// Part of the counters that the acting host of a term is to receive.
+#[derive(Clone, Debug, Default)]
+pub struct DemandReporter {
+    term: Option<u64>,
+    since_ms: u64,
+    /// Counts when the term became known.
+    base: HashMap<ServiceModel, ModelCounts>,
+    reported: HashMap<ServiceModel, ModelCounts>,
+}
+
+impl DemandReporter {
+    /// Returns the counts that have changed since the last report in the term, and
+    /// the time from which they are counted.
+    pub fn take_changed(
+        &mut self,
+        now_ms: u64,
+        term: u64,
+        counters: &DemandCounters,
+    ) -> (u64, Vec<(ServiceId, ModelId, ModelCounts)>) {
+        if self.term != Some(term) {
+            self.base = counters
+                .models()
+                .map(|(key, counts)| (key.clone(), *counts))
+                .collect();
+            self.reported.clear();
+            self.term = Some(term);
+            self.since_ms = now_ms;
+        }
+        let mut changed = Vec::new();
+        for (key, counts) in counters.models() {
+            let base = self.base.get(key).copied().unwrap_or_default();
+            let counts = counts.since(base);
+            let last = self.reported.get(key).copied().unwrap_or_default();
+            if counts != last {
+                self.reported.insert(key.clone(), counts);
+                changed.push((key.0.clone(), key.1.clone(), counts));
+            }
+        }
+        (self.since_ms, changed)
+    }
+}
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -47,8 +47,7 @@
         /// Sender.
         #[serde(rename = "h")]
         host: HostId,
-        /// Start of the sender's process, at which all counters are 0, in
-        /// milliseconds since the epoch.
+        /// Time at which all counters were 0, in milliseconds since the epoch.
         #[serde(rename = "s")]
         started_ms: u64,
         /// Changed demand counters by model.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -20,7 +20,7 @@
 use futures_util::FutureExt;
 use tokio_util::sync::CancellationToken;
 
-use super::demand::ModelCounts;
+use super::demand::{DemandReporter, ModelCounts};
 use super::peer_messages::{EngineHoldings, PeerMessage};
 use super::platform::Platform;
 use super::state::Gateway;
@@ -106,7 +106,7 @@
     gateway: Rc<Gateway<P>>,
     inbox: A,
     socket: Rc<UdpSocket>,
-    reported_models: RefCell<HashMap<(ServiceId, ModelId), ModelCounts>>,
+    demand_reporter: RefCell<DemandReporter>,
     /// Loads of this host as last sent.
     reported_loads: RefCell<HashMap<UpstreamId, InFlight>>,
 }
@@ -120,7 +120,7 @@
             gateway,
             inbox,
             socket,
-            reported_models: RefCell::default(),
+            demand_reporter: RefCell::default(),
             reported_loads: RefCell::default(),
         }
     }
@@ -245,14 +245,18 @@
         let Some(acting) = acting else {
             return;
         };
-        let models = self.changed_models();
+        let now_ms = gateway.now_ms();
+        let (started_ms, models) = {
+            let demand = gateway.demand.borrow();
+            let mut reporter = self.demand_reporter.borrow_mut();
+            reporter.take_changed(now_ms, acting.term, &demand)
+        };
         let requested_adapters = gateway.demand.borrow_mut().take_requested_adapters();
         let adapters: Vec<_> = requested_adapters
             .into_iter()
             .map(|((service, model), adapter)| (service, model, adapter))
             .collect();
         let host = gateway.settings().host.clone();
-        let started_ms = gateway.clock.started_ms();
         if acting.host == host {
             self.inbox.on_report(&host, started_ms, &models, &adapters);
             return;
@@ -342,20 +346,6 @@
             }
         }
     }
-
-    /// Takes the demand counters that changed since the last report.
-    fn changed_models(&self) -> Vec<(ServiceId, ModelId, ModelCounts)> {
-        let demand = self.gateway.demand.borrow();
-        let mut reported = self.reported_models.borrow_mut();
-        let mut changed = Vec::new();
-        for (key, counts) in demand.models() {
-            if reported.get(key) != Some(counts) {
-                reported.insert(key.clone(), *counts);
-                changed.push((key.0.clone(), key.1.clone(), *counts));
-            }
-        }
-        changed
-    }
 }
 
 /// Time between two reports of a host, by the size of the fleet.
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -542,3 +542,16 @@
     assert_eq!(unanswered, None, "the order is sent again");
     assert_eq!(answered, Some(OrderReply::Conflict));
 }
+
+/// Guards against evictions by an acting host that has just been elected: it knows
+/// no demand yet, so that models in use look idle.
+#[test]
+fn no_model_is_evictable_while_the_demand_is_unknown() {
+    let ledger = EngineLedger::new(&entry("e1", 1, &[("m0", &[]), ("m1", &[])]));
+
+    let at_start = ledger.protected_models(50_000, false);
+    let later = ledger.protected_models(50_000, true);
+
+    assert_eq!(at_start.len(), 2);
+    assert!(later.is_empty());
+}
