--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -7,8 +7,9 @@
 use currantcove::core::fleet::{
     Fleet, ListedState, ListedUpstream, LoadReport, Observation, UpstreamKind,
 };
-use currantcove::core::ids::{ArtifactId, UpstreamId, ZoneId};
+use currantcove::core::ids::{ArtifactId, ServiceId, UpstreamId, ZoneId};
 use currantcove::core::placement::{PlannedModel, PlannedUpstream};
+use currantcove::core::registry::{Entry, Holdings};
 
 /// Artifact with the id `t/<name>@v1`.
 pub fn artifact(name: &str) -> ArtifactId {
@@ -87,3 +88,21 @@
         ready,
     }
 }
+
+/// Upstream as listed on the users' platform, without models.
+pub fn entry(id: &str, service: &str, slots: u32) -> Entry {
+    Entry {
+        id: UpstreamId::new(id),
+        service: ServiceId::new(service),
+        addr: SocketAddr::from(([10, 0, 0, 1], 8000)),
+        zone: ZoneId::new("a"),
+        slots,
+        is_draining: false,
+        started_ms: 1,
+        sequence: 1,
+        read_ms: 0,
+        resident: Holdings::new(),
+        in_memory: BTreeSet::new(),
+        on_disk: BTreeSet::new(),
+    }
+}
--- a/tests/gateway_engine_room.rs
+++ b/tests/gateway_engine_room.rs
@@ -1,8 +1,10 @@
 //! Accounts of engines that many hosts share.
 
+mod common;
+
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 
+use common::entry;
 use currantcove::core::balance::{
     NoUpstream, Requirements, UpstreamFilter, Weights, has_room_for_counted, select_upstream,
 };
@@ -17,18 +19,8 @@
 
 fn engine(id: &str) -> Entry {
     Entry {
-        id: UpstreamId::new(id),
-        service: ServiceId::new("drafts"),
-        addr: SocketAddr::from(([10, 0, 0, 1], 8000)),
-        zone: ZoneId::new("a"),
-        slots: 24,
-        is_draining: false,
-        started_ms: 1,
-        sequence: 1,
-        read_ms: 0,
         resident: [(ModelId::new("m0"), BTreeSet::new())].into(),
-        in_memory: BTreeSet::new(),
-        on_disk: BTreeSet::new(),
+        ..entry(id, "drafts", 24)
     }
 }
 
--- a/tests/gateway_load.rs
+++ b/tests/gateway_load.rs
@@ -1,8 +1,10 @@
 //! Selection, queueing and rejection of requests under load.
 
+mod common;
+
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 
+use common::entry;
 use currantcove::core::balance::{
     CapacityForecast, NoUpstream, Requirements, UpstreamFilter, Weights, forecast_capacity,
     select_upstream,
@@ -21,18 +23,8 @@
 fn engine(id: &str, adapters: &[&str]) -> Entry {
     let adapters = adapters.iter().map(|a| AdapterId::new(a)).collect();
     Entry {
-        id: UpstreamId::new(id),
-        service: ServiceId::new("drafts"),
-        addr: SocketAddr::from(([10, 0, 0, 1], 8000)),
-        zone: ZoneId::new("a"),
-        slots: SLOTS,
-        is_draining: false,
-        started_ms: 1,
-        sequence: 1,
-        read_ms: 0,
         resident: [(ModelId::new("m0"), adapters)].into(),
-        in_memory: BTreeSet::new(),
-        on_disk: BTreeSet::new(),
+        ..entry(id, "drafts", SLOTS)
     }
 }
 
--- a/tests/gateway_shared_service.rs
+++ b/tests/gateway_shared_service.rs
@@ -4,14 +4,14 @@
 //! host sees one in 89 of the requests itself; the others reach it as sums that are
 //! tenths of a second old.
 
-use std::collections::BTreeSet;
-use std::net::SocketAddr;
+mod common;
 
+use common::entry;
 use currantcove::core::balance::{NoUpstream, Requirements, UpstreamFilter, select_upstream};
 use currantcove::core::ids::{HostId, ServiceId, UpstreamId, ZoneId};
 use currantcove::core::load::{AttemptOutcome, InFlight, LoadTable, RequestSize, SentRequest};
 use currantcove::core::peer_loads::PeerLoads;
-use currantcove::core::registry::{Entry, Registry};
+use currantcove::core::registry::Registry;
 use currantcove::core::routing::Rng;
 
 const HOSTS: usize = 89;
@@ -24,23 +24,6 @@
 const REPORT_INTERVAL_MS: u64 = 700;
 const DURATION_MS: u64 = 20_000;
 
-fn entry(id: &str) -> Entry {
-    Entry {
-        id: UpstreamId::new(id),
-        service: ServiceId::new("bookings"),
-        addr: SocketAddr::from(([10, 0, 0, 1], 8000)),
-        zone: ZoneId::new("a"),
-        slots: SLOTS,
-        is_draining: false,
-        started_ms: 1,
-        sequence: 1,
-        read_ms: 0,
-        resident: [].into(),
-        in_memory: BTreeSet::new(),
-        on_disk: BTreeSet::new(),
-    }
-}
-
 struct Running {
     host: usize,
     sent: SentRequest,
@@ -66,7 +49,9 @@
 impl Fleet {
     fn new(seed: u64) -> Self {
         let mut registry = Registry::default();
-        let entries = (0..UPSTREAMS).map(|u| entry(&format!("u{u}"))).collect();
+        let entries = (0..UPSTREAMS)
+            .map(|u| entry(&format!("u{u}"), "bookings", SLOTS))
+            .collect();
         registry.replace(entries, false, 0);
         let host = |i: usize| Host {
             id: HostId::new(&format!("h{i}")),
