Take a report with fewer orders for outdated for a second after an order

Tests: report_from_before_a_fast_load_does_not_end_it and adapter_stays_charged_while_a_report_may_predate_its_load, which failed before.

--- a/src/core/engine_ledger.rs
+++ b/src/core/engine_ledger.rs
@@ -26,8 +26,11 @@
 const ADAPTER_LOAD_OVERDUE_MS: u64 = 1_000;
 /// Consecutive failures to connect after which an engine counts as lost.
 const LOST_AFTER_FAILED_CONTACTS: u32 = 2;
-/// Upper bound of the lag of reports, in milliseconds.
+/// Usual bound of the lag of reports, in milliseconds.
 pub const REPORT_LAG_MS: u64 = 400;
+/// Time after an accepted order within which a report with a lower count of orders
+/// predates it, in milliseconds. A lower count after that corrects the ledger's.
+const MAX_REPORT_LAG_MS: u64 = 1_000;
 
 /// Part of an engine's report that updates the ledger.
 #[derive(Clone, Copy, Debug)]
@@ -144,7 +147,7 @@
 
     /// True if a report predates the last accepted order.
     fn is_outdated(&self, report: &ReportedState<'_>, now_ms: u64) -> bool {
-        let is_lag_elapsed = now_ms >= self.last_accepted_ms + REPORT_LAG_MS;
+        let is_lag_elapsed = now_ms >= self.last_accepted_ms + MAX_REPORT_LAG_MS;
         let is_behind = self
             .orders_accepted
             .is_some_and(|n| report.orders_accepted < n);
@@ -178,7 +181,7 @@
         self.resident = resident;
         let (resident, unanswered) = (&self.resident, &self.unanswered);
         self.loading_adapters.retain(|key, at_ms| {
-            let may_be_loading = now_ms < *at_ms + REPORT_LAG_MS
+            let may_be_loading = now_ms < *at_ms + MAX_REPORT_LAG_MS
                 || report.loading_adapters.contains(key)
                 || unanswered.contains(key);
             may_be_loading && !has_adapter(resident, &key.0, &key.1)
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -555,3 +555,47 @@
     assert_eq!(at_start.len(), 2);
     assert!(later.is_empty());
 }
+
+/// Guards against an order that exceeds an engine's memory: a load from host memory
+/// took 0.4 s, the first report after it still showed the engine before the order, and
+/// the load was taken for ended.
+#[test]
+fn report_from_before_a_fast_load_does_not_end_it() {
+    let mut ledger = EngineLedger::new(&entry("e1", 1, &[("m0", &[]), ("m1", &[])]));
+    ledger.orders_accepted = Some(4);
+    ledger.loading = Some((ModelId::new("m2"), 1_380));
+    ledger.on_order_accepted(1_000);
+    let before = holdings(&[("m0", &[]), ("m1", &[])]);
+    let report = ReportedState {
+        orders_accepted: 4,
+        is_busy: false,
+        resident: &before,
+        loading_adapters: &[],
+    };
+
+    let is_ended = ledger.on_load_ended(&ModelId::new("m2"), &report, 1_450);
+
+    assert!(!is_ended);
+    assert!(!ledger.fits_model(&spec(8), &ModelId::new("m3")));
+    assert_eq!(ledger.orders_accepted, Some(5));
+}
+
+#[test]
+fn adapter_stays_charged_while_a_report_may_predate_its_load() {
+    let mut ledger = EngineLedger::new(&entry("e1", 1, &[("m0", &["a1"])]));
+    ledger.orders_accepted = Some(4);
+    let key = (ModelId::new("m0"), AdapterId::new("a2"));
+    ledger.on_adapter_accepted(&key, 1_000);
+    ledger.on_order_accepted(1_000);
+    let before = holdings(&[("m0", &["a1"])]);
+    let report = ReportedState {
+        orders_accepted: 4,
+        is_busy: false,
+        resident: &before,
+        loading_adapters: &[],
+    };
+
+    ledger.apply_report(&report, 1_700);
+
+    assert_eq!(ledger.charged_adapter_slots(), 2);
+}
