Charge an adapter whose load ends while its model's unload is being sent

If the engine then refuses the unload or cannot be reached, as in a partition, the model returned to the ledger without that adapter, and the next load could exceed the engine's slots. Test: adapter_loaded_while_its_model_is_unloading_stays_charged.

--- a/src/core/engine_ledger.rs
+++ b/src/core/engine_ledger.rs
@@ -234,6 +234,22 @@
         }
     }
 
+    /// Records that an adapter has been loaded. Its model may be unloading meanwhile;
+    /// should that fail, the adapter is still there.
+    pub fn on_adapter_loaded(&mut self, key: &(ModelId, AdapterId)) {
+        if self.loading_adapters.remove(key).is_none() {
+            return;
+        }
+        let (model, adapter) = key;
+        if let Some(adapters) = self.resident.get_mut(model) {
+            adapters.insert(adapter.clone());
+        } else if let Some((unloading, adapters)) = &mut self.unloading
+            && unloading == model
+        {
+            adapters.insert(adapter.clone());
+        }
+    }
+
     /// Records an accepted adapter load, which a report that was applied while
     /// the order was repeated may have removed.
     pub fn on_adapter_accepted(&mut self, key: &(ModelId, AdapterId), now_ms: u64) {
--- a/src/gateway/order_adapters.rs
+++ b/src/gateway/order_adapters.rs
@@ -89,13 +89,7 @@
     }
 
     fn finish_adapter_load(self: &Rc<Self>, upstream: &UpstreamId, key: &(ModelId, AdapterId)) {
-        self.with_ledger(upstream, |ledger| {
-            if ledger.loading_adapters.remove(key).is_some()
-                && let Some(adapters) = ledger.resident.get_mut(&key.0)
-            {
-                adapters.insert(key.1.clone());
-            }
-        });
+        self.with_ledger(upstream, |ledger| ledger.on_adapter_loaded(key));
         self.publish_holdings(upstream);
     }
 
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -599,3 +599,21 @@
 
     assert_eq!(ledger.charged_adapter_slots(), 2);
 }
+
+/// Guards against an order that exceeds an engine's adapter slots: the load of an
+/// adapter ended while the unload of its model was being sent. The engine refused the
+/// unload, and the adapter was missing in the ledger.
+#[test]
+fn adapter_loaded_while_its_model_is_unloading_stays_charged() {
+    let mut ledger = EngineLedger::new(&entry("e1", 1, &[("m0", &["a1"]), ("m1", &[])]));
+    let key = (ModelId::new("m0"), AdapterId::new("a2"));
+    ledger.on_adapter_accepted(&key, 1_000);
+    let adapters = ledger.resident.remove("m0").expect("resident");
+    ledger.unloading = Some((ModelId::new("m0"), adapters));
+
+    ledger.on_adapter_loaded(&key);
+
+    assert_eq!(ledger.charged_adapter_slots(), 2);
+    let (_, adapters) = ledger.unloading.expect("unloading");
+    assert!(adapters.contains("a2"), "restored if the unload fails");
+}
