--- a/src/gateway/order_models.rs
+++ b/src/gateway/order_models.rs
@@ -6,7 +6,7 @@
 use super::acting::ActingHostService;
 use super::orders::{BUSY_POLL_INTERVAL, MAX_ORDER_POLLS, report_view};
 use super::platform::{EngineReport, Order, OrderReply, Platform};
-use crate::core::catalog::WeightSource;
+use crate::core::catalog::{EngineSpec, WeightSource};
 use crate::core::ids::{ModelId, UpstreamId};
 
 impl<P: Platform> ActingHostService<P> {
@@ -19,6 +19,10 @@
             tracing::info!(event = "order", upstream = %upstream, order = %model, reply = "no_room");
             return;
         }
+        if !self.confirm_room(upstream, &spec, model).await {
+            tracing::info!(event = "order", upstream = %upstream, order = %model, reply = "not_confirmed");
+            return self.block_engine(upstream);
+        }
         let is_from_store = self.weight_source(upstream, model) == WeightSource::Store;
         if is_from_store && !self.state.borrow_mut().try_take_store_load() {
             return;
@@ -52,6 +56,36 @@
         }
     }
 
+    /// True if a report that shows all accepted orders confirms that a model fits. An
+    /// engine crashes if it is ordered to load more than it has memory for.
+    async fn confirm_room(
+        self: &Rc<Self>,
+        upstream: &UpstreamId,
+        spec: &EngineSpec,
+        model: &ModelId,
+    ) -> bool {
+        let now_ms = self.gateway.now_ms();
+        let lag_ms = self.with_ledger(upstream, |l| l.report_lag_left_ms(now_ms));
+        compio::time::sleep(Duration::from_millis(lag_ms.unwrap_or(0))).await;
+        let Some(addr) = self.addr_of(upstream) else {
+            return false;
+        };
+        let Some(report) = self.request_report(upstream, addr).await else {
+            return false;
+        };
+        let now_ms = self.gateway.now_ms();
+        let is_confirmed = self.with_ledger(upstream, |ledger| {
+            let is_current = report.started_ms == ledger.started_ms
+                && !report.is_busy
+                && ledger.orders_accepted == Some(report.orders_accepted);
+            if is_current {
+                ledger.apply_report(&report_view(&report), now_ms);
+            }
+            is_current && ledger.fits_model(spec, model)
+        });
+        is_confirmed == Some(true)
+    }
+
     /// Waits until a model that is being loaded is ready for requests.
     async fn await_model_load(
         self: &Rc<Self>,
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -617,3 +617,25 @@
     let (_, adapters) = ledger.unloading.expect("unloading");
     assert!(adapters.contains("a2"), "restored if the unload fails");
 }
+
+#[test]
+fn one_of_many_adapter_slots_is_kept_free() {
+    let mut ledger = EngineLedger::new(&entry("e1", 1, &[("m0", &["a1", "a2", "a3"])]));
+    ledger.orders_accepted = Some(1);
+
+    let fits_four_slots = ledger.fits_adapter(&spec(4), &ModelId::new("m0"));
+    let fits_five_slots = ledger.fits_adapter(&spec(5), &ModelId::new("m0"));
+
+    assert_eq!((fits_four_slots, fits_five_slots), (false, true));
+}
+
+#[test]
+fn reports_show_an_accepted_order_only_after_their_lag() {
+    let mut ledger = EngineLedger::new(&entry("e1", 1, &[]));
+    ledger.orders_accepted = Some(1);
+
+    ledger.on_order_accepted(1_000);
+
+    assert!(ledger.report_lag_left_ms(1_000) >= 400);
+    assert_eq!(ledger.report_lag_left_ms(1_400), 0);
+}
