Require a report after a rejected unload; ask lost engines for one

Found on reading the change again. - A new acting host starts with reports that lag by 0.2 s. Tests: rejected_unload_requires_a_report_before_the_next_order, lost_engine_is_asked_for_a_report.

--- a/src/core/engine_ledger.rs
+++ b/src/core/engine_ledger.rs
@@ -112,7 +112,10 @@
         if self.is_gone {
             return false;
         }
-        let is_due = self.orders_accepted.is_none() || self.loading_adapters.iter().any(is_overdue);
+        // An engine that was lost receives no orders that would show that it is back.
+        let is_due = self.orders_accepted.is_none()
+            || self.is_lost()
+            || self.loading_adapters.iter().any(is_overdue);
         is_due && now_ms >= self.blocked_until_ms
     }
 
@@ -226,6 +229,16 @@
         true
     }
 
+    /// Records that the engine has not accepted the unload of a model. What is known of
+    /// the model may be older than the last report, so that the engine must report
+    /// before it can receive the next order.
+    pub fn on_unload_rejected(&mut self) {
+        if let Some((model, adapters)) = self.unloading.take() {
+            self.resident.entry(model).or_insert(adapters);
+            self.orders_accepted = None;
+        }
+    }
+
     /// Records an accepted order: earlier unanswered ones can no longer take
     /// effect.
     pub fn on_order_accepted(&mut self, now_ms: u64) {
--- a/src/gateway/acting.rs
+++ b/src/gateway/acting.rs
@@ -341,7 +341,10 @@
             self.pacer.borrow_mut().finish(now_ms, started.elapsed());
             self.send_due_digests(term, now_ms);
         }
-        self.place_requested_adapters();
+        // Ledgers of an earlier term are outdated until the first plan of this one.
+        if self.state.borrow().term == term {
+            self.place_requested_adapters();
+        }
         self.flush_holdings();
     }
 
--- a/src/gateway/order_models.rs
+++ b/src/gateway/order_models.rs
@@ -7,6 +7,7 @@
 use super::orders::{BUSY_POLL_INTERVAL, MAX_ORDER_POLLS, report_view};
 use super::platform::{EngineReport, Order, OrderReply, Platform};
 use crate::core::catalog::{EngineSpec, WeightSource};
+use crate::core::engine_ledger::EngineLedger;
 use crate::core::ids::{ModelId, UpstreamId};
 
 impl<P: Platform> ActingHostService<P> {
@@ -148,11 +149,7 @@
             OrderReply::Accepted | OrderReply::Holds => self.await_idle(upstream).await,
             OrderReply::Unknown => {}
             _ => {
-                self.with_ledger(upstream, |ledger| {
-                    if let Some((model, adapters)) = ledger.unloading.take() {
-                        ledger.resident.entry(model).or_insert(adapters);
-                    }
-                });
+                self.with_ledger(upstream, EngineLedger::on_unload_rejected);
                 self.publish_holdings(upstream);
                 self.block_engine(upstream);
             }
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -639,3 +639,44 @@
     assert!(ledger.report_lag_left_ms(1_000) >= 400);
     assert_eq!(ledger.report_lag_left_ms(1_400), 0);
 }
+
+/// Guards against an order that exceeds an engine's adapter slots: a new acting host
+/// ordered an unload by a report that lagged; the report after the conflict showed one
+/// more adapter of that model, and the refusal brought back the model without it.
+#[test]
+fn rejected_unload_requires_a_report_before_the_next_order() {
+    let mut ledger = EngineLedger::new(&entry("e1", 1, &[("m0", &["a1"]), ("m1", &[])]));
+    ledger.orders_accepted = Some(27);
+    let adapters = ledger.resident.remove("m0").expect("resident");
+    ledger.unloading = Some((ModelId::new("m0"), adapters));
+    let resident = holdings(&[("m0", &["a1", "a4"]), ("m1", &[])]);
+    let report = ReportedState {
+        orders_accepted: 28,
+        is_busy: false,
+        resident: &resident,
+        loading_adapters: &[],
+    };
+    ledger.apply_report(&report, 1_000);
+
+    ledger.on_unload_rejected();
+    let accepts_before_report = ledger.accepts_orders(2_000);
+    ledger.apply_report(&report, 2_000);
+
+    assert!(!accepts_before_report && ledger.accepts_orders(2_000));
+    assert_eq!(ledger.charged_adapter_slots(), 2);
+}
+
+/// Guards against an engine that stays out of all plans after a partition has healed:
+/// it received no order or request for a report that would have shown that it is back.
+#[test]
+fn lost_engine_is_asked_for_a_report() {
+    let mut ledger = EngineLedger::new(&entry("e1", 1, &[("m0", &[])]));
+    ledger.orders_accepted = Some(3);
+    let needed_before = ledger.needs_report(1_000);
+
+    ledger.on_unreachable();
+    ledger.on_unreachable();
+
+    assert!(!needed_before);
+    assert!(ledger.needs_report(1_000));
+}
