One notion each of a large fleet, the acting host, the other hosts and a host's rank

Read again as a whole, the change had written these more than once: - two constants of 16 hosts and three predicates on them -> MAX_SMALL_FLEET and Gateway::is_large_fleet; the test for being the acting host, five times -> is_acting_host; the addresses of the other hosts, four times -> other_hosts. - the order of hosts by CPU, for the election and for watching the store -> core::peer_list::rank_by_cpu; the CPU share in thousandths -> settings. - looking a peer up by a scan of the list, on every request for room -> get_listed, get_recipient. - the two sets of changed loads, the two ways to apply a report and publish what it changes. The registry removed an expired entry with a record of its removal and then dropped that record; expiry now drops the entry alone. PlannedEngine.recently_loaded also held models of unknown demand: protected. No behaviour changes; tests keep their assertions (the import of rank_by_cpu and the renamed field apart).

--- a/src/cmd/bench.rs
+++ b/src/cmd/bench.rs
@@ -173,7 +173,7 @@
                 .map(|k| (model(k % MODEL_COUNT), std::collections::BTreeSet::new()))
                 .collect(),
             loading: None,
-            recently_loaded: std::collections::BTreeSet::new(),
+            protected: std::collections::BTreeSet::new(),
             in_memory: std::collections::BTreeSet::new(),
             on_disk: std::collections::BTreeSet::new(),
         })
--- a/src/core/copies.rs
+++ b/src/core/copies.rs
@@ -49,7 +49,7 @@
     /// Model among them that is still being loaded.
     pub loading: Option<ModelId>,
     /// Models that must not be evicted: loaded recently, or of unknown demand.
-    pub recently_loaded: BTreeSet<ModelId>,
+    pub protected: BTreeSet<ModelId>,
     /// Models in host memory.
     pub in_memory: BTreeSet<ModelId>,
     /// Models on disk.
--- a/src/core/copy_planner.rs
+++ b/src/core/copy_planner.rs
@@ -70,7 +70,7 @@
     /// Models resident, loading or planned, with their memory.
     resident: Vec<(ModelIndex, u64)>,
     loading: Option<ModelIndex>,
-    recently_loaded: Vec<ModelIndex>,
+    protected: Vec<ModelIndex>,
     in_memory: Vec<ModelIndex>,
     on_disk: Vec<ModelIndex>,
     free_mb: u64,
@@ -456,7 +456,7 @@
         let mut evictable: Vec<EvictableCopy> = state
             .resident
             .iter()
-            .filter(|(m, _)| !state.recently_loaded.contains(m) && self.is_evictable(e, *m))
+            .filter(|(m, _)| !state.protected.contains(m) && self.is_evictable(e, *m))
             .map(|&(model, size_mb)| EvictableCopy {
                 model,
                 size_mb,
@@ -506,7 +506,7 @@
     EngineState {
         resident,
         loading: engine.loading.as_ref().and_then(index_of),
-        recently_loaded: engine.recently_loaded.iter().filter_map(index_of).collect(),
+        protected: engine.protected.iter().filter_map(index_of).collect(),
         in_memory: engine.in_memory.iter().filter_map(index_of).collect(),
         on_disk: engine.on_disk.iter().filter_map(index_of).collect(),
         free_mb,
--- a/src/core/load.rs
+++ b/src/core/load.rs
@@ -461,22 +461,22 @@
     /// Returns the upstreams whose local load has changed since the last call.
     pub fn take_changed(&mut self) -> Vec<(UpstreamId, InFlight)> {
         let changed = std::mem::take(&mut self.changed);
-        let local = |id: UpstreamId| {
-            let load = self.loads.get(&id).map(|l| l.local);
-            (id, load.unwrap_or_default())
-        };
-        changed.into_iter().map(local).collect()
+        self.local_loads(changed)
     }
 
     /// Returns the upstreams whose local load has changed since the last call of this
     /// function.
     pub fn take_untold(&mut self) -> Vec<(UpstreamId, InFlight)> {
         let untold = std::mem::take(&mut self.untold);
+        self.local_loads(untold)
+    }
+
+    fn local_loads(&self, ids: HashSet<UpstreamId>) -> Vec<(UpstreamId, InFlight)> {
         let local = |id: UpstreamId| {
             let load = self.loads.get(&id).map(|l| l.local);
             (id, load.unwrap_or_default())
         };
-        untold.into_iter().map(local).collect()
+        ids.into_iter().map(local).collect()
     }
 
     fn mark_changed(&mut self, id: &UpstreamId) {
--- a/src/core/peer_list.rs
+++ b/src/core/peer_list.rs
@@ -4,6 +4,7 @@
 //! serve. Its entry lapses, but it still sends requests to the same upstreams,
 //! so it remains a recipient of peer messages for a while.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -13,6 +14,23 @@
 /// milliseconds; outages of the store last some seconds for one host.
 pub const UNLISTED_GRACE_MS: u64 = 20_000;
 
+/// Largest fleet in which every host watches the store and sends its loads to all
+/// others directly.
+pub const MAX_SMALL_FLEET: usize = 16;
+
+/// Position of a host among some, from 0. Hosts with a larger CPU share are first,
+/// because work for the whole fleet takes most of a small machine's time.
+pub fn rank_by_cpu<'a>(
+    hosts: impl Iterator<Item = (&'a HostId, u32)>,
+    own: &HostId,
+    own_cpu_milli: u32,
+) -> u64 {
+    let own_key = (Reverse(own_cpu_milli), own);
+    hosts
+        .filter(|(host, cpu_milli)| (Reverse(*cpu_milli), *host) < own_key)
+        .count() as u64
+}
+
 /// One host.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Peer {
@@ -86,6 +104,16 @@
         self.peers.retain(|_, peer| peer.is_recipient(now_ms));
     }
 
+    /// A listed host.
+    pub fn get_listed(&self, host: &HostId) -> Option<&Peer> {
+        self.peers.get(host).filter(|p| p.unlisted_ms.is_none())
+    }
+
+    /// A recipient of peer messages.
+    pub fn get_recipient(&self, now_ms: u64, host: &HostId) -> Option<&Peer> {
+        self.peers.get(host).filter(|p| p.is_recipient(now_ms))
+    }
+
     /// Recipients of peer messages.
     pub fn recipients(&self, now_ms: u64) -> impl Iterator<Item = (&HostId, &Peer)> {
         self.peers
--- a/src/core/registry.rs
+++ b/src/core/registry.rs
@@ -161,12 +161,8 @@
         started_ms: u64,
         now_ms: u64,
     ) -> Option<RegistryChange> {
-        let is_superseded = |at_ms: u64| at_ms > started_ms;
-        if self
-            .leaving
-            .get(id)
-            .is_some_and(|l| is_superseded(l.started_ms))
-        {
+        let known = self.leaving.get(id);
+        if known.is_some_and(|l| l.started_ms > started_ms) {
             return None;
         }
         let leaving = Leaving {
@@ -273,20 +269,23 @@
             self.lapsed_until_ms.entry(id.clone()).or_insert(until_ms);
             return Some(RegistryChange::Lapsed(id));
         }
-        if let Some(entry) = self.entries.remove(&id) {
-            let removal = Removal {
-                started_ms: entry.started_ms,
-                sequence: entry.sequence,
-                era: self.era,
-                removed_ms: now_ms,
-            };
-            self.removals.insert(id.clone(), removal);
-        }
-        self.observations.remove(&id);
-        self.lapsed_until_ms.remove(&id);
+        let entry = self.drop_entry(&id)?;
+        let removal = Removal {
+            started_ms: entry.started_ms,
+            sequence: entry.sequence,
+            era: self.era,
+            removed_ms: now_ms,
+        };
+        self.removals.insert(id.clone(), removal);
         Some(RegistryChange::Removed(id))
     }
 
+    fn drop_entry(&mut self, id: &UpstreamId) -> Option<Entry> {
+        self.observations.remove(id);
+        self.lapsed_until_ms.remove(id);
+        self.entries.remove(id)
+    }
+
     /// Drops what is remembered of upstreams that left long ago.
     fn forget_departed(&mut self, now_ms: u64) {
         let is_recent = |at_ms: u64| now_ms < at_ms + DEPARTURE_MEMORY_MS;
@@ -326,7 +325,8 @@
         changes
     }
 
-    /// Removes lapsed entries whose grace period has ended.
+    /// Removes lapsed entries whose grace period has ended. They were only not listed,
+    /// so that any later announcement counts.
     pub fn expire_lapsed(&mut self, now_ms: u64) -> Vec<RegistryChange> {
         self.forget_departed(now_ms);
         let expired: Vec<UpstreamId> = self
@@ -335,14 +335,12 @@
             .filter(|(_, until_ms)| now_ms >= **until_ms)
             .map(|(id, _)| id.clone())
             .collect();
-        let changes: Vec<RegistryChange> = expired
-            .iter()
-            .filter_map(|id| self.remove(id.as_str(), false, now_ms))
-            .collect();
-        for id in &expired {
-            // The upstream was only not listed, so that any announcement counts.
-            self.removals.remove(id);
-        }
-        changes
+        expired
+            .into_iter()
+            .filter_map(|id| {
+                self.drop_entry(&id)
+                    .map(|entry| RegistryChange::Removed(entry.id))
+            })
+            .collect()
     }
 }
--- a/src/core/store_relay.rs
+++ b/src/core/store_relay.rs
@@ -10,16 +10,14 @@
 //! the time within which changes must apply, or misses a change, reads the store
 //! itself.
 
-use std::cmp::Reverse;
 use std::time::Duration;
 
 use super::ids::HostId;
+use super::peer_list::rank_by_cpu;
 use super::store_era::Era;
 
-/// Largest fleet in which every host watches the store.
-pub const MAX_WATCHING_FLEET: usize = 16;
 /// Hosts of each zone that watch the store in a larger fleet.
-pub const WATCHERS_PER_ZONE: usize = 2;
+pub const WATCHERS_PER_ZONE: u64 = 2;
 /// Time for which a follower waits for a change that it has missed, in
 /// milliseconds; another watching host of the zone passes it on as well.
 const GAP_PATIENCE_MS: u64 = 250;
@@ -46,16 +44,13 @@
     }
 }
 
-/// True if a host is one of those of its zone that watch the store. Hosts with a
-/// larger CPU share come first.
+/// True if a host is one of those of its zone that watch the store.
 pub fn is_watcher<'a>(
     zone_hosts: impl Iterator<Item = (&'a HostId, u32)>,
     own: &HostId,
     own_cpu_milli: u32,
 ) -> bool {
-    let own_key = (Reverse(own_cpu_milli), own);
-    let before_own = zone_hosts.filter(|(host, cpu)| (Reverse(*cpu), *host) < own_key);
-    before_own.count() < WATCHERS_PER_ZONE
+    rank_by_cpu(zone_hosts, own, own_cpu_milli) < WATCHERS_PER_ZONE
 }
 
 /// State of the store up to which a host knows all changes.
--- a/src/gateway/acting.rs
+++ b/src/gateway/acting.rs
@@ -16,7 +16,7 @@
 use super::demand::{ModelCounts, ServiceModel};
 use super::membership::Membership;
 use super::orders::OrderQueue;
-use super::peers::{ActingHostInbox, MAX_FULL_MESH_HOSTS, report_interval};
+use super::peers::{ActingHostInbox, report_interval};
 use super::platform::{Order, Platform};
 use super::state::Gateway;
 use crate::core::balance::Weights;
@@ -273,7 +273,7 @@
                 is_serving: !entry.is_draining && !is_lost,
                 resident: ledger.planned_holdings(),
                 loading: ledger.loading.as_ref().map(|(model, _)| model.clone()),
-                recently_loaded: ledger.protected_models(now_ms, is_demand_known),
+                protected: ledger.protected_models(now_ms, is_demand_known),
                 in_memory: entry.in_memory.clone(),
                 on_disk: entry.on_disk.clone(),
             });
@@ -349,10 +349,10 @@
     }
 
     fn send_due_digests(&self, term: u64, now_ms: u64) {
-        let hosts = self.gateway.host_count();
-        if now_ms >= self.next_digest_ms.get() && hosts > MAX_FULL_MESH_HOSTS {
-            let every_ms = report_interval(hosts).as_millis() as u64;
-            self.next_digest_ms.set(now_ms + every_ms);
+        if now_ms >= self.next_digest_ms.get() && self.gateway.is_large_fleet() {
+            let interval = report_interval(self.gateway.host_count());
+            self.next_digest_ms
+                .set(now_ms + interval.as_millis() as u64);
             self.send_digests(term);
         }
     }
--- a/src/gateway/announce.rs
+++ b/src/gateway/announce.rs
@@ -6,12 +6,11 @@
 //! once for all hosts. Only what an engine is about to unload is announced at once,
 //! since requests for it must stop first.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use super::acting::ActingHostService;
 use super::peer_messages::{EngineHoldings, PeerMessage};
-use super::peers::datagram_chunk;
+use super::peers::{MAX_ITEMS_PER_DATAGRAM, datagram_chunk};
 use super::platform::Platform;
 use crate::core::catalog::EngineSpec;
 use crate::core::ids::{ModelId, ServiceId, UpstreamId};
@@ -45,13 +44,8 @@
 
     /// Sends a message to all other hosts.
     fn broadcast(&self, message: &PeerMessage) {
-        let gateway = &self.gateway;
-        let own = gateway.settings().host.clone();
-        let peers = gateway.peers.borrow();
-        let recipients = peers.recipients(gateway.now_ms());
-        let others = recipients.filter(|(host, _)| **host != own);
-        let addrs: Vec<SocketAddr> = others.map(|(_, peer)| peer.addr).collect();
-        gateway.send_peers(addrs, message);
+        let addrs = self.gateway.other_hosts(|_| true);
+        self.gateway.send_peers(addrs, message);
     }
 
     /// Publishes what an engine holds with the next turn.
@@ -112,7 +106,7 @@
         }
         drop(loads);
         drop(peer_loads);
-        for index in 0..totals.len().div_ceil(super::peers::MAX_ITEMS_PER_DATAGRAM) {
+        for index in 0..totals.len().div_ceil(MAX_ITEMS_PER_DATAGRAM) {
             let totals = datagram_chunk(&totals, index);
             self.broadcast(&PeerMessage::Digest { term, totals });
         }
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -13,7 +13,6 @@
 //! again.
 
 use std::cell::{Cell, RefCell};
-use std::cmp::Reverse;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,6 +24,7 @@
 use super::state::{ActingHost, Gateway};
 use super::store_facts::{ACTING_KEY, HOSTS_KEY, HostRecord};
 use crate::core::ids::HostId;
+use crate::core::peer_list::rank_by_cpu;
 use crate::core::store_era::term_number;
 use crate::edge::kv::{Cas, CasAllOutcome, KvError};
 use crate::kernel::Service;
@@ -70,20 +70,6 @@
     last_other_acting: RefCell<Option<HostId>>,
 }
 
-/// Position of a host in the order of election attempts, from 0. Hosts with a
-/// larger CPU share are first, because the acting host's work takes most of a
-/// small machine's time.
-pub fn candidate_rank<'a>(
-    hosts: impl Iterator<Item = (&'a HostId, u32)>,
-    own: &HostId,
-    own_cpu_milli: u32,
-) -> u64 {
-    let own_key = (Reverse(own_cpu_milli), own);
-    hosts
-        .filter(|(host, cpu_milli)| (Reverse(*cpu_milli), *host) < own_key)
-        .count() as u64
-}
-
 impl<P: Platform> Membership<P> {
     /// Creates the service on the shared state.
     pub fn new(gateway: Rc<Gateway<P>>) -> Self {
@@ -126,7 +112,7 @@
             host: settings.host.clone(),
             addr: (settings.ip, settings.peer_port).into(),
             zone: settings.zone.as_str().to_owned(),
-            cpu_milli: (settings.cpu_share * 1000.0) as u32,
+            cpu_milli: settings.cpu_milli(),
         }
     }
 
@@ -227,7 +213,7 @@
         let own = self.own_record();
         let peers = self.gateway.peers.borrow();
         let hosts = peers.listed().map(|(host, peer)| (host, peer.cpu_milli));
-        candidate_rank(hosts, &own.host, own.cpu_milli)
+        rank_by_cpu(hosts, &own.host, own.cpu_milli)
     }
 
     async fn try_become_acting(&self) -> Result<(), KvError> {
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -2,7 +2,6 @@
 //! hosts which upstreams are leaving.
 
 use super::peer_messages::PeerMessage;
-use super::peers::MAX_FULL_MESH_HOSTS;
 use super::platform::Platform;
 use super::state::Gateway;
 use crate::core::ids::UpstreamId;
@@ -74,18 +73,13 @@
             upstream: upstream.clone(),
             started_ms,
         };
-        let own = self.settings().host.clone();
-        let acting = self.acting_host.borrow().clone();
-        let is_acting = acting.as_ref().is_some_and(|a| a.host == own);
-        if self.host_count() <= MAX_FULL_MESH_HOSTS || is_acting {
-            let peers = self.peers.borrow();
-            let recipients = peers.recipients(self.now_ms());
-            let others = recipients.filter(|(host, _)| **host != own);
-            let addrs = others.map(|(_, peer)| peer.addr).collect();
-            self.send_peers(addrs, &message);
-        } else if let Some(acting) = acting {
-            self.send_peer(acting.addr, &message);
-        }
+        let addrs = if !self.is_large_fleet() || self.is_acting_host() {
+            self.other_hosts(|_| true)
+        } else {
+            let acting = self.acting_host.borrow();
+            acting.iter().map(|a| a.addr).collect()
+        };
+        self.send_peers(addrs, &message);
     }
 
     /// True while an upstream wants no requests from this host.
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -192,7 +192,7 @@
             self.record_reply(upstream, order, &preconditions, reply);
             if reply == OrderReply::WrongInstance {
                 // The engine is gone, or it does not have the model of an adapter.
-                self.refresh_after_refusal(upstream, addr).await;
+                self.publish_reported_holdings(upstream, addr).await;
             }
             match reply {
                 OrderReply::Unknown => {
@@ -272,9 +272,13 @@
         let Some(addr) = self.addr_of(upstream) else {
             return;
         };
-        if self.orders.borrow().contains_key(upstream) {
-            return;
+        if !self.orders.borrow().contains_key(upstream) {
+            self.publish_reported_holdings(upstream, addr).await;
         }
+    }
+
+    /// Updates the ledger from the engine's report, and publishes changed holdings.
+    async fn publish_reported_holdings(self: &Rc<Self>, upstream: &UpstreamId, addr: SocketAddr) {
         let before = self.with_ledger(upstream, |l| l.resident.clone());
         self.update_from_report(upstream, addr).await;
         let is_changed = before != self.with_ledger(upstream, |l| l.resident.clone());
@@ -308,16 +312,6 @@
         response.report
     }
 
-    /// Updates the ledger after the engine's address refused an order, and publishes
-    /// changed holdings.
-    async fn refresh_after_refusal(self: &Rc<Self>, upstream: &UpstreamId, addr: SocketAddr) {
-        let before = self.with_ledger(upstream, |l| l.resident.clone());
-        self.update_from_report(upstream, addr).await;
-        if before != self.with_ledger(upstream, |l| l.resident.clone()) {
-            self.publish_holdings(upstream);
-        }
-    }
-
     /// Requests an engine's report and updates its holdings and its count of
     /// accepted orders in the ledger.
     async fn update_from_report(
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,9 +1,9 @@
 //! State exchange between hosts in small CBOR datagrams over UDP.
 //!
 //! Each host sends its in-flight loads to all other hosts as soon as they change
-//! and reports the demand of its callers to the acting host. In a fleet of more
-//! than [`MAX_FULL_MESH_HOSTS`] hosts, loads go to the acting host only, which
-//! sends each host the sum of all others. The acting host also publishes the
+//! and reports the demand of its callers to the acting host. In a large fleet, loads
+//! go to the acting host and to the keepers of the engines' accounts only, and the
+//! acting host sends all hosts the sums. The acting host also publishes the
 //! holdings of engines after its orders. Every message carries state that a
 //! newer message replaces, so a lost datagram only delays an update. That is why
 //! there are no connections between hosts, which would have to be kept open and
@@ -35,8 +35,6 @@
 /// Increase of the report interval for each host of the fleet, which bounds the
 /// acting host's work.
 const REPORT_INTERVAL_PER_HOST: Duration = Duration::from_millis(2);
-/// Largest fleet in which each host sends its loads to all others directly.
-pub const MAX_FULL_MESH_HOSTS: usize = 16;
 /// Time over which load changes are batched into one datagram; much shorter than
 /// the prefill of a prompt.
 const LOADS_INTERVAL: Duration = Duration::from_millis(20);
@@ -159,7 +157,7 @@
                 in_flight,
             } => {
                 gateway.apply_loads(&host, started_ms, &in_flight);
-                if gateway.keeps_accounts() {
+                if gateway.is_large_fleet() {
                     for (upstream, _) in &in_flight {
                         gateway.notify_waiter(upstream);
                     }
@@ -218,10 +216,8 @@
                 upstream,
                 started_ms,
             } => {
-                let acting = gateway.acting_host.borrow().clone();
-                let is_acting = acting.is_some_and(|a| a.host == gateway.settings().host);
                 let is_news = gateway.mark_leaving(&upstream, started_ms, "peer");
-                if is_news && is_acting && gateway.host_count() > MAX_FULL_MESH_HOSTS {
+                if is_news && gateway.is_large_fleet() && gateway.is_acting_host() {
                     gateway.publish_leaving(&upstream, started_ms);
                 }
             }
@@ -288,18 +284,17 @@
             }
         }
         drop(reported);
-        let acting = gateway.acting_host.borrow().clone();
-        if acting.as_ref().is_some_and(|a| a.host == host) {
+        let is_acting = gateway.is_acting_host();
+        if is_acting {
             gateway.apply_loads(&host, started_ms, in_flight);
         }
-        let addrs: Vec<SocketAddr> = if gateway.host_count() <= MAX_FULL_MESH_HOSTS {
-            let peers = gateway.peers.borrow();
-            let recipients = peers.recipients(gateway.now_ms());
-            let others = recipients.filter(|(h, _)| **h != host);
-            others.map(|(_, peer)| peer.addr).collect()
+        let addrs = if !gateway.is_large_fleet() {
+            gateway.other_hosts(|_| true)
+        } else if is_acting {
+            Vec::new()
         } else {
-            let other = acting.filter(|a| a.host != host);
-            other.map(|a| a.addr).into_iter().collect()
+            let acting = gateway.acting_host.borrow();
+            acting.iter().map(|a| a.addr).collect()
         };
         for index in 0..in_flight.len().div_ceil(MAX_ITEMS_PER_DATAGRAM) {
             let message = PeerMessage::Loads {
@@ -321,7 +316,7 @@
             }
             let now_ms = self.gateway.now_ms();
             let untold = self.gateway.loads.borrow_mut().take_untold();
-            if self.gateway.keeps_accounts() {
+            if self.gateway.is_large_fleet() {
                 self.gateway.tell_keepers(&untold);
                 if now_ms < next_report_ms {
                     continue;
@@ -336,7 +331,7 @@
                     let loads = self.gateway.loads.borrow();
                     loads.local().map(|(id, load)| (id.clone(), load)).collect()
                 };
-                if self.gateway.keeps_accounts() {
+                if self.gateway.is_large_fleet() {
                     self.gateway.tell_keepers(&all);
                 }
                 all.extend(changed.into_iter().filter(|(_, load)| load.is_empty()));
@@ -391,7 +386,7 @@
         let now_ms = self.now_ms();
         let mut peer_loads = self.peer_loads.borrow_mut();
         peer_loads.apply_report(now_ms, host, started_ms, in_flight);
-        if *host == self.settings().host || self.host_count() > MAX_FULL_MESH_HOSTS {
+        if *host == self.settings().host || self.is_large_fleet() {
             return;
         }
         let mut loads = self.loads.borrow_mut();
--- a/src/gateway/room.rs
+++ b/src/gateway/room.rs
@@ -12,7 +12,7 @@
 
 use super::call::RoutedRequest;
 use super::peer_messages::PeerMessage;
-use super::peers::{MAX_FULL_MESH_HOSTS, MAX_ITEMS_PER_DATAGRAM, datagram_chunk};
+use super::peers::{MAX_ITEMS_PER_DATAGRAM, datagram_chunk};
 use super::platform::Platform;
 use super::state::Gateway;
 use crate::core::balance::has_room_for_counted;
@@ -40,26 +40,19 @@
 }
 
 impl<P: Platform> Gateway<P> {
-    /// True if the fleet keeps accounts of its engines.
-    pub fn keeps_accounts(&self) -> bool {
-        self.host_count() > MAX_FULL_MESH_HOSTS
-    }
-
     fn keeper(&self, upstream: &UpstreamId) -> Option<Keeper> {
         let peers = self.peers.borrow();
         let keeper = keeper_of(upstream, peers.listed().map(|(host, _)| host))?;
         if *keeper == self.settings().host {
             return Some(Keeper::ThisHost);
         }
-        let mut listed = peers.listed();
-        let addr = listed.find(|(host, _)| *host == keeper)?.1.addr;
-        Some(Keeper::Other(addr))
+        Some(Keeper::Other(peers.get_listed(keeper)?.addr))
     }
 
     /// True if an engine has room for a request that is counted in its load, by the
     /// account of its keeper, or if the keeper does not answer.
     pub async fn has_room(&self, request: &RoutedRequest, upstream: &UpstreamId) -> bool {
-        if !self.keeps_accounts() || request.requirements.weights.is_none() {
+        if !self.is_large_fleet() || request.requirements.weights.is_none() {
             return true;
         }
         match self.keeper(upstream) {
@@ -173,8 +166,7 @@
     fn send_room(&self, host: &HostId, ticket: u64, upstream: UpstreamId, others: InFlight) {
         let addr = {
             let peers = self.peers.borrow();
-            let mut recipients = peers.recipients(self.now_ms());
-            recipients.find(|(h, _)| *h == host).map(|(_, p)| p.addr)
+            peers.get_recipient(self.now_ms(), host).map(|p| p.addr)
         };
         if let Some(addr) = addr {
             let message = PeerMessage::Room {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -82,6 +82,11 @@
         findings.into_result(settings)
     }
 
+    /// CPU of this machine, in thousandths of a core.
+    pub fn cpu_milli(&self) -> u32 {
+        (self.cpu_share * 1000.0) as u32
+    }
+
     fn check(&self, findings: &mut Findings) {
         findings.expect(!self.host.as_str().is_empty(), "host", "must not be empty");
         findings.expect(!self.zone.as_str().is_empty(), "zone", "must not be empty");
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -18,7 +18,7 @@
 use crate::core::catalog::Catalog;
 use crate::core::ids::{HostId, ServiceId};
 use crate::core::load::LoadTable;
-use crate::core::peer_list::PeerList;
+use crate::core::peer_list::{MAX_SMALL_FLEET, Peer, PeerList};
 use crate::core::peer_loads::PeerLoads;
 use crate::core::registry::{Registry, RegistryChange};
 use crate::core::retry::RetryBudget;
@@ -162,6 +162,31 @@
         }
     }
 
+    /// True if the fleet is too large for every host to watch the store and to send its
+    /// loads to all others.
+    pub fn is_large_fleet(&self) -> bool {
+        self.host_count() > MAX_SMALL_FLEET
+    }
+
+    /// True if this host is listed as the acting host.
+    pub fn is_acting_host(&self) -> bool {
+        let acting = self.acting_host.borrow();
+        acting
+            .as_ref()
+            .is_some_and(|a| a.host == self.settings().host)
+    }
+
+    /// Addresses of the other hosts that satisfy a condition.
+    pub fn other_hosts(&self, is_included: impl Fn(&Peer) -> bool) -> Vec<SocketAddr> {
+        let own = self.settings().host.clone();
+        let peers = self.peers.borrow();
+        peers
+            .recipients(self.now_ms())
+            .filter(|(host, peer)| **host != own && is_included(peer))
+            .map(|(_, peer)| peer.addr)
+            .collect()
+    }
+
     /// Puts a configuration in force unless the current one is as new or newer.
     pub fn apply_catalog(&self, catalog: Catalog) {
         let version = catalog.version;
--- a/src/gateway/store_relay.rs
+++ b/src/gateway/store_relay.rs
@@ -12,7 +12,7 @@
 use crate::core::ids::{HostId, ServiceId, UpstreamId, ZoneId};
 use crate::core::registry::{Entry, Holdings};
 use crate::core::store_era::Era;
-use crate::core::store_relay::{Fit, MAX_WATCHING_FLEET, Position, is_watcher};
+use crate::core::store_relay::{Fit, Position, is_watcher};
 
 /// Limit of the changes in one datagram; keeps it within a packet of the usual
 /// size.
@@ -143,26 +143,18 @@
 }
 
 impl<P: Platform> Gateway<P> {
-    /// True if the fleet is so large that only some hosts watch the store.
-    pub fn is_store_relayed(&self) -> bool {
-        self.host_count() > MAX_WATCHING_FLEET
-    }
-
     /// True if this host watches the store itself.
     pub fn is_store_watcher(&self) -> bool {
-        if !self.is_store_relayed() {
+        if !self.is_large_fleet() || self.is_acting_host() {
             return true;
         }
         let settings = self.settings();
-        let acting = self.acting_host.borrow();
-        let is_acting = acting.as_ref().is_some_and(|a| a.host == settings.host);
         let peers = self.peers.borrow();
         let zone_hosts = peers
             .listed()
             .filter(|(_, peer)| peer.zone() == Some(settings.zone.as_str()))
             .map(|(host, peer)| (host, peer.cpu_milli));
-        let cpu_milli = (settings.cpu_share * 1000.0) as u32;
-        is_acting || is_watcher(zone_hosts, &settings.host, cpu_milli)
+        is_watcher(zone_hosts, &settings.host, settings.cpu_milli())
     }
 
     /// Records that all changes up to a position are known, as the store has
@@ -190,14 +182,7 @@
             is_after_outage: self.is_after_outage(),
             facts: relayed,
         };
-        let addrs: Vec<SocketAddr> = {
-            let peers = self.peers.borrow();
-            let recipients = peers.recipients(self.now_ms());
-            let followers = recipients.filter(|(host, peer)| {
-                **host != settings.host && peer.zone() == Some(settings.zone.as_str())
-            });
-            followers.map(|(_, peer)| peer.addr).collect()
-        };
+        let addrs = self.other_hosts(|peer| peer.zone() == Some(settings.zone.as_str()));
         for part in split_changes(&changes) {
             self.send_peers(addrs.clone(), &PeerMessage::StoreChanges(part));
         }
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -132,7 +132,7 @@
         let position = gateway.position.get();
         let Position { era, revision } = position;
         let times = gateway.relay_times();
-        let is_relaying = gateway.is_store_relayed();
+        let is_relaying = gateway.is_large_fleet();
         let (wait, pause) = if is_relaying {
             (times.watch_wait, times.batch_pause)
         } else {
--- a/tests/gateway_copies.rs
+++ b/tests/gateway_copies.rs
@@ -48,7 +48,7 @@
             .iter()
             .map(|&m| (model(m), BTreeSet::new()))
             .collect(),
-        recently_loaded: BTreeSet::new(),
+        protected: BTreeSet::new(),
         in_memory: BTreeSet::new(),
         on_disk: BTreeSet::new(),
     }
@@ -132,7 +132,7 @@
             let order_ms = match &step {
                 Step::Load { model, .. } => {
                     engine.resident.insert(model.clone(), BTreeSet::new());
-                    engine.recently_loaded.insert(model.clone());
+                    engine.protected.insert(model.clone());
                     engine.loading = Some(model.clone());
                     if engine.on_disk.contains(model) {
                         DISK_LOAD_MS
@@ -278,7 +278,7 @@
     let mut engines = vec![engine(0, &[0, 1, 2]), engine(1, &[0, 1, 2])];
     let models: Holdings = engines[0].resident.clone();
     for engine in &mut engines {
-        engine.recently_loaded = models.keys().cloned().collect();
+        engine.protected = models.keys().cloned().collect();
     }
 
     let steps = plan(1_000, &spec(4), &engines, &demand(1_000, &[(3, 0.5)]), 3);
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -9,10 +9,9 @@
 use currantcove::core::engine_ledger::{EngineLedger, ReportedState};
 use currantcove::core::ids::{AdapterId, HostId, ModelId, ServiceId, UpstreamId, ZoneId};
 use currantcove::core::load::InFlight;
-use currantcove::core::peer_list::{Peer, PeerList, UNLISTED_GRACE_MS};
+use currantcove::core::peer_list::{Peer, PeerList, UNLISTED_GRACE_MS, rank_by_cpu};
 use currantcove::core::peer_loads::{HOST_LOADS_EXPIRE_MS, PeerLoads};
 use currantcove::core::registry::{Entry, Holdings, LAPSE_GRACE_MS, Registry, RegistryChange};
-use currantcove::gateway::membership::candidate_rank;
 
 fn holdings(models: &[(&str, &[&str])]) -> Holdings {
     let adapters = |names: &[&str]| names.iter().map(|a| AdapterId::new(a)).collect();
@@ -377,7 +376,7 @@
 
     let ranks: Vec<u64> = ids
         .iter()
-        .map(|(id, cpu)| candidate_rank(ids.iter().map(|(h, c)| (h, *c)), id, *cpu))
+        .map(|(id, cpu)| rank_by_cpu(ids.iter().map(|(h, c)| (h, *c)), id, *cpu))
         .collect();
 
     assert_eq!(ranks, [3, 0, 1, 2]);
