Never take an order with an unanswered attempt for unsent

The loop that sends an order checked four times whether it can be sent now; two of the checks ended it as not sent even after an attempt without a response, so that its memory was no longer charged. One function states when an order can be sent, one what that means for the reply. Test: order_with_an_unanswered_attempt_is_never_taken_for_unsent.

--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -147,6 +147,18 @@
         self.update_from_report(upstream, addr).await == ReportOutcome::Changed
     }
 
+    /// Address, term and count of accepted orders with which an engine can be sent an
+    /// order now; `None` if it is not listed or wants no requests, this host does not
+    /// act, or the count is unknown.
+    fn sending_state(&self, upstream: &UpstreamId) -> Option<(SocketAddr, u64, u64)> {
+        let addr = self.addr_of(upstream)?;
+        let term = self.membership.acting_term()?;
+        let count = self
+            .with_ledger(upstream, |l| l.orders_accepted)
+            .flatten()?;
+        (!self.gateway.is_closed(upstream)).then_some((addr, term, count))
+    }
+
     /// Sends an order. Repeats it while it is unanswered, and after a conflict
     /// with the count of accepted orders that the engine reports.
     pub(super) async fn send_order(
@@ -156,32 +168,14 @@
     ) -> OrderReply {
         let mut has_unanswered_attempt = false;
         for _ in 0..MAX_SEND_ATTEMPTS {
-            let Some(addr) = self.addr_of(upstream) else {
-                return OrderReply::NotSent;
-            };
-            let Some(term) = self.membership.acting_term() else {
-                return if has_unanswered_attempt {
-                    OrderReply::Unknown
-                } else {
-                    OrderReply::NotSent
-                };
-            };
-            let known = self.with_ledger(upstream, |l| l.orders_accepted).flatten();
-            let Some(expected_order_count) = known else {
-                return OrderReply::NotSent;
+            let Some((addr, term, expected_order_count)) = self.sending_state(upstream) else {
+                return reply_without_sending(has_unanswered_attempt);
             };
             let preconditions = OrderPreconditions {
                 holder: self.gateway.settings().host.as_str().to_owned(),
                 term,
                 expected_order_count,
             };
-            if self.gateway.is_closed(upstream) {
-                return if has_unanswered_attempt {
-                    OrderReply::Unknown
-                } else {
-                    OrderReply::NotSent
-                };
-            }
             let platform = &self.gateway.platform;
             let OrderResponse { reply, notice } = platform
                 .send_order(addr, upstream, order, &preconditions)
@@ -354,6 +348,15 @@
     }
 }
 
+/// Reply to an order that cannot be sent now; an earlier attempt may still be executed.
+pub fn reply_without_sending(has_unanswered_attempt: bool) -> OrderReply {
+    if has_unanswered_attempt {
+        OrderReply::Unknown
+    } else {
+        OrderReply::NotSent
+    }
+}
+
 /// Reply to an order that conflicts with another one, by the report that follows;
 /// `None` if the order is to be sent again.
 pub fn reply_after_conflict(
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -679,3 +679,15 @@
     assert!(!needed_before);
     assert!(ledger.needs_report(1_000));
 }
+
+/// Guards against an order that is taken for unsent because its engine is no longer
+/// listed or its count of orders became unknown, although an earlier attempt has no
+/// response yet.
+#[test]
+fn order_with_an_unanswered_attempt_is_never_taken_for_unsent() {
+    use currantcove::gateway::orders::reply_without_sending;
+    use currantcove::gateway::platform::OrderReply;
+
+    assert_eq!(reply_without_sending(true), OrderReply::Unknown);
+    assert_eq!(reply_without_sending(false), OrderReply::NotSent);
+}
