State the load of the others, a follower's update and the first order once

PeerLoads::others replaces four sums less a part; enter_load replaces two copies in the accounts; update_follower and a flat match replace three copies of the cell's read and write; the time of a new acting host's first order is one match; an unused function of LeaseKeeper is gone.

--- a/src/core/peer_loads.rs
+++ b/src/core/peer_loads.rs
@@ -63,6 +63,11 @@
             .fold(InFlight::default(), |sum, (load, _)| sum.plus(*load))
     }
 
+    /// Sum over all other hosts with a recent report.
+    pub fn others(&self, now_ms: u64, host: &HostId, id: &UpstreamId) -> InFlight {
+        self.total(now_ms, id).minus(self.from_host(host, id))
+    }
+
     /// Sums for all upstreams.
     pub fn totals(&self, now_ms: u64) -> HashMap<UpstreamId, InFlight> {
         let mut totals: HashMap<UpstreamId, InFlight> = HashMap::new();
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -64,11 +64,6 @@
         self.held.get()
     }
 
-    /// Forgets the lease without ending it.
-    pub fn drop_lease(&self) {
-        self.held.set(None);
-    }
-
     /// Requests a new lease; it is held once [`Self::hold`] is called.
     pub async fn grant(
         &self,
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -248,19 +248,15 @@
                 let term = term_number(lease.era, revision);
                 self.term.set(Some(term));
                 let settings = gateway.settings();
+                let now_ms = boottime_ms();
+                let order_lease_ms = settings.order_lease.as_millis() as u64;
                 let is_takeover = self.last_other_acting.borrow().is_some();
-                let wait_ms = if is_takeover && !settings.engines_check_fences {
-                    settings.order_lease.as_millis() as u64
-                } else {
-                    0
+                let orders_from_ms = match (is_takeover, settings.engines_check_fences) {
+                    (false, _) => now_ms,
+                    (true, true) => self.restored_until_ms.get(),
+                    (true, false) => self.restored_until_ms.get().max(now_ms + order_lease_ms),
                 };
-                let restored_ms = if is_takeover {
-                    self.restored_until_ms.get()
-                } else {
-                    0
-                };
-                self.orders_from_ms
-                    .set(restored_ms.max(boottime_ms() + wait_ms));
+                self.orders_from_ms.set(orders_from_ms);
                 gateway.set_acting_host(Some(ActingHost {
                     host: value.host,
                     addr: value.addr,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -391,8 +391,8 @@
         }
         let mut loads = self.loads.borrow_mut();
         for (id, _) in in_flight {
-            let own = peer_loads.from_host(&self.settings().host, id);
-            loads.set_remote(now_ms, id, peer_loads.total(now_ms, id).minus(own));
+            let others = peer_loads.others(now_ms, &self.settings().host, id);
+            loads.set_remote(now_ms, id, others);
         }
         drop(loads);
         self.admission_queue.borrow().wake();
--- a/src/gateway/room.rs
+++ b/src/gateway/room.rs
@@ -94,17 +94,27 @@
     /// Enters this host's load into an account that it keeps, and takes over the load
     /// of the others.
     fn update_own_account(&self, upstream: &UpstreamId) {
-        let now_ms = self.now_ms();
         let own = self.settings().host.clone();
-        let own_load = (upstream.clone(), self.own_load(upstream));
-        let mut peer_loads = self.peer_loads.borrow_mut();
-        peer_loads.apply_report(now_ms, &own, self.clock.started_ms(), &[own_load]);
-        let others = peer_loads.total(now_ms, upstream);
-        let others = others.minus(peer_loads.from_host(&own, upstream));
-        drop(peer_loads);
+        let own_load = self.own_load(upstream);
+        let others = self.enter_load(&own, self.clock.started_ms(), upstream, own_load);
+        let now_ms = self.now_ms();
         self.loads.borrow_mut().set_remote(now_ms, upstream, others);
     }
 
+    /// Enters a host's load into an account; returns the load of the others.
+    fn enter_load(
+        &self,
+        host: &HostId,
+        started_ms: u64,
+        upstream: &UpstreamId,
+        load: InFlight,
+    ) -> InFlight {
+        let now_ms = self.now_ms();
+        let mut peer_loads = self.peer_loads.borrow_mut();
+        peer_loads.apply_report(now_ms, host, started_ms, &[(upstream.clone(), load)]);
+        peer_loads.others(now_ms, host, upstream)
+    }
+
     /// Asks for the load of the others; false if there is no answer in time.
     async fn ask_keeper(&self, addr: SocketAddr, upstream: &UpstreamId) -> bool {
         let (sender, answer) = oneshot::channel();
@@ -131,11 +141,7 @@
     fn await_room(&self, upstream: &UpstreamId) {
         let host = self.settings().host.clone();
         match self.keeper(upstream) {
-            Some(Keeper::ThisHost) => {
-                let now_ms = self.now_ms();
-                let mut waiters = self.room.waiters.borrow_mut();
-                waiters.add(now_ms, upstream, &host);
-            }
+            Some(Keeper::ThisHost) => self.add_room_waiter(&host, upstream),
             Some(Keeper::Other(addr)) => {
                 let upstream = upstream.clone();
                 self.send_peer(addr, &PeerMessage::AwaitRoom { host, upstream });
@@ -153,13 +159,7 @@
         load: InFlight,
         ticket: u64,
     ) {
-        let now_ms = self.now_ms();
-        let others = {
-            let mut peer_loads = self.peer_loads.borrow_mut();
-            peer_loads.apply_report(now_ms, host, started_ms, &[(upstream.clone(), load)]);
-            let total = peer_loads.total(now_ms, &upstream);
-            total.minus(peer_loads.from_host(host, &upstream))
-        };
+        let others = self.enter_load(host, started_ms, &upstream, load);
         self.send_room(host, ticket, upstream, others);
     }
 
@@ -230,11 +230,7 @@
         let Some(host) = host else {
             return;
         };
-        let others = {
-            let peer_loads = self.peer_loads.borrow();
-            let total = peer_loads.total(now_ms, upstream);
-            total.minus(peer_loads.from_host(&host, upstream))
-        };
+        let others = self.peer_loads.borrow().others(now_ms, &host, upstream);
         if host == self.settings().host {
             self.apply_room(0, upstream, others);
         } else {
--- a/src/gateway/store_relay.rs
+++ b/src/gateway/store_relay.rs
@@ -12,7 +12,7 @@
 use crate::core::ids::{HostId, ServiceId, UpstreamId, ZoneId};
 use crate::core::registry::{Entry, Holdings};
 use crate::core::store_era::Era;
-use crate::core::store_relay::{Fit, Position, is_watcher};
+use crate::core::store_relay::{Fit, Follower, Position, is_watcher};
 
 /// Limit of the changes in one datagram; keeps it within a packet of the usual
 /// size.
@@ -161,8 +161,12 @@
     /// confirmed.
     pub fn confirm_position(&self, position: Position) {
         self.position.set(position);
+        self.update_follower(|follower| follower.on_confirmed(self.now_ms()));
+    }
+
+    fn update_follower(&self, update: impl FnOnce(&mut Follower)) {
         let mut follower = self.follower.get();
-        follower.on_confirmed(self.now_ms());
+        update(&mut follower);
         self.follower.set(follower);
     }
 
@@ -194,35 +198,24 @@
             return;
         }
         let now_ms = self.now_ms();
-        let mut follower = self.follower.get();
         let position = self.position.get();
+        let changes_catalog = || {
+            let mut facts = changes.facts.iter();
+            facts.any(|(_, fact)| *fact == RelayedFact::Catalog)
+        };
         let until = Position {
             era: Era(changes.era),
             revision: changes.until,
         };
         match position.fit(changes.after, until) {
-            Fit::Known => {
-                // The position that the watching host has confirmed may be older than
-                // one that this host has confirmed.
-                if until == position {
-                    follower.on_confirmed(now_ms);
-                }
-                self.follower.set(follower);
-            }
-            Fit::Gap => {
-                follower.on_gap(now_ms);
-                self.follower.set(follower);
-            }
-            Fit::Continues
-                if changes
-                    .facts
-                    .iter()
-                    .any(|(_, f)| *f == RelayedFact::Catalog) =>
-            {
+            Fit::Known if until == position => self.confirm_position(position),
+            // This host has confirmed a later position than the watching host.
+            Fit::Known => {}
+            Fit::Gap => self.update_follower(|follower| follower.on_gap(now_ms)),
+            Fit::Continues if changes_catalog() => {
                 let spread_ms = self.relay_times().batch_pause.as_millis() as usize;
                 let delay_ms = self.rng.borrow_mut().below(spread_ms) as u64;
-                follower.on_change_to_read(now_ms, delay_ms);
-                self.follower.set(follower);
+                self.update_follower(|follower| follower.on_change_to_read(now_ms, delay_ms));
             }
             Fit::Continues => {
                 let is_after_outage = changes.is_after_outage || self.is_after_outage();
