Do not give memory reserved for a model to another; end the range of all keys

A model that waits for memory being freed reserves it; a later load of the same plan took the free part, and the reservation underflowed (panic with overflow checks, otherwise everything fitted). The end of the range of an empty prefix was empty, which the service takes for a single key. Tests: memory_reserved_for_a_model_is_not_given_to_another (panicked before), end_of_a_key_range_is_after_all_keys_with_the_prefix (failed before).

--- a/src/core/placement.rs
+++ b/src/core/placement.rs
@@ -297,13 +297,18 @@
         }
     }
 
-    /// Best upstream with enough free memory: prefers a zone without a copy of
-    /// the model, then the lowest load.
+    /// Free memory that no model waits for.
+    fn unreserved_mib(&self, u: usize) -> u64 {
+        self.free_mib[u].min(self.expected_free_mib[u])
+    }
+
+    /// Best upstream with enough free memory that is not reserved: prefers a zone
+    /// without a copy of the model, then the lowest load.
     fn best_upstream(&self, m: usize) -> Option<usize> {
         let model = &self.models[m];
         let holders = &self.holders[m];
         let key = hash(model.artifact.as_str());
-        let fits = |u: &usize| self.free_mib[*u] >= model.copy_mib && !holders.contains(u);
+        let fits = |u: &usize| self.unreserved_mib(*u) >= model.copy_mib && !holders.contains(u);
         (0..self.upstreams.len()).filter(fits).min_by_key(|&u| {
             let upstream = &self.upstreams[u];
             let is_zone_covered = holders
@@ -333,7 +338,8 @@
                 .filter(|&other| self.is_evictable(other, m))
                 .collect();
             evictable.sort_by_key(|&other| Reverse(self.models[other].copy_mib));
-            let mut free_mib = self.free_mib[u];
+            let unreserved_mib = self.unreserved_mib(u);
+            let mut free_mib = unreserved_mib;
             let victims = evictable.iter().take_while(|&&other| {
                 let is_short = free_mib < model.copy_mib;
                 free_mib += self.models[other].copy_mib;
@@ -344,7 +350,7 @@
                 .iter()
                 .map(|&other| self.models[other].copy_mib)
                 .sum();
-            (self.free_mib[u] + freed_mib >= model.copy_mib).then_some((u, chosen))
+            (unreserved_mib + freed_mib >= model.copy_mib).then_some((u, chosen))
         };
         let holders = &self.holders[m];
         let eviction_options = (0..self.upstreams.len())
--- a/src/edge/kv.rs
+++ b/src/edge/kv.rs
@@ -307,8 +307,11 @@
 /// Exclusive end of the range of keys that start with a prefix.
 pub fn prefix_end(prefix: &str) -> Vec<u8> {
     let mut end = prefix.as_bytes().to_vec();
-    if let Some(last) = end.last_mut() {
-        *last += 1;
+    match end.last_mut() {
+        // No byte of a string is 0xff.
+        Some(last) => *last += 1,
+        // A single zero byte stands for the end of all keys.
+        None => end.push(0),
     }
     end
 }
--- a/tests/core_placement.rs
+++ b/tests/core_placement.rs
@@ -277,3 +277,18 @@
             }
     );
 }
+
+/// Guards against a plan that loads a model into memory that is reserved for another
+/// one: the reservation underflowed, so that the plan panicked, or wrapped and let
+/// everything fit.
+#[test]
+fn memory_reserved_for_a_model_is_not_given_to_another() {
+    let models = [model("large", 60, 0), model("small", 20, 0)];
+    let mut upstream = planned("u1", "z1", &[], 0);
+    upstream.free_mib = 40;
+    upstream.unloading_mib = 30;
+
+    let steps = plan(&models, &[upstream]);
+
+    assert_eq!(format_steps(&steps), "", "large waits for 60 of 70 MiB");
+}
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -116,3 +116,19 @@
 
     assert_eq!(run, Ok(()));
 }
+
+#[test]
+fn end_of_a_key_range_is_after_all_keys_with_the_prefix() {
+    use currantcove::edge::kv::prefix_end;
+
+    for prefix in ["", "/currantcove/", "teams/red", "\u{7f}"] {
+        let end = prefix_end(prefix);
+        for suffix in ["", "0", "zz", "\u{10ffff}"] {
+            let key = format!("{prefix}{suffix}");
+            // The service takes a single zero byte for the end of all keys.
+            assert!(end == [0] || key.as_bytes() < end.as_slice(), "{prefix:?}");
+        }
+    }
+    assert_eq!(prefix_end(""), [0]);
+    assert_eq!(prefix_end("a"), b"b");
+}
