--- a/src/cmd/config.rs
+++ b/src/cmd/config.rs
@@ -159,7 +159,10 @@
 
     async fn history(&self, path: &str) -> CliResult<()> {
         let kv = self.deployment()?.kv_client();
-        let prefix = format!("{HISTORY_PREFIX}{}", path.trim_matches('/'));
+        let prefix = match path.trim_matches('/') {
+            "" => HISTORY_PREFIX.to_owned(),
+            path => format!("{HISTORY_PREFIX}{path}/"),
+        };
         let snapshot = kv.list(&prefix).await?;
         let entries = snapshot
             .kvs
--- a/standins/tests/tool.rs
+++ b/standins/tests/tool.rs
@@ -189,3 +189,34 @@
         assert_eq!(missing.status.code(), Some(1));
     });
 }
+
+/// Guards against the history of a team that contains the changes of others whose
+/// names start with its name.
+#[test]
+fn history_of_a_team_leaves_out_teams_whose_names_start_alike() {
+    block_on(async {
+        let deployment = ready_deployment(&small_shape()).await;
+        let file = deployment.dir().join("config.json");
+        let text = std::fs::read(&file).expect("configuration");
+        let mut config: Value = serde_json::from_slice(&text).expect("JSON");
+        let mut team = config["teams"]["red"].clone();
+        team["credentials_sha256"] = serde_json::json!(["ab".repeat(32)]);
+        config["teams"]["red-2"] = team;
+        std::fs::write(&file, config.to_string()).expect("write");
+        let applied = run(&deployment, &["config", "apply", "config.json"]);
+        assert!(applied.status.success(), "{applied:?}");
+        let path = "teams/red/share_weight";
+        assert!(
+            run(&deployment, &["config", "set", path, "9"])
+                .status
+                .success()
+        );
+
+        let history = json(&deployment, &["config", "history", "teams/red", "--json"]);
+
+        let entries = history.as_array().expect("entries");
+        let paths: Vec<&str> = entries.iter().filter_map(|e| e["path"].as_str()).collect();
+        assert!(!paths.is_empty());
+        assert!(paths.iter().all(|p| *p == "teams/red"), "{paths:?}");
+    });
+}
