Log the attempt of an order and what the ledger charges at its engine

The lines of an order told neither which attempt it was nor by which charges it was decided, and those of a report only its count of orders. The causes of an order beyond an engine's room could not be told apart. Measured: nothing.

--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -1,6 +1,6 @@
 //! Queues orders to engines and executes them one at a time per engine.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -167,7 +167,7 @@
         order: &Order,
     ) -> OrderReply {
         let mut has_unanswered_attempt = false;
-        for _ in 0..MAX_SEND_ATTEMPTS {
+        for attempt in 1..=MAX_SEND_ATTEMPTS {
             let Some((addr, term, expected_order_count)) = self.sending_state(upstream) else {
                 return reply_without_sending(has_unanswered_attempt);
             };
@@ -183,7 +183,8 @@
             if reply != OrderReply::WrongInstance {
                 self.gateway.apply_notice(upstream, notice);
             }
-            self.record_reply(upstream, order, &preconditions, reply);
+            self.record_reply(upstream, order, reply);
+            self.log_reply(upstream, order, &preconditions, reply, attempt);
             if reply == OrderReply::WrongInstance {
                 // The engine is gone, or it does not have the model of an adapter.
                 self.publish_reported_holdings(upstream, addr).await;
@@ -213,13 +214,7 @@
         OrderReply::Unknown
     }
 
-    fn record_reply(
-        &self,
-        upstream: &UpstreamId,
-        order: &Order,
-        preconditions: &OrderPreconditions,
-        reply: OrderReply,
-    ) {
+    fn record_reply(&self, upstream: &UpstreamId, order: &Order, reply: OrderReply) {
         let now_ms = self.gateway.now_ms();
         self.with_ledger(upstream, |ledger| {
             ledger.updated_ms = now_ms;
@@ -242,6 +237,17 @@
         if reply == OrderReply::Fenced {
             self.membership.step_down("fenced");
         }
+    }
+
+    /// Logs a reply with what the ledger charges after it.
+    fn log_reply(
+        &self,
+        upstream: &UpstreamId,
+        order: &Order,
+        preconditions: &OrderPreconditions,
+        reply: OrderReply,
+        attempt: u32,
+    ) {
         let kind = match order {
             Order::LoadModel(_) => "load_model",
             Order::UnloadModel(_) => "unload_model",
@@ -250,6 +256,7 @@
         };
         let orders = &self.gateway.metrics.orders;
         orders.get_or_create(&OrderLabels { kind }).inc();
+        let (charged_adapters, charged_mb) = self.charges(upstream);
         tracing::info!(
             event = "order",
             upstream = %upstream,
@@ -257,9 +264,23 @@
             fence = preconditions.term,
             after_orders = preconditions.expected_order_count,
             reply = ?reply,
+            attempt,
+            charged_adapters,
+            charged_mb,
         );
     }
 
+    /// Adapter slots and memory in MB that the ledger charges at an engine.
+    fn charges(&self, upstream: &UpstreamId) -> (usize, u64) {
+        let Some(spec) = self.engine_spec(upstream) else {
+            return (0, 0);
+        };
+        let charges = self.with_ledger(upstream, |ledger| {
+            (ledger.charged_adapter_slots(), ledger.charged_mb(&spec))
+        });
+        charges.unwrap_or_default()
+    }
+
     /// Updates the ledger from the engine's report, unless orders are queued for it,
     /// and publishes changed holdings.
     pub async fn refresh_holdings(self: &Rc<Self>, upstream: &UpstreamId) {
@@ -338,11 +359,19 @@
             }
         });
         let outcome = outcome.unwrap_or(ReportOutcome::Nothing);
+        let (charged_adapters, charged_mb) = self.charges(upstream);
+        let adapters: usize = report.resident.values().map(BTreeSet::len).sum();
         tracing::info!(
             event = "order_count",
             upstream = %upstream,
             reported = report.orders_accepted,
             learnt = ?outcome,
+            is_busy = report.is_busy,
+            models = report.resident.len(),
+            adapters,
+            loading_adapters = report.loading_adapters.len(),
+            charged_adapters,
+            charged_mb,
         );
         outcome
     }
