--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,6 +14,7 @@
 mod copy_planner;
 pub mod demand_rate;
 pub mod engine_ledger;
+pub mod engine_order;
 pub mod engine_room;
 pub mod engine_work;
 pub mod fleet;
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -12,6 +12,7 @@
 
 use crate::core::balance::Weights;
 use crate::core::catalog::Catalog;
+pub use crate::core::engine_order::Order;
 use crate::core::ids::{AdapterId, ModelId, UpstreamId};
 use crate::core::load::RequestSize;
 use crate::core::registry::{Entry, Holdings};
@@ -115,30 +116,6 @@
     fn call_count(&self) -> u64;
 }
 
-/// Order to a model engine.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Order {
-    /// Load a model.
-    LoadModel(ModelId),
-    /// Unload a model with its adapters and cache.
-    UnloadModel(ModelId),
-    /// Load an adapter of a loaded model.
-    LoadAdapter(ModelId, AdapterId),
-    /// Unload an adapter.
-    UnloadAdapter(ModelId, AdapterId),
-}
-
-impl fmt::Display for Order {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::LoadModel(model) => write!(f, "load {model}"),
-            Self::UnloadModel(model) => write!(f, "unload {model}"),
-            Self::LoadAdapter(model, adapter) => write!(f, "load {model}/{adapter}"),
-            Self::UnloadAdapter(model, adapter) => write!(f, "unload {model}/{adapter}"),
-        }
-    }
-}
-
 /// Sender and preconditions of an order, which the engine checks.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct OrderPreconditions {
