Fill all adapter slots of an engine again

One slot of each engine was kept free against orders beyond its room, whose cause was not known. It was a margin: two orders of an earlier acting host in one conflict passed it. The test that one slot stays free is replaced by one that no slot stays free and none is ordered twice.

--- a/src/core/engine_ledger.rs
+++ b/src/core/engine_ledger.rs
@@ -29,8 +29,6 @@
 /// Time after which a report is requested on an adapter that is still loading,
 /// in milliseconds; loads take some hundredths of a second.
 const ADAPTER_LOAD_OVERDUE_MS: u64 = 1_000;
-/// Adapter slots from which one is kept free.
-const MIN_SLOTS_WITH_SPARE: usize = 4;
 /// Consecutive failures to connect after which an engine counts as lost.
 const LOST_AFTER_FAILED_CONTACTS: u32 = 2;
 /// Usual bound of the lag of reports, in milliseconds.
@@ -480,7 +478,7 @@
     /// True if an adapter fits beside everything that is charged.
     pub fn fits_adapter(&self, spec: &EngineSpec, model: &ModelId) -> bool {
         let size_mb = spec.models.get(model).map_or(0, |s| s.adapter_mb);
-        self.charged_adapter_slots() < usable_adapter_slots(spec)
+        self.charged_adapter_slots() < spec.adapter_slots as usize
             && self.charged_mb(spec) + size_mb <= spec.weights_mb
     }
 
@@ -516,18 +514,6 @@
     }
 }
 
-/// Adapter slots that orders may fill. An engine crashes if it is ordered to load more
-/// adapters than it has slots for, so that one slot is kept for an adapter that the
-/// ledger does not know, unless the engine has only a few.
-pub fn usable_adapter_slots(spec: &EngineSpec) -> usize {
-    let slots = spec.adapter_slots as usize;
-    if slots >= MIN_SLOTS_WITH_SPARE {
-        slots - 1
-    } else {
-        slots
-    }
-}
-
 fn has_adapter(resident: &Holdings, model: &ModelId, adapter: &AdapterId) -> bool {
     resident.get(model).is_some_and(|a| a.contains(adapter))
 }
--- a/src/gateway/adapter_requests.rs
+++ b/src/gateway/adapter_requests.rs
@@ -12,7 +12,6 @@
 use super::platform::{Order, Platform};
 use crate::core::adapters::{CandidateEngine, select_engine};
 use crate::core::catalog::EngineSpec;
-use crate::core::engine_ledger::usable_adapter_slots;
 use crate::core::ids::{AdapterId, ModelId, ServiceId, UpstreamId};
 use crate::core::load::InFlight;
 
@@ -92,7 +91,7 @@
                 continue;
             }
             let requests = totals.get(&entry.id).map_or(0, |t| t.requests);
-            let slots = usable_adapter_slots(spec);
+            let slots = spec.adapter_slots as usize;
             let queue = orders.get(&entry.id);
             let queued_loads = queue.map_or(0, OrderQueue::adapter_load_count);
             let is_ordered = queue.is_some_and(|q| q.contains(&order));
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -624,14 +624,17 @@
 }
 
 #[test]
-fn one_of_many_adapter_slots_is_kept_free() {
+fn all_adapter_slots_are_used_and_no_more() {
     let mut ledger = EngineLedger::new(&entry("e1", 1, &[("m0", &["a1", "a2", "a3"])]));
     ledger.orders_accepted = Some(1);
+    let spec = spec(4);
+    let key = |adapter| (ModelId::new("m0"), AdapterId::new(adapter));
 
-    let fits_four_slots = ledger.fits_adapter(&spec(4), &ModelId::new("m0"));
-    let fits_five_slots = ledger.fits_adapter(&spec(5), &ModelId::new("m0"));
+    let fourth = ledger.charge_adapter_load(&spec, &key("a4"), 0);
+    let fifth = ledger.charge_adapter_load(&spec, &key("a5"), 0);
 
-    assert_eq!((fits_four_slots, fits_five_slots), (false, true));
+    assert!(fourth.is_some() && fifth.is_none());
+    assert_eq!(ledger.charged_adapter_slots(), 4);
 }
 
 #[test]
