Log and count the rates that upstreams in need state

Whether a host knew the limit that an upstream names could not be seen: nothing read the header. The notice of a response now holds the stated rate, known rates are kept by incarnation, and a change is a log line with its source and a metric. Nothing acts on it yet.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -38,5 +38,6 @@
 pub mod store_relay;
 pub mod timeline;
 pub mod upstream_notice;
+pub mod upstream_rate;
 pub mod view;
 pub mod waiting;
--- a/src/core/upstream_notice.rs
+++ b/src/core/upstream_notice.rs
@@ -3,7 +3,8 @@
 //! Load patterns: an upstream that is about to stop says so in every response,
 //! before its entry in the platform's list changes or while the list cannot be
 //! read; an overloaded upstream refuses requests and states for how long it
-//! wants none.
+//! wants none; an upstream in need states how many requests a second it takes from
+//! all hosts together.
 
 use super::routing::Rng;
 
@@ -22,6 +23,34 @@
     /// Time for which it wants no requests from this host, as stated with a
     /// refusal.
     pub closed_for: Closure,
+    /// Requests that it takes from all hosts together, for as long as it states this.
+    pub rate: StatedRate,
+}
+
+/// Rate of requests that an upstream takes from all hosts together.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum StatedRate {
+    /// There was no response.
+    #[default]
+    Unknown,
+    /// The response states none.
+    Unlimited,
+    /// Stated, in thousandths of a request per second.
+    PerMilleS(u32),
+    /// Stated in a form that has no meaning, such as a negative number.
+    Invalid,
+}
+
+impl StatedRate {
+    /// Reads a number of requests a second.
+    pub fn from_per_s(text: &str) -> Self {
+        match text.trim().parse::<f64>() {
+            Ok(per_s) if per_s >= 0.0 => {
+                Self::PerMilleS((per_s * 1000.0).min(f64::from(u32::MAX)) as u32)
+            }
+            _ => Self::Invalid,
+        }
+    }
 }
 
 /// Time for which an upstream wants no requests from this host.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -207,6 +207,7 @@
             let is_in_service = entry.is_some_and(|e| !e.is_draining);
             is_in_service && !self.is_closed(upstream)
         };
+        let sent_ms = self.now_ms();
         let result = self
             .pool
             .send_if(addr, forwarded, is_accepting_requests)
@@ -235,7 +236,7 @@
         );
         if !is_from_another {
             let notice = self.platform.notice(status, response.headers());
-            self.apply_notice(upstream, notice);
+            self.apply_notice(upstream, sent_ms, notice);
         }
         match kind {
             ResponseKind::Valid => Ok(response),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -60,6 +60,8 @@
     pub turn_time_s: Histogram,
     /// Times that an upstream stated for how long it wants no requests.
     pub upstream_closures: Counter,
+    /// Upstreams that state how many requests a second they take.
+    pub upstreams_limited: Gauge,
     /// Era of the store.
     pub store_era: Gauge,
     /// Log lines dropped because the reader was too slow.
@@ -87,6 +89,7 @@
             unanswered_asks: Counter::default(),
             turn_time_s: Histogram::new(buckets()),
             upstream_closures: Counter::default(),
+            upstreams_limited: Gauge::default(),
             store_era: Gauge::default(),
             dropped_log_lines: Gauge::default(),
         };
@@ -160,6 +163,11 @@
             "Times that an upstream stated for how long it wants no requests",
             self.upstream_closures.clone(),
         );
+        registry.register(
+            "upstreams_limited",
+            "Upstreams that state how many requests a second they take from all hosts",
+            self.upstreams_limited.clone(),
+        );
         registry.register(
             "unanswered_asks",
             "Questions for room at an engine without an answer in time",
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -5,11 +5,14 @@
 use super::platform::Platform;
 use super::state::Gateway;
 use crate::core::ids::UpstreamId;
-use crate::core::upstream_notice::{Closure, UpstreamNotice};
+use crate::core::upstream_notice::{Closure, StatedRate, UpstreamNotice};
+use crate::core::upstream_rate::RateChange;
 
 impl<P: Platform> Gateway<P> {
-    /// Applies the notice in a response of an upstream's incarnation.
-    pub fn apply_notice(&self, upstream: &UpstreamId, notice: UpstreamNotice) {
+    /// Applies the notice in a response of an upstream's incarnation to what was sent
+    /// at `sent_ms`.
+    pub fn apply_notice(&self, upstream: &UpstreamId, sent_ms: u64, notice: UpstreamNotice) {
+        self.apply_rate(upstream, sent_ms, notice.rate);
         if notice.is_leaving {
             let registry = self.registry.borrow();
             let started_ms = registry.get(upstream.as_str()).map(|e| e.started_ms);
@@ -39,6 +42,52 @@
         }
     }
 
+    /// Applies the rate that an upstream states in a response, or its absence.
+    fn apply_rate(&self, upstream: &UpstreamId, sent_ms: u64, stated: StatedRate) {
+        let is_known = !self.known_rates.borrow().is_empty();
+        if stated == StatedRate::Unknown || (stated == StatedRate::Unlimited && !is_known) {
+            return;
+        }
+        if stated == StatedRate::Invalid {
+            tracing::warn!(
+                event = "upstream",
+                upstream = %upstream,
+                "cannot read how many requests a second the upstream takes"
+            );
+        }
+        let started_ms = {
+            let registry = self.registry.borrow();
+            registry.get(upstream.as_str()).map(|e| e.started_ms)
+        };
+        let Some(started_ms) = started_ms else {
+            return;
+        };
+        let now_ms = self.now_ms();
+        let change = {
+            let mut known = self.known_rates.borrow_mut();
+            known.on_response(now_ms, upstream, started_ms, sent_ms, stated)
+        };
+        if let Some(change) = change {
+            self.log_rate(upstream, change, "response");
+        }
+    }
+
+    fn log_rate(&self, upstream: &UpstreamId, change: RateChange, source: &'static str) {
+        match change {
+            RateChange::Stated(per_mille_s) => {
+                let per_s = f64::from(per_mille_s) / 1000.0;
+                tracing::info!(event = "upstream", upstream = %upstream, change = "limited", per_s, source);
+            }
+            RateChange::Lifted => {
+                tracing::info!(event = "upstream", upstream = %upstream, change = "unlimited", source);
+            }
+        }
+        let limited = self.known_rates.borrow().len();
+        self.metrics
+            .upstreams_limited
+            .set(limited.cast_signed() as i64);
+    }
+
     /// Takes an upstream out of service that is about to stop; false if that was
     /// known or another incarnation is listed.
     pub fn mark_leaving(
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -195,11 +195,12 @@
                 expected_order_count: decision.basis.orders_accepted,
             };
             let platform = &self.gateway.platform;
+            let sent_ms = self.gateway.now_ms();
             let OrderResponse { reply, notice } = platform
                 .send_order(addr, upstream, order, &preconditions)
                 .await;
             if reply != OrderReply::WrongInstance {
-                self.gateway.apply_notice(upstream, notice);
+                self.gateway.apply_notice(upstream, sent_ms, notice);
             }
             self.record_reply(upstream, order, decision.basis, reply);
             self.log_reply(upstream, order, &preconditions, reply, attempt);
@@ -347,6 +348,7 @@
         if self.gateway.is_closed(upstream) {
             return None;
         }
+        let sent_ms = self.gateway.now_ms();
         let response = self.gateway.platform.fetch_report(addr).await;
         let listed_ms = {
             let registry = self.gateway.registry.borrow();
@@ -354,11 +356,15 @@
         };
         // A report is not addressed to an incarnation; another one may have sent it.
         let reported_ms = response.report.as_ref().map(|r| r.started_ms);
-        let notice = UpstreamNotice {
-            is_leaving: response.notice.is_leaving && reported_ms == listed_ms,
-            ..response.notice
+        let notice = if reported_ms == listed_ms {
+            response.notice
+        } else {
+            UpstreamNotice {
+                closed_for: response.notice.closed_for,
+                ..UpstreamNotice::default()
+            }
         };
-        self.gateway.apply_notice(upstream, notice);
+        self.gateway.apply_notice(upstream, sent_ms, notice);
         response.report
     }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -24,6 +24,7 @@
 use crate::core::retry::RetryBudget;
 use crate::core::routing::Rng;
 use crate::core::store_relay::{Follower, Position};
+use crate::core::upstream_rate::KnownRates;
 use crate::edge::pool::Pool;
 use crate::kernel::Service;
 use crate::services::clock::Clock;
@@ -74,6 +75,8 @@
     pub acting_host: RefCell<Option<ActingHost>>,
     /// Requests in flight as reported by the hosts.
     pub peer_loads: RefCell<PeerLoads>,
+    /// Rates that upstreams have stated.
+    pub known_rates: RefCell<KnownRates>,
     /// Questions and accounts of room at engines.
     pub room: RoomDesk,
     /// Sends messages to other hosts.
@@ -116,6 +119,7 @@
             peers: RefCell::default(),
             acting_host: RefCell::default(),
             peer_loads: RefCell::default(),
+            known_rates: RefCell::default(),
             room: RoomDesk::default(),
             peer_sender: PeerSender::default(),
             rng: RefCell::new(Rng::new(seed)),
