Permit requests to upstreams that state how many a second they take

An upstream in need, which states how many requests a second it takes from all hosts together, received as many as before: no host read the statement. The class of fault: a limit over the whole fleet that nobody accounts for over the whole fleet. Requests in flight have such an account in large fleets only, and rates had none.

One host keeps the account of such an upstream and permits every request, order and report right before it is sent; another one stands in with half the rate while the keeper does not answer, and without both nothing is sent. Hosts tell each other of a statement at once, and prefer upstreams without one. A request that gets no permit goes to another copy, waits for the next one if that is of use to its caller, or is refused at once with the time after which it may return.

--- a/src/core/balance.rs
+++ b/src/core/balance.rs
@@ -46,6 +46,9 @@
 const CROSS_ZONE_COST_MS: f64 = 3.0;
 /// Cost of an upstream whose responses all fail, in milliseconds.
 const FAILURE_COST_MS: f64 = 800.0;
+/// Cost of an upstream that states how many requests a second it takes, in
+/// milliseconds; others are asked first unless they are almost full.
+const LIMITED_COST_MS: f64 = 200.0;
 /// Share of an engine's KV cache that requests in flight may reserve; the rest
 /// holds shared prompt prefixes.
 const MAX_RESERVED_CACHE_SHARE: f64 = 0.92;
@@ -227,7 +230,7 @@
     let Some(load) = load else {
         return Ok((0.0, false));
     };
-    if load.closed_for_ms(now_ms) > 0 {
+    if load.unavailable_for_ms(now_ms) > 0 {
         return Err(NoUpstream::Closed);
     }
     if refusal_backoff_ms(now_ms, load, requirements) > 0
@@ -251,7 +254,13 @@
     } else {
         load.first_response_ms() * (1.0 + fill)
     };
-    Ok((cost_ms + load.failure_share() * FAILURE_COST_MS, is_failing))
+    let limited_ms = if load.is_limited() {
+        LIMITED_COST_MS
+    } else {
+        0.0
+    };
+    let failure_ms = load.failure_share() * FAILURE_COST_MS;
+    Ok((cost_ms + failure_ms + limited_ms, is_failing))
 }
 
 /// Cost of the pause that the prefill causes in the streams that run there: none
@@ -346,9 +355,9 @@
 
 /// Time until one upstream can accept the request.
 fn capacity_wait_ms(now_ms: u64, load: &Load, entry: &Entry, requirements: &Requirements) -> f64 {
-    let closed_for_ms = load.closed_for_ms(now_ms);
-    if closed_for_ms > 0 {
-        return closed_for_ms as f64;
+    let unavailable_for_ms = load.unavailable_for_ms(now_ms);
+    if unavailable_for_ms > 0 {
+        return unavailable_for_ms as f64;
     }
     if has_capacity(now_ms, load, entry, requirements) {
         return refusal_backoff_ms(now_ms, load, requirements) as f64;
--- a/src/core/load.rs
+++ b/src/core/load.rs
@@ -113,6 +113,10 @@
     ejected_until_ms: u64,
     /// Time until which the upstream wants no requests from this host.
     closed_until_ms: u64,
+    /// Time until which this host has no permit for a request.
+    paced_until_ms: u64,
+    /// True while the upstream states how many requests a second it takes.
+    is_limited: bool,
     /// Recent refusals by weights.
     refused: Vec<Refusal>,
     /// Moving average of the share of failed responses.
@@ -141,6 +145,8 @@
             ejections: 0,
             ejected_until_ms: 0,
             closed_until_ms: 0,
+            paced_until_ms: 0,
+            is_limited: false,
             refused: Vec::new(),
             failure_share: 0.0,
             first_response_ms: 0.0,
@@ -206,6 +212,17 @@
         self.closed_until_ms.saturating_sub(now_ms)
     }
 
+    /// Remaining time for which no request of this host may be sent.
+    pub fn unavailable_for_ms(&self, now_ms: u64) -> u64 {
+        let paced_for_ms = self.paced_until_ms.saturating_sub(now_ms);
+        paced_for_ms.max(self.closed_for_ms(now_ms))
+    }
+
+    /// True while the upstream states how many requests a second it takes.
+    pub fn is_limited(&self) -> bool {
+        self.is_limited
+    }
+
     /// Remaining backoff after a refusal of some weights; 0 if there is none.
     pub fn refusal_backoff_ms(&self, now_ms: u64, weights: &Weights) -> u64 {
         let refusal = self.refused.iter().find(|r| r.weights == *weights);
@@ -414,6 +431,20 @@
         load.closed_until_ms = load.closed_until_ms.max(until_ms);
     }
 
+    /// Records until when this host has no permit for a request.
+    pub fn pace(&mut self, id: &UpstreamId, until_ms: u64) {
+        self.entry(id).paced_until_ms = until_ms;
+    }
+
+    /// Records whether an upstream states how many requests a second it takes.
+    pub fn set_limited(&mut self, id: &UpstreamId, is_limited: bool) {
+        let load = self.entry(id);
+        load.is_limited = is_limited;
+        if !is_limited {
+            load.paced_until_ms = 0;
+        }
+    }
+
     /// Records that an upstream has sent data.
     pub fn on_activity(&mut self, now_ms: u64, id: &str) {
         if let Some(load) = self.loads.get_mut(id) {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -29,6 +29,7 @@
 pub mod peer_loads;
 pub mod placement;
 pub mod rate;
+pub mod rate_account;
 pub mod registry;
 pub mod rendezvous;
 pub mod retry;
--- a/src/core/upstream_rate.rs
+++ b/src/core/upstream_rate.rs
@@ -7,24 +7,17 @@
 use std::collections::BTreeMap;
 
 use super::ids::UpstreamId;
+use super::rate_account::AccountRate;
 use super::upstream_notice::StatedRate;
 
-/// Rate that an incarnation of an upstream has stated.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct KnownRate {
-    /// Start of the incarnation.
-    pub started_ms: u64,
-    /// Thousandths of a request per second, from all hosts together.
-    pub per_mille_s: u32,
-    /// Time at which this host learned of it.
-    since_ms: u64,
-}
-
 /// Change of what is known of an upstream's rate.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RateChange {
-    /// The upstream states this rate, in thousandths of a request per second.
+    /// The upstream states this rate, in thousandths of a request per second, and
+    /// stated none before.
     Stated(u32),
+    /// It states this rate instead of another one.
+    Changed(u32),
     /// The upstream takes any number of requests again.
     Lifted,
 }
@@ -35,11 +28,18 @@
     rates: BTreeMap<UpstreamId, KnownRate>,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct KnownRate {
+    rate: AccountRate,
+    /// Time at which this host learned of it.
+    since_ms: u64,
+}
+
 impl KnownRates {
     /// Rate that an incarnation has stated.
-    pub fn get(&self, id: &UpstreamId, started_ms: u64) -> Option<KnownRate> {
-        let known = self.rates.get(id).copied();
-        known.filter(|k| k.started_ms == started_ms)
+    pub fn get(&self, id: &UpstreamId, started_ms: u64) -> Option<AccountRate> {
+        let known = self.rates.get(id).map(|k| k.rate);
+        known.filter(|rate| rate.started_ms == started_ms)
     }
 
     /// Number of upstreams with a stated rate.
@@ -66,7 +66,8 @@
             StatedRate::Unknown | StatedRate::Invalid => None,
             StatedRate::Unlimited => {
                 let known = self.rates.get(id)?;
-                let is_later = started_ms > known.started_ms || sent_ms >= known.since_ms;
+                let is_restarted = started_ms > known.rate.started_ms;
+                let is_later = is_restarted || sent_ms >= known.since_ms;
                 is_later.then(|| self.lift(id)).flatten()
             }
         }
@@ -80,16 +81,19 @@
         started_ms: u64,
         per_mille_s: u32,
     ) -> Option<RateChange> {
-        let known = self.get(id, started_ms);
-        if known.is_some_and(|k| k.per_mille_s == per_mille_s) {
-            return None;
-        }
-        let rate = KnownRate {
+        let rate = AccountRate {
             started_ms,
             per_mille_s,
-            since_ms: known.map_or(now_ms, |k| k.since_ms),
+            stated_ms: now_ms,
         };
-        self.rates.insert(id.clone(), rate);
+        let known = self.rates.get_mut(id);
+        if let Some(known) = known.filter(|k| k.rate.started_ms == started_ms) {
+            let is_changed = known.rate.per_mille_s != per_mille_s;
+            known.rate = rate;
+            return is_changed.then_some(RateChange::Changed(per_mille_s));
+        }
+        let since_ms = now_ms;
+        self.rates.insert(id.clone(), KnownRate { rate, since_ms });
         Some(RateChange::Stated(per_mille_s))
     }
 
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -60,6 +60,8 @@
     pub turn_time_s: Histogram,
     /// Times that an upstream stated for how long it wants no requests.
     pub upstream_closures: Counter,
+    /// Requests that were not sent to an upstream because of the rate that it states.
+    pub permits_denied: Counter,
     /// Upstreams that state how many requests a second they take.
     pub upstreams_limited: Gauge,
     /// Era of the store.
@@ -89,6 +91,7 @@
             unanswered_asks: Counter::default(),
             turn_time_s: Histogram::new(buckets()),
             upstream_closures: Counter::default(),
+            permits_denied: Counter::default(),
             upstreams_limited: Gauge::default(),
             store_era: Gauge::default(),
             dropped_log_lines: Gauge::default(),
@@ -163,6 +166,11 @@
             "Times that an upstream stated for how long it wants no requests",
             self.upstream_closures.clone(),
         );
+        registry.register(
+            "permits_denied",
+            "Requests not sent to an upstream because of the rate that it states",
+            self.permits_denied.clone(),
+        );
         registry.register(
             "upstreams_limited",
             "Upstreams that state how many requests a second they take from all hosts",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 pub mod orders;
 pub mod peer_messages;
 pub mod peers;
+pub mod permits;
 pub mod place;
 pub mod placer;
 pub mod platform;
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -67,13 +67,33 @@
             let mut known = self.known_rates.borrow_mut();
             known.on_response(now_ms, upstream, started_ms, sent_ms, stated)
         };
-        if let Some(change) = change {
-            self.log_rate(upstream, change, "response");
+        let Some(change) = change else {
+            return;
+        };
+        self.on_rate_change(upstream, change, "response");
+        if let RateChange::Stated(per_mille_s) = change {
+            self.publish_rate(upstream, started_ms, per_mille_s);
         }
     }
 
-    fn log_rate(&self, upstream: &UpstreamId, change: RateChange, source: &'static str) {
+    /// Tells the other hosts how many requests a second an upstream takes.
+    pub fn publish_rate(&self, upstream: &UpstreamId, started_ms: u64, per_mille_s: u32) {
+        self.publish(&PeerMessage::Limited {
+            upstream: upstream.clone(),
+            started_ms,
+            per_mille_s,
+        });
+    }
+
+    /// Logs a change of the rate that an upstream states.
+    pub fn on_rate_change(&self, upstream: &UpstreamId, change: RateChange, source: &'static str) {
+        let is_limited = change != RateChange::Lifted;
+        let mut loads = self.loads.borrow_mut();
+        loads.set_limited(upstream, is_limited);
+        drop(loads);
         match change {
+            // An upstream may state another rate in each response.
+            RateChange::Changed(_) => {}
             RateChange::Stated(per_mille_s) => {
                 let per_s = f64::from(per_mille_s) / 1000.0;
                 tracing::info!(event = "upstream", upstream = %upstream, change = "limited", per_s, source);
@@ -115,20 +135,44 @@
         true
     }
 
-    /// Tells the other hosts that an upstream is leaving. In a large fleet the
-    /// acting host passes it on.
+    /// Tells the other hosts that an upstream is leaving.
     pub fn publish_leaving(&self, upstream: &UpstreamId, started_ms: u64) {
-        let message = PeerMessage::Leaving {
+        self.publish(&PeerMessage::Leaving {
             upstream: upstream.clone(),
             started_ms,
+        });
+    }
+
+    /// Applies what another host has learned of an upstream. In a large fleet the acting
+    /// host passes it on.
+    pub fn apply_relayed_notice(&self, message: &PeerMessage) {
+        let is_news = match message {
+            PeerMessage::Leaving {
+                upstream,
+                started_ms,
+            } => self.mark_leaving(upstream, *started_ms, "peer"),
+            PeerMessage::Limited {
+                upstream,
+                started_ms,
+                per_mille_s,
+            } => self.learn_rate(upstream, *started_ms, *per_mille_s),
+            _ => false,
         };
+        if is_news && self.is_large_fleet() && self.is_acting_host() {
+            self.publish(message);
+        }
+    }
+
+    /// Sends a message to all other hosts. In a large fleet the acting host passes it
+    /// on.
+    fn publish(&self, message: &PeerMessage) {
         let addrs = if !self.is_large_fleet() || self.is_acting_host() {
             self.other_hosts(|_| true)
         } else {
             let acting = self.acting_host.borrow();
             acting.iter().map(|a| a.addr).collect()
         };
-        self.send_peers(addrs, &message);
+        self.send_peers(addrs, message);
     }
 
     /// True while an upstream wants no requests from this host.
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -12,6 +12,7 @@
 };
 use crate::core::engine_ledger::{EngineLedger, OrderBasis, REPORT_LAG_MS, ReportedState};
 use crate::core::ids::UpstreamId;
+use crate::core::rate_account::Purpose;
 use crate::core::upstream_notice::UpstreamNotice;
 
 /// Limit of the queue of one engine.
@@ -189,6 +190,9 @@
             let Some(addr) = addr.filter(|_| !self.gateway.is_closed(upstream)) else {
                 return result_without_sending(has_unanswered_attempt);
             };
+            if !self.gateway.take_permit(upstream, Purpose::Control).await {
+                return result_without_sending(has_unanswered_attempt);
+            }
             let preconditions = OrderPreconditions {
                 holder: self.gateway.settings().host.as_str().to_owned(),
                 term: decision.term,
@@ -345,7 +349,8 @@
         upstream: &UpstreamId,
         addr: SocketAddr,
     ) -> Option<EngineReport> {
-        if self.gateway.is_closed(upstream) {
+        let is_closed = self.gateway.is_closed(upstream);
+        if is_closed || !self.gateway.take_permit(upstream, Purpose::Control).await {
             return None;
         }
         let sent_ms = self.gateway.now_ms();
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -6,6 +6,7 @@
 use super::store_relay::StoreChanges;
 use crate::core::ids::{AdapterId, HostId, ModelId, ServiceId, UpstreamId};
 use crate::core::load::InFlight;
+use crate::core::rate_account::{Keeping, Purpose};
 use crate::core::registry::Holdings;
 
 /// Holdings of one engine.
@@ -25,6 +26,35 @@
     pub holds: Holdings,
 }
 
+/// Question of a host that is about to send a request to an upstream that states a rate.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AskPermit {
+    /// Sender.
+    #[serde(rename = "h")]
+    pub host: HostId,
+    /// Upstream.
+    #[serde(rename = "u")]
+    pub upstream: UpstreamId,
+    /// Start of its incarnation, in milliseconds since the epoch.
+    #[serde(rename = "s")]
+    pub started_ms: u64,
+    /// Thousandths of a request per second that it states.
+    #[serde(rename = "r")]
+    pub per_mille_s: u32,
+    /// Time since it last stated this, in milliseconds.
+    #[serde(rename = "a")]
+    pub age_ms: u64,
+    /// Part of the host that is asked.
+    #[serde(rename = "i")]
+    pub keeping: Keeping,
+    /// Purpose of the request.
+    #[serde(rename = "c")]
+    pub purpose: Purpose,
+    /// Identifies the question.
+    #[serde(rename = "k")]
+    pub ticket: u64,
+}
+
 /// Message from one host to another.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PeerMessage {
@@ -149,6 +179,33 @@
         #[serde(rename = "s")]
         started_ms: u64,
     },
+    /// An upstream states how many requests a second it takes.
+    #[serde(rename = "b")]
+    Limited {
+        /// Upstream.
+        #[serde(rename = "u")]
+        upstream: UpstreamId,
+        /// Start of its incarnation, in milliseconds since the epoch.
+        #[serde(rename = "s")]
+        started_ms: u64,
+        /// Thousandths of a request per second, from all hosts together.
+        #[serde(rename = "r")]
+        per_mille_s: u32,
+    },
+    /// A host is about to send a request to an upstream that states a rate.
+    #[serde(rename = "e")]
+    AskPermit(AskPermit),
+    /// Answer to a host that asks for a permit.
+    #[serde(rename = "y")]
+    Permit {
+        /// Question that it answers.
+        #[serde(rename = "k")]
+        ticket: u64,
+        /// Time after which the host may ask again, in milliseconds; absent if it may
+        /// send its request.
+        #[serde(rename = "i")]
+        retry_in_ms: Option<u64>,
+    },
     /// A host has a request for weights that no upstream can serve now.
     #[serde(rename = "w")]
     Want {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -212,15 +212,14 @@
                 }
             }
             PeerMessage::StoreChanges(changes) => gateway.apply_relayed(changes),
-            PeerMessage::Leaving {
-                upstream,
-                started_ms,
-            } => {
-                let is_news = gateway.mark_leaving(&upstream, started_ms, "peer");
-                if is_news && gateway.is_large_fleet() && gateway.is_acting_host() {
-                    gateway.publish_leaving(&upstream, started_ms);
-                }
+            PeerMessage::Leaving { .. } | PeerMessage::Limited { .. } => {
+                gateway.apply_relayed_notice(&message);
             }
+            PeerMessage::AskPermit(question) => gateway.answer_permit(&question),
+            PeerMessage::Permit {
+                ticket,
+                retry_in_ms,
+            } => gateway.apply_permit(ticket, retry_in_ms),
             PeerMessage::Loading {
                 term,
                 service,
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -21,6 +21,7 @@
 };
 use crate::core::catalog::{ModelSpec, WeightSource};
 use crate::core::load::{AttemptOutcome, Load, SentRequest};
+use crate::core::rate_account::Purpose;
 use crate::core::registry::{Entry, Registry};
 use crate::core::waiting::{
     QueueDecision, QueueKey, QueuedRequest, RetryInput, RetrySchedule, WaitForecast, WaitQueue,
@@ -199,19 +200,24 @@
 
 impl<P: Platform> Gateway<P> {
     /// Reserves an upstream for a request, at once or after a wait in the queue. In a
-    /// large fleet the account of the engine has the last word.
+    /// large fleet the account of the engine is asked whether there is room, and every
+    /// request to an upstream that states a rate needs a permit.
     pub async fn acquire_upstream(
         self: &Rc<Self>,
         request: &RoutedRequest,
         filter: &UpstreamFilter,
     ) -> Result<InFlightAttempt<P>, Rejection> {
-        for _ in 0..MAX_ROOM_CHECKS {
+        for check in 0..=MAX_ROOM_CHECKS {
             let in_flight = self.reserve_or_wait(request, filter).await?;
-            if self.has_room(request, &in_flight.sent.upstream).await {
+            let upstream = &in_flight.sent.upstream;
+            // The account is advice: the last choice is sent by what this host knows.
+            let has_room = check == MAX_ROOM_CHECKS || self.has_room(request, upstream).await;
+            if has_room && self.take_permit(upstream, Purpose::Caller).await {
                 return Ok(in_flight);
             }
         }
-        self.reserve_or_wait(request, filter).await
+        let queue_key = QueueKey::of(&request.requirements);
+        Err(self.reject_expired(request, filter, &queue_key, NoUpstream::Closed))
     }
 
     /// Reserves an upstream by what this host knows, at once or after a wait in the
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,6 +11,7 @@
 use super::logs::LogBuffer;
 use super::metrics::GatewayMetrics;
 use super::peers::PeerSender;
+use super::permits::PermitDesk;
 use super::place::AdmissionQueue;
 use super::platform::Platform;
 use super::room::RoomDesk;
@@ -77,6 +78,8 @@
     pub peer_loads: RefCell<PeerLoads>,
     /// Rates that upstreams have stated.
     pub known_rates: RefCell<KnownRates>,
+    /// Questions and accounts of requests to upstreams that state a rate.
+    pub permits: PermitDesk,
     /// Questions and accounts of room at engines.
     pub room: RoomDesk,
     /// Sends messages to other hosts.
@@ -120,6 +123,7 @@
             acting_host: RefCell::default(),
             peer_loads: RefCell::default(),
             known_rates: RefCell::default(),
+            permits: PermitDesk::default(),
             room: RoomDesk::default(),
             peer_sender: PeerSender::default(),
             rng: RefCell::new(Rng::new(seed)),
@@ -232,6 +236,9 @@
                 on_disk = entry.map_or(0, |e| e.on_disk.len()),
             );
         }
+        if matches!(change, RegistryChange::Added(_) | RegistryChange::Removed(_)) {
+            self.forget_rate(id);
+        }
         if let RegistryChange::Removed(id) = change {
             self.loads.borrow_mut().remove_if_idle(id);
         }
--- a/tests/gateway_upstream_rate.rs
+++ b/tests/gateway_upstream_rate.rs
@@ -35,7 +35,7 @@
     let lower = rates.on_response(2_100, &upstream(), 100, 1_950, StatedRate::PerMilleS(1_400));
 
     assert_eq!(again, None);
-    assert_eq!(lower, Some(RateChange::Stated(1_400)));
+    assert_eq!(lower, Some(RateChange::Changed(1_400)));
 }
 
 /// Guards against a response that is older than the statement and ends it.
