State the delay that goes with the reason of a refused body

A caller whose body was refused for lack of memory was told the delay of a host without a configuration, as the refusal's own delay was dropped. Each refusal now passes its own. refusal_for_lack_of_memory_states_its_own_delay fails without the change.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -69,18 +69,20 @@
             Ok(head) => head,
             Err(error) => {
                 body::discard(incoming);
-                return self.reject(400, "bad_request", None, &error.to_string());
+                return self.reject(400, "bad_request", None, &error.to_string(), None);
             }
         };
         let Some(catalog) = gateway.catalog() else {
             body::discard(incoming);
-            return self.reject(503, "not_configured", Some(&head), "no configuration yet");
+            let detail = "no configuration yet";
+            let retry_after_ms = Some(UNAVAILABLE_RETRY_AFTER_MS);
+            return self.reject(503, "not_configured", Some(&head), detail, retry_after_ms);
         };
         let host = parts.headers.get(HOST).and_then(|h| h.to_str().ok());
         let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
         let Some(route) = catalog.route(host, parts.uri.path()) else {
             body::discard(incoming);
-            return self.reject(404, "no_route", Some(&head), host);
+            return self.reject(404, "no_route", Some(&head), host, None);
         };
         let limits = body_limits(&catalog);
         let body = match self
@@ -91,7 +93,9 @@
             Ok(body) => body,
             Err(refusal) => {
                 let status = refusal.reason.status();
-                return self.reject(status, "bad_body", Some(&head), &refusal.message);
+                let retry_after_ms = refusal.retry_after_ms;
+                let detail = &refusal.message;
+                return self.reject(status, "bad_body", Some(&head), detail, retry_after_ms);
             }
         };
         let request_id = head.request_id.clone();
@@ -110,6 +114,7 @@
         reason: &'static str,
         head: Option<&RequestHead>,
         detail: &str,
+        retry_after_ms: Option<u64>,
     ) -> ServerResponse {
         let request_id = head.map(|h| h.request_id.as_str());
         let catalog = self.gateway.catalog();
@@ -131,7 +136,6 @@
             .requests_ended
             .get_or_create(&labels)
             .inc();
-        let retry_after_ms = (status == 503).then_some(UNAVAILABLE_RETRY_AFTER_MS);
         self.gateway
             .local_response(status, reason, request_id, retry_after_ms)
     }
