End the grace of lapsed entries before the limit for upstreams that have left

A host that was cut off from the store takes that for an outage. For 2.3 s after its return it took every deletion for a lapse and began a grace period of 2.3 s for it, so that an upstream that had left received requests for up to 4.6 s, where the platform allows 2 to 4 (DRAIN). The class of fault: a grace period of fixed length beside a bound of the settings, begun by each detection instead of the event.

The period now begins once, when the host reaches the store again, whenever an entry is found missing, and ends 250 ms before the bound, at 2.3 s at most. Watching hosts pass on what is left of it. An upstream that needs longer than the period to register again is out of use in between: at bounds under 2.5 s, up to half a second after an outage.

--- a/src/core/registry.rs
+++ b/src/core/registry.rs
@@ -5,6 +5,11 @@
 //! during the outage. It stays in use for a grace period, within which its
 //! upstream registers again.
 //!
+//! Fault: a host that is cut off from the store cannot tell that from an outage, and
+//! upstreams leave for good meanwhile and afterwards. The grace period begins once, when
+//! the host reaches the store again, whenever an entry is found missing, and ends before
+//! the time limit for requests to upstreams that have left.
+//!
 //! Fault: the store is restored from an older copy, which lists upstreams as they
 //! were. An upstream that this host knows to be gone or leaving stays out of
 //! service until it announces itself anew.
@@ -20,6 +25,16 @@
 /// milliseconds; running upstreams are listed again about two seconds after the
 /// store recovers.
 pub const LAPSE_GRACE_MS: u64 = 2_300;
+/// Time before the limit for requests to upstreams that have left at which the grace
+/// period ends, in milliseconds; requests are on their way, and plans that expire
+/// entries are up to this far apart.
+const DRAIN_MARGIN_MS: u64 = 250;
+
+/// Time from the end of an outage within which missing entries may only have lapsed,
+/// where upstreams that have left may receive requests for `drain_within_ms`.
+pub fn lapse_grace_ms(drain_within_ms: u64) -> u64 {
+    LAPSE_GRACE_MS.min(drain_within_ms.saturating_sub(DRAIN_MARGIN_MS))
+}
 
 /// Models and adapters in an engine's accelerator memory.
 pub type Holdings = BTreeMap<ModelId, BTreeSet<AdapterId>>;
@@ -76,7 +91,7 @@
     Draining(UpstreamId),
     /// No longer listed.
     Removed(UpstreamId),
-    /// Missing after an outage; in use until the grace period ends.
+    /// Missing after an outage; in use until the grace period of the outage ends.
     Lapsed(UpstreamId),
     /// Its holdings have changed.
     Holdings(UpstreamId),
@@ -254,18 +269,17 @@
         is_changed
     }
 
-    /// Removes an entry that was deleted in the store, or starts its grace
-    /// period if it was missing after an outage.
+    /// Removes an entry that was deleted in the store, or keeps it until the end of
+    /// the grace period if one is given.
     pub fn remove(
         &mut self,
         id: &str,
-        is_after_outage: bool,
+        lapse_until_ms: Option<u64>,
         now_ms: u64,
     ) -> Option<RegistryChange> {
         let (id, _) = self.entries.get_key_value(id)?;
         let id = id.clone();
-        if is_after_outage {
-            let until_ms = now_ms + LAPSE_GRACE_MS;
+        if let Some(until_ms) = lapse_until_ms.filter(|until_ms| now_ms < *until_ms) {
             self.lapsed_until_ms.entry(id.clone()).or_insert(until_ms);
             return Some(RegistryChange::Lapsed(id));
         }
@@ -299,7 +313,7 @@
     pub fn replace(
         &mut self,
         listed: Vec<Entry>,
-        is_after_outage: bool,
+        lapse_until_ms: Option<u64>,
         now_ms: u64,
     ) -> Vec<RegistryChange> {
         let listed_ids: BTreeSet<UpstreamId> = listed.iter().map(|e| e.id.clone()).collect();
@@ -320,7 +334,7 @@
                 .map(UpstreamId::as_str)
                 .collect::<Vec<_>>()
                 .into_iter()
-                .filter_map(|id| self.remove(id, is_after_outage, now_ms)),
+                .filter_map(|id| self.remove(id, lapse_until_ms, now_ms)),
         );
         changes
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -236,7 +236,10 @@
                 on_disk = entry.map_or(0, |e| e.on_disk.len()),
             );
         }
-        if matches!(change, RegistryChange::Added(_) | RegistryChange::Removed(_)) {
+        if matches!(
+            change,
+            RegistryChange::Added(_) | RegistryChange::Removed(_)
+        ) {
             self.forget_rate(id);
         }
         if let RegistryChange::Removed(id) = change {
--- a/src/gateway/store_facts.rs
+++ b/src/gateway/store_facts.rs
@@ -129,7 +129,7 @@
     }
 
     /// Applies a complete listing.
-    pub fn apply_snapshot(&self, kvs: &[KeyValue], era: Era, is_after_outage: bool) {
+    pub fn apply_snapshot(&self, kvs: &[KeyValue], era: Era, lapse_until_ms: Option<u64>) {
         let mut entries = Vec::new();
         let mut peers = HashMap::new();
         let mut acting = None;
@@ -151,7 +151,7 @@
         let changes = {
             let mut registry = self.registry.borrow_mut();
             registry.start_era(era);
-            registry.replace(entries, is_after_outage, now_ms)
+            registry.replace(entries, lapse_until_ms, now_ms)
         };
         for change in &changes {
             self.on_registry_change(change, 0);
@@ -161,9 +161,9 @@
         self.is_synced.set(true);
     }
 
-    /// Applies a change of one key. `is_after_outage` states that an upstream that is
-    /// not listed may only have lapsed.
-    pub fn apply_fact(&self, revised: RevisedFact, era: Era, is_after_outage: bool) {
+    /// Applies a change of one key. Until `lapse_until_ms`, an upstream that is not listed
+    /// may only have lapsed.
+    pub fn apply_fact(&self, revised: RevisedFact, era: Era, lapse_until_ms: Option<u64>) {
         let now_ms = self.now_ms();
         let revision = revised.revision;
         match revised.fact {
@@ -177,7 +177,7 @@
             StoreFact::NoUpstream(id) => {
                 let change = {
                     let mut registry = self.registry.borrow_mut();
-                    registry.remove(id.as_str(), is_after_outage, now_ms)
+                    registry.remove(id.as_str(), lapse_until_ms, now_ms)
                 };
                 if let Some(change) = change {
                     self.on_registry_change(&change, revision);
--- a/src/gateway/store_relay.rs
+++ b/src/gateway/store_relay.rs
@@ -79,9 +79,9 @@
     /// Revision up to which these are all changes.
     #[serde(rename = "r")]
     pub until: u64,
-    /// True if missing upstreams may only have lapsed.
-    #[serde(rename = "o")]
-    pub is_after_outage: bool,
+    /// Time for which missing upstreams may only have lapsed, in milliseconds.
+    #[serde(rename = "g", default)]
+    pub lapse_left_ms: u64,
     /// Changes with their revisions, oldest first.
     #[serde(rename = "c")]
     pub facts: Vec<(u64, RelayedFact)>,
@@ -183,7 +183,9 @@
             era: until.era.0,
             after: from.revision,
             until: until.revision,
-            is_after_outage: self.is_after_outage(),
+            lapse_left_ms: self
+                .lapse_until_ms()
+                .map_or(0, |until_ms| until_ms - self.now_ms()),
             facts: relayed,
         };
         let addrs = self.other_hosts(|peer| peer.zone() == Some(settings.zone.as_str()));
@@ -218,10 +220,11 @@
                 self.update_follower(|follower| follower.on_change_to_read(now_ms, delay_ms));
             }
             Fit::Continues => {
-                let is_after_outage = changes.is_after_outage || self.is_after_outage();
+                let relayed_ms = now_ms + changes.lapse_left_ms;
+                let lapse_until_ms = self.lapse_until_ms().max(Some(relayed_ms));
                 for (revision, fact) in changes.facts {
                     if revision > position.revision {
-                        self.apply_relayed_fact(revision, fact, until.era, is_after_outage);
+                        self.apply_relayed_fact(revision, fact, until.era, lapse_until_ms);
                     }
                 }
                 self.confirm_position(until);
@@ -235,7 +238,7 @@
         revision: u64,
         fact: RelayedFact,
         era: Era,
-        is_after_outage: bool,
+        lapse_until_ms: Option<u64>,
     ) {
         let fact = match fact {
             RelayedFact::Upstream(entry) => StoreFact::Upstream(Box::new(self.entry_from(entry))),
@@ -246,7 +249,7 @@
             RelayedFact::NoActing => StoreFact::NoActing,
             RelayedFact::Catalog => return,
         };
-        self.apply_fact(RevisedFact { revision, fact }, era, is_after_outage);
+        self.apply_fact(RevisedFact { revision, fact }, era, lapse_until_ms);
     }
 
     /// Entry of an upstream; the copies of weights are those known of the same
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -18,7 +18,7 @@
 use super::platform::{FleetStore, Platform, WatchResponse};
 use super::state::Gateway;
 use super::store_facts::RevisedFact;
-use crate::core::registry::LAPSE_GRACE_MS;
+use crate::core::registry::lapse_grace_ms;
 use crate::core::store_era::Era;
 use crate::core::store_relay::{Position, RelayTimes};
 use crate::edge::kv::KvError;
@@ -100,7 +100,7 @@
             // register again as they do after an outage.
             gateway.outage_ended_ms.set(gateway.now_ms());
         }
-        gateway.apply_snapshot(&snapshot.kvs, era, gateway.is_after_outage());
+        gateway.apply_snapshot(&snapshot.kvs, era, gateway.lapse_until_ms());
         gateway.confirm_position(Position {
             era,
             revision: snapshot.revision,
@@ -166,7 +166,7 @@
         }
         let is_idle = facts.is_empty();
         for fact in facts {
-            gateway.apply_fact(fact, era, gateway.is_after_outage());
+            gateway.apply_fact(fact, era, gateway.lapse_until_ms());
         }
         gateway.confirm_position(until);
         gateway.admission_queue.borrow().wake();
@@ -178,10 +178,12 @@
 }
 
 impl<P: Platform> Gateway<P> {
-    /// True if missing entries may have lapsed during an outage of the store that
-    /// has just ended, or are missing in the copy from which it was restored.
-    pub fn is_after_outage(&self) -> bool {
-        self.now_ms() < self.outage_ended_ms.get() + LAPSE_GRACE_MS
+    /// Time until which missing entries may have lapsed during an outage of the store
+    /// that has just ended, or are missing in the copy from which it was restored.
+    pub fn lapse_until_ms(&self) -> Option<u64> {
+        let drain_within_ms = self.settings().drain_within.as_millis() as u64;
+        let until_ms = self.outage_ended_ms.get() + lapse_grace_ms(drain_within_ms);
+        (self.now_ms() < until_ms).then_some(until_ms)
     }
 
     /// Shortest time within which changes of the store must apply.
--- a/tests/gateway_engine_room.rs
+++ b/tests/gateway_engine_room.rs
@@ -46,7 +46,7 @@
 fn largest_backlog(hosts: usize, engines: usize, asks_keeper: bool) -> u32 {
     let entries = (0..engines).map(|e| engine(&format!("e{e}"))).collect();
     let mut registry = Registry::default();
-    registry.replace(entries, false, 0);
+    registry.replace(entries, None, 0);
     let mut accounts = PeerLoads::default();
     let mut rng = Rng::new(11);
     let requirements = requirements();
--- a/tests/gateway_load.rs
+++ b/tests/gateway_load.rs
@@ -52,7 +52,7 @@
 
 fn fleet(entries: Vec<Entry>) -> Fleet {
     let mut registry = Registry::default();
-    registry.replace(entries, false, 0);
+    registry.replace(entries, None, 0);
     Fleet {
         registry,
         loads: LoadTable::default(),
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -11,7 +11,9 @@
 use currantcove::core::load::InFlight;
 use currantcove::core::peer_list::{Peer, PeerList, UNLISTED_GRACE_MS, rank_by_cpu};
 use currantcove::core::peer_loads::{HOST_LOADS_EXPIRE_MS, PeerLoads};
-use currantcove::core::registry::{Entry, Holdings, LAPSE_GRACE_MS, Registry, RegistryChange};
+use currantcove::core::registry::{
+    Entry, Holdings, LAPSE_GRACE_MS, Registry, RegistryChange, lapse_grace_ms,
+};
 
 fn holdings(models: &[(&str, &[&str])]) -> Holdings {
     let adapters = |names: &[&str]| names.iter().map(|a| AdapterId::new(a)).collect();
@@ -69,7 +71,7 @@
     let mut registry = Registry::default();
     registry.upsert(entry("e1", 1, &[]), 0);
 
-    let change = registry.remove("e1", false, 10);
+    let change = registry.remove("e1", None, 10);
 
     assert_eq!(change, Some(RegistryChange::Removed(UpstreamId::new("e1"))));
     assert!(registry.get("e1").is_none());
@@ -80,7 +82,7 @@
     let mut registry = Registry::default();
     registry.upsert(entry("e1", 1, &[]), 0);
 
-    let changes = registry.replace(Vec::new(), true, 1_000);
+    let changes = registry.replace(Vec::new(), Some(1_000 + LAPSE_GRACE_MS), 1_000);
 
     assert_eq!(changes, [RegistryChange::Lapsed(UpstreamId::new("e1"))]);
     assert!(
@@ -97,7 +99,7 @@
 fn entry_listed_again_within_the_grace_period_stays() {
     let mut registry = Registry::default();
     registry.upsert(entry("e1", 1, &[]), 0);
-    registry.replace(Vec::new(), true, 1_000);
+    registry.replace(Vec::new(), Some(1_000 + LAPSE_GRACE_MS), 1_000);
 
     registry.upsert(entry("e1", 2, &[]), 2_000);
 
@@ -699,3 +701,39 @@
     assert_eq!(result_without_sending(true), OrderResult::Unknown);
     assert_eq!(result_without_sending(false), OrderResult::Refused);
 }
+
+/// Guards against requests to an upstream that has left: its entry was deleted late in the
+/// grace period of an outage, and a period of its own began.
+#[test]
+fn deletion_late_in_the_grace_period_does_not_extend_it() {
+    let mut registry = Registry::default();
+    registry.upsert(entry("e1", 1, &[]), 0);
+    let until_ms = Some(1_000 + lapse_grace_ms(2_000));
+
+    registry.remove("e1", until_ms, 2_500);
+    let in_period = registry.expire_lapsed(2_600);
+    let at_end = registry.expire_lapsed(1_000 + lapse_grace_ms(2_000));
+
+    assert!(in_period.is_empty());
+    assert_eq!(at_end, [RegistryChange::Removed(UpstreamId::new("e1"))]);
+}
+
+#[test]
+fn deletion_after_the_grace_period_removes_the_entry() {
+    let mut registry = Registry::default();
+    registry.upsert(entry("e1", 1, &[]), 0);
+
+    let change = registry.remove("e1", Some(2_750), 2_750);
+
+    assert_eq!(change, Some(RegistryChange::Removed(UpstreamId::new("e1"))));
+}
+
+#[test]
+fn grace_period_ends_before_the_limit_for_upstreams_that_have_left() {
+    for drain_within_ms in [1_000, 2_000, 3_000, 4_000] {
+        let grace_ms = lapse_grace_ms(drain_within_ms);
+
+        assert!(grace_ms < drain_within_ms && grace_ms <= LAPSE_GRACE_MS);
+    }
+    assert_eq!(lapse_grace_ms(100), 0);
+}
--- a/tests/gateway_shared_service.rs
+++ b/tests/gateway_shared_service.rs
@@ -52,7 +52,7 @@
         let entries = (0..UPSTREAMS)
             .map(|u| entry(&format!("u{u}"), "bookings", SLOTS))
             .collect();
-        registry.replace(entries, false, 0);
+        registry.replace(entries, None, 0);
         let host = |i: usize| Host {
             id: HostId::new(&format!("h{i}")),
             loads: LoadTable::default(),
--- a/tests/gateway_store_relay.rs
+++ b/tests/gateway_store_relay.rs
@@ -116,7 +116,7 @@
         era: 1,
         after: 9,
         until: 30,
-        is_after_outage: false,
+        lapse_left_ms: 0,
         facts: facts.to_vec(),
     };
 
