Order an adapter again whose order has received no reply

An order without a reply stays charged until the engine accepts a later one. Since orders are charged before they are sent, its adapter counted as present and was not ordered again, so that it was never loaded if the order was lost and the engine got no other. It is now sent again in its own room: both orders name the same adapter, so that one slot covers them. Found by reading; order_without_a_reply_can_be_sent_again_in_its_own_room fails without the change.

--- a/src/core/engine_ledger.rs
+++ b/src/core/engine_ledger.rs
@@ -346,7 +346,7 @@
 
     /// Charges the load of an adapter; returns the state by which it may be ordered, or
     /// `None` if the engine lacks the model or the room, has or loads the adapter, or may
-    /// be executing another order.
+    /// be executing another order. An order without a reply may be sent again.
     pub fn charge_adapter_load(
         &mut self,
         spec: &EngineSpec,
@@ -356,10 +356,12 @@
         let (model, adapter) = key;
         let is_idle = self.loading.is_none() && self.unloading.is_none();
         let is_present =
-            has_adapter(&self.resident, model, adapter) || self.loading_adapters.contains_key(key);
+            has_adapter(&self.resident, model, adapter) || self.is_adapter_loading(key);
         let has_model = self.resident.contains_key(model);
+        let is_charged = self.unanswered.contains_key(key);
+        let has_room = is_charged || self.fits_adapter(spec, model);
         let basis = self.basis()?;
-        if !is_idle || is_present || !has_model || !self.fits_adapter(spec, model) {
+        if !is_idle || is_present || !has_model || !has_room {
             return None;
         }
         self.on_adapter_unanswered(key, basis, now_ms);
@@ -408,7 +410,8 @@
         now_ms: u64,
     ) {
         self.loading_adapters.insert(key.clone(), now_ms);
-        self.unanswered.insert(key.clone(), basis.orders_accepted);
+        let before = self.unanswered.entry(key.clone()).or_default();
+        *before = basis.orders_accepted.max(*before);
     }
 
     /// True if the engine can receive an order now: it has reported, and no
--- a/tests/gateway_engine_orders.rs
+++ b/tests/gateway_engine_orders.rs
@@ -112,6 +112,22 @@
     );
 }
 
+/// Guards against an adapter that no engine loads: its order was never executed, and as
+/// the one without a reply stayed charged, it was not ordered again.
+#[test]
+fn order_without_a_reply_can_be_sent_again_in_its_own_room() {
+    let mut ledger = ledger(5, &[("m0", &["a1"])]);
+    let key = |adapter| (ModelId::new("m0"), AdapterId::new(adapter));
+    let first = ledger.charge_adapter_load(&spec(), &key("a2"), 0);
+
+    let again = ledger.charge_adapter_load(&spec(), &key("a2"), 9_000);
+    let other = ledger.charge_adapter_load(&spec(), &key("a3"), 9_000);
+
+    assert!(first.is_some() && again == first);
+    assert!(other.is_none(), "two slots");
+    assert_eq!(ledger.charged_adapter_slots(), 2);
+}
+
 /// Guards against an acceptance by another incarnation of the engine, which restarted
 /// under the same id while the order was on its way.
 #[test]
