Check the term after the permit for an order, and block an engine without one

A host could be suspended or lose its term while it waited for a permit, and then send the order without another look at its lease; the permit is now asked for first. An order that gets no permit blocks its engine for a moment, since each one that is decided takes an adapter out of service until it is refused.

--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -182,6 +182,12 @@
     ) -> OrderResult {
         let mut has_unanswered_attempt = false;
         for attempt in 1..=MAX_SEND_ATTEMPTS {
+            // Nothing may be awaited between the check of the term and the order.
+            if !self.gateway.take_permit(upstream, Purpose::Control).await {
+                // Each order that is decided takes an adapter out of service for a moment.
+                self.block_engine(upstream);
+                return result_without_sending(has_unanswered_attempt);
+            }
             if !self.is_current(upstream, decision) {
                 let known = self.with_ledger(upstream, |l| l.basis()).flatten();
                 return result_without_basis(decision.basis, known, has_unanswered_attempt);
@@ -190,9 +196,6 @@
             let Some(addr) = addr.filter(|_| !self.gateway.is_closed(upstream)) else {
                 return result_without_sending(has_unanswered_attempt);
             };
-            if !self.gateway.take_permit(upstream, Purpose::Control).await {
-                return result_without_sending(has_unanswered_attempt);
-            }
             let preconditions = OrderPreconditions {
                 holder: self.gateway.settings().host.as_str().to_owned(),
                 term: decision.term,
