Reset the connection of a request that is given up

A request that was sent into a partition and given up reached its upstream when the partition healed, seconds after the upstream had left (DRAIN): its connection was closed in order, so that the kernel went on sending its bytes.

connection_of_a_request_that_is_given_up_is_reset failed before and passes.

--- a/src/edge/pool.rs
+++ b/src/edge/pool.rs
@@ -200,7 +200,13 @@
 }
 
 async fn connect(addr: SocketAddr) -> Option<SendRequest<RequestBody>> {
-    let io = HyperStream::new_plain(connect_tcp(addr).await?);
+    let stream = connect_tcp(addr).await?;
+    // A close resets the connection, so that bytes of a request that was given up in a
+    // partition do not arrive when it heals.
+    SockRef::from(&stream)
+        .set_linger(Some(Duration::ZERO))
+        .ok()?;
+    let io = HyperStream::new_plain(stream);
     let (sender, connection) = http1::handshake(io).await.ok()?;
     compio::runtime::spawn(async move {
         // `SendRequest` returns its own error when the connection fails.
