Tests: one fixture for engines of the users' platform

The tests of engine orders had copies of the holdings, the listed engine and its specification that the tests of the registry define.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,11 +3,13 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use currantcove::core::catalog::{EngineSpec, ModelSpec};
 use currantcove::core::fleet::{
     Fleet, ListedState, ListedUpstream, LoadReport, Observation, UpstreamKind,
 };
-use currantcove::core::ids::{ArtifactId, ServiceId, UpstreamId, ZoneId};
+use currantcove::core::ids::{AdapterId, ArtifactId, ModelId, ServiceId, UpstreamId, ZoneId};
 use currantcove::core::placement::{PlannedModel, PlannedUpstream};
 use currantcove::core::registry::{Entry, Holdings};
 
@@ -106,3 +108,43 @@
         on_disk: BTreeSet::new(),
     }
 }
+
+/// Models with their adapters.
+pub fn holdings(models: &[(&str, &[&str])]) -> Holdings {
+    let adapters = |names: &[&str]| names.iter().map(|a| AdapterId::new(a)).collect();
+    models
+        .iter()
+        .map(|(m, names)| (ModelId::new(m), adapters(names)))
+        .collect()
+}
+
+/// Engine as listed on the users' platform, started at 100 ms.
+pub fn engine_entry(id: &str, sequence: u64, models: &[(&str, &[&str])]) -> Entry {
+    Entry {
+        started_ms: 100,
+        sequence,
+        resident: holdings(models),
+        ..entry(id, "drafts", 8)
+    }
+}
+
+/// Engine with memory for three of its four models.
+pub fn engine_spec(adapter_slots: u32) -> EngineSpec {
+    let model = ModelSpec {
+        weights_mb: 70,
+        adapters: 9,
+        adapter_mb: 1,
+        store_load: Duration::from_secs(9),
+        disk_load: Duration::from_secs(2),
+        memory_load: Duration::from_millis(800),
+    };
+    let models = ["m0", "m1", "m2", "m3"].map(|m| (ModelId::new(m), model.clone()));
+    EngineSpec {
+        batch: 8,
+        cache_tokens: 10_000,
+        weights_mb: 220,
+        adapter_slots,
+        store_loads_per_s: 2.0,
+        models: models.into(),
+    }
+}
--- a/tests/gateway_registry.rs
+++ b/tests/gateway_registry.rs
@@ -1,71 +1,24 @@
 //! A host's view of upstreams, peers and the engines that it acts for.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
-use std::time::Duration;
+mod common;
 
+use common::{engine_entry as entry, engine_spec as spec, holdings};
 use currantcove::core::adapters::{CandidateEngine, select_engine};
-use currantcove::core::catalog::{EngineSpec, ModelSpec};
 use currantcove::core::engine_ledger::{EngineLedger, ReportedState};
-use currantcove::core::ids::{AdapterId, HostId, ModelId, ServiceId, UpstreamId, ZoneId};
+use currantcove::core::ids::{AdapterId, HostId, ModelId, UpstreamId};
 use currantcove::core::load::InFlight;
 use currantcove::core::peer_list::{Peer, PeerList, UNLISTED_GRACE_MS, rank_by_cpu};
 use currantcove::core::peer_loads::{HOST_LOADS_EXPIRE_MS, PeerLoads};
 use currantcove::core::registry::{
-    Entry, Holdings, LAPSE_GRACE_MS, Registry, RegistryChange, lapse_grace_ms,
+    Entry, LAPSE_GRACE_MS, Registry, RegistryChange, lapse_grace_ms,
 };
 
-fn holdings(models: &[(&str, &[&str])]) -> Holdings {
-    let adapters = |names: &[&str]| names.iter().map(|a| AdapterId::new(a)).collect();
-    models
-        .iter()
-        .map(|(m, names)| (ModelId::new(m), adapters(names)))
-        .collect()
-}
-
-fn entry(id: &str, sequence: u64, models: &[(&str, &[&str])]) -> Entry {
-    Entry {
-        id: UpstreamId::new(id),
-        service: ServiceId::new("drafts"),
-        addr: SocketAddr::from(([10, 0, 0, 1], 8000)),
-        zone: ZoneId::new("a"),
-        slots: 8,
-        is_draining: false,
-        started_ms: 100,
-        sequence,
-        read_ms: 0,
-        resident: holdings(models),
-        in_memory: BTreeSet::new(),
-        on_disk: BTreeSet::new(),
-    }
-}
-
 /// Records an order that was decided by the present state of the ledger.
 fn accept_order(ledger: &mut EngineLedger, now_ms: u64) {
     let basis = ledger.basis().expect("the engine has reported");
     ledger.on_order_accepted(basis, now_ms);
 }
 
-fn spec(adapter_slots: u32) -> EngineSpec {
-    let model = ModelSpec {
-        weights_mb: 70,
-        adapters: 9,
-        adapter_mb: 1,
-        store_load: Duration::from_secs(9),
-        disk_load: Duration::from_secs(2),
-        memory_load: Duration::from_millis(800),
-    };
-    let models = ["m0", "m1", "m2", "m3"].map(|m| (ModelId::new(m), model.clone()));
-    EngineSpec {
-        batch: 8,
-        cache_tokens: 10_000,
-        weights_mb: 220,
-        adapter_slots,
-        store_loads_per_s: 2.0,
-        models: BTreeMap::from(models),
-    }
-}
-
 #[test]
 fn entry_deleted_while_the_store_is_available_is_removed_at_once() {
     let mut registry = Registry::default();
