Log upstreams that end unannounced and the prompt parts in flight there

The logs of the incident show responses that break off, but neither that an engine ended nor what its requests had in common, so that the hypotheses cannot be told apart.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -32,6 +32,7 @@
 pub mod rate_account;
 pub mod registry;
 pub mod rendezvous;
+pub mod request_traits;
 pub mod retry;
 pub mod routing;
 pub mod slots;
--- /dev/null
+++ b/src/core/request_traits.rs
@@ -0,0 +1,61 @@
+//! What requests have in common, by which those that crash upstreams are recognised.
+//!
+//! Load pattern: callers send any number of distinct requests, so that only fingerprints
+//! of fixed size are kept and compared.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+/// Largest number of prompt parts of one request that are compared.
+const MAX_PARTS: usize = 16;
+
+/// Hash for which callers cannot find a second input.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct Fingerprint(u64);
+
+impl Fingerprint {
+    /// Fingerprint of fields; the order and the limits of the fields matter.
+    pub fn of(fields: &[&[u8]]) -> Self {
+        let mut hash = Sha256::new();
+        for field in fields {
+            hash.update((field.len() as u64).to_be_bytes());
+            hash.update(field);
+        }
+        let digest = hash.finalize();
+        let head = digest.iter().take(size_of::<u64>());
+        Self(head.fold(0, |number, byte| (number << 8) | u64::from(*byte)))
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// Fingerprints of one request.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RequestTraits {
+    /// Caller.
+    #[serde(rename = "c")]
+    pub caller: Fingerprint,
+    /// Parts of its prompt that other requests may share, first part first.
+    #[serde(rename = "p")]
+    pub parts: Vec<Fingerprint>,
+}
+
+impl RequestTraits {
+    /// Traits of a caller's request by the IDs of its prompt parts. The last part is the
+    /// request's own.
+    pub fn new(caller: &[u8], prompt_parts: &[String]) -> Self {
+        let shared = prompt_parts.split_last().map_or(&[][..], |(_, rest)| rest);
+        let fingerprint = |part: &String| Fingerprint::of(&[b"part", part.as_bytes()]);
+        Self {
+            caller: Fingerprint::of(&[b"caller", caller]),
+            parts: shared.iter().take(MAX_PARTS).map(fingerprint).collect(),
+        }
+    }
+}
--- a/src/edge/pool.rs
+++ b/src/edge/pool.rs
@@ -7,6 +7,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -182,6 +183,26 @@
     })
 }
 
+/// Whether a process accepts connections at an address.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PortState {
+    /// A connection was established.
+    Accepts,
+    /// The machine refuses connections: no process listens there.
+    Refuses,
+    /// There was no answer.
+    Silent,
+}
+
+/// Opens a connection to learn whether a process accepts it, and closes it.
+pub async fn probe(addr: SocketAddr) -> PortState {
+    match compio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await {
+        Ok(Ok(_)) => PortState::Accepts,
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => PortState::Refuses,
+        Ok(Err(_)) | Err(_) => PortState::Silent,
+    }
+}
+
 /// Opens a TCP connection with keepalive probes; `None` after an error or the
 /// timeout.
 pub async fn connect_tcp(addr: SocketAddr) -> Option<TcpStream> {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::header::HeaderMap;
+use hyper::header::{HOST, HeaderMap};
 use hyper::{Method, StatusCode};
 
 use super::exchange::{AttemptFailure, BufferedResponse};
@@ -22,6 +22,7 @@
 use crate::core::catalog::{Catalog, ModelSpec, RequestKind, Route};
 use crate::core::ids::UpstreamId;
 use crate::core::load::AttemptOutcome;
+use crate::core::request_traits::RequestTraits;
 use crate::edge::body::{self, ServerResponse};
 use crate::edge::body_reader::BodyReservation;
 
@@ -57,6 +58,8 @@
     pub kind: RequestKind,
     /// Requirements on an upstream.
     pub requirements: Requirements,
+    /// What it has in common with other requests.
+    pub traits: RequestTraits,
     /// Specification of the requested model, if the service has it.
     pub model_spec: Option<ModelSpec>,
     /// Priority; 0 is the highest.
@@ -157,6 +160,8 @@
         let timeout = head
             .deadline
             .map_or(route.timeout, |d| d.min(route.timeout));
+        let caller = parts.headers.get(HOST).map_or(&[][..], |h| h.as_bytes());
+        let traits = RequestTraits::new(caller, &head.prompt_parts);
         let target = parts.uri.path_and_query().map_or("/", |t| t.as_str());
         Some(RoutedRequest {
             request_id: head.request_id,
@@ -171,6 +176,7 @@
                     .min_event_gap(service)
                     .map_or(f64::MAX, |p| p.as_millis() as f64 * PREFILL_SHARE),
             },
+            traits,
             model_spec,
             priority: route.priority,
             max_attempts: route.max_attempts.max(1),
@@ -227,6 +233,9 @@
                 }
             };
             self.log_failed_attempt(&request, &upstream, &failure);
+            if matches!(failure, AttemptFailure::Unknown) {
+                self.on_broken_off(&upstream, &request, None);
+            }
             in_flight.finish(failure.attempt_outcome());
             match self
                 .handle_failure(&request, &mut attempts, &upstream, failure)
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -54,6 +54,8 @@
     pub peer_datagrams: Counter,
     /// Upstreams taken out of service because they stated that they leave.
     pub upstreams_leaving: Counter,
+    /// Upstreams that ended without having stated that they leave.
+    pub upstreams_ended: Counter,
     /// Questions for room at an engine without an answer in time.
     pub unanswered_asks: Counter,
     /// Time of one turn of the acting host.
@@ -88,6 +90,7 @@
             orders: Family::default(),
             peer_datagrams: Counter::default(),
             upstreams_leaving: Counter::default(),
+            upstreams_ended: Counter::default(),
             unanswered_asks: Counter::default(),
             turn_time_s: Histogram::new(buckets()),
             upstream_closures: Counter::default(),
@@ -181,6 +184,11 @@
             "Questions for room at an engine without an answer in time",
             self.unanswered_asks.clone(),
         );
+        registry.register(
+            "upstreams_ended",
+            "Upstreams that ended unannounced under requests of this host",
+            self.upstreams_ended.clone(),
+        );
         registry.register_with_unit(
             "turn",
             "Time of one turn of the acting host",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod adapter_requests;
 pub mod announce;
 pub mod call;
+pub mod crashes;
 pub mod demand;
 pub mod exchange;
 pub mod front;
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -209,6 +209,8 @@
     pub size: RequestSize,
     /// ID of the last event that the caller has received, if it resumes a stream.
     pub last_event_id: Option<String>,
+    /// IDs of the parts of its prompt, first part first.
+    pub prompt_parts: Vec<String>,
 }
 
 /// Values of the headers that the gateway adds to a forwarded request.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -17,11 +17,12 @@
 use tokio_util::sync::CancellationToken;
 
 use super::call::{Attempts, RoutedRequest};
-use super::exchange::OpenStream;
+use super::exchange::{AttemptFailure, OpenStream};
 use super::place::InFlightAttempt;
 use super::platform::Platform;
 use super::state::Gateway;
 use crate::core::balance::UpstreamFilter;
+use crate::core::ids::UpstreamId;
 use crate::core::load::AttemptOutcome;
 use crate::edge::body::{ServerResponse, StreamedBody, Truncated};
 use crate::edge::pool::PooledBody;
@@ -66,11 +67,13 @@
         gateway: Rc::clone(gateway),
         request,
         attempts,
+        upstream: in_flight.sent.upstream.clone(),
         sender,
         disconnected,
         last_event_id: None,
         event_batches: 0,
         first_event_ms: 0,
+        responding_since_ms: None,
         longest_gap_ms: 0,
     };
     compio::runtime::spawn(relay.run(in_flight, opened.body)).detach();
@@ -81,11 +84,15 @@
     gateway: Rc<Gateway<P>>,
     request: RoutedRequest,
     attempts: Attempts,
+    /// Upstream that sends the stream at present.
+    upstream: UpstreamId,
     sender: Sender<Bytes, Truncated>,
     disconnected: CancellationToken,
     last_event_id: Option<String>,
     event_batches: u64,
     first_event_ms: u64,
+    /// Time of the first event from the present upstream.
+    responding_since_ms: Option<u64>,
     longest_gap_ms: u64,
 }
 
@@ -103,8 +110,12 @@
             if end != SegmentEnd::Interrupted {
                 break end;
             }
+            let sender = &self.upstream;
+            let since_ms = self.responding_since_ms.take();
+            self.gateway.on_broken_off(sender, &self.request, since_ms);
             match self.resume().await {
                 Some((next, opened)) => {
+                    self.upstream = next.sent.upstream.clone();
                     in_flight = next;
                     body = opened.body;
                 }
@@ -197,6 +208,7 @@
         } else {
             in_flight.record_activity();
         }
+        self.responding_since_ms.get_or_insert(now_ms);
         self.event_batches += 1;
         if self.request.kind.is_repeatable()
             && let Some(id) = last_event_id(events)
@@ -251,6 +263,9 @@
                 Some((in_flight, opened))
             }
             Err(failure) => {
+                if matches!(failure, AttemptFailure::Unknown) {
+                    self.gateway.on_broken_off(&upstream, &self.request, None);
+                }
                 in_flight.finish(failure.attempt_outcome());
                 None
             }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -7,6 +7,7 @@
 
 use tokio_util::sync::CancellationToken;
 
+use super::crashes::CrashDesk;
 use super::demand::DemandCounters;
 use super::logs::LogBuffer;
 use super::metrics::GatewayMetrics;
@@ -80,6 +81,8 @@
     pub known_rates: RefCell<KnownRates>,
     /// Questions and accounts of requests to upstreams that state a rate.
     pub permits: PermitDesk,
+    /// Requests that broke off when their upstreams ended.
+    pub crashes: CrashDesk,
     /// Questions and accounts of room at engines.
     pub room: RoomDesk,
     /// Sends messages to other hosts.
@@ -124,6 +127,7 @@
             peer_loads: RefCell::default(),
             known_rates: RefCell::default(),
             permits: PermitDesk::default(),
+            crashes: CrashDesk::default(),
             room: RoomDesk::default(),
             peer_sender: PeerSender::default(),
             rng: RefCell::new(Rng::new(seed)),
