Stop sending requests with a prompt part that crashes upstreams

Callers saw dozens of streams break off every half second, and refusals after that, since requests with one part in their prompts ended engine after engine: nothing related the crashes to what the engines were running, and each of seven hosts saw a share of them.

Hosts now report to the acting host which requests were in flight at an upstream that ended; it finds the part that they have in common (core::crash_ledger), and all hosts stop sending requests with it (core::quarantine). The list lasts in the store, so that hosts that start know it.

--- a/src/core/load.rs
+++ b/src/core/load.rs
@@ -333,6 +333,13 @@
     first_response_ms: u64,
 }
 
+impl SentRequest {
+    /// Time at which it was sent, in milliseconds since the epoch.
+    pub fn sent_ms(&self) -> u64 {
+        self.sent_ms
+    }
+}
+
 /// Loads of all upstreams.
 #[derive(Clone, Debug, Default)]
 pub struct LoadTable {
--- a/src/core/request_traits.rs
+++ b/src/core/request_traits.rs
@@ -9,7 +9,7 @@
 use sha2::{Digest, Sha256};
 
 /// Largest number of prompt parts of one request that are compared.
-const MAX_PARTS: usize = 16;
+const MAX_PARTS: usize = 8;
 
 /// Hash for which callers cannot find a second input.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -36,6 +36,22 @@
     }
 }
 
+/// What requests that crash upstreams may have in common.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum Suspect {
+    /// Part of the prompt.
+    #[serde(rename = "p")]
+    Part(Fingerprint),
+}
+
+impl fmt::Display for Suspect {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Part(part) => write!(f, "part:{part}"),
+        }
+    }
+}
+
 /// Fingerprints of one request.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RequestTraits {
@@ -58,4 +74,15 @@
             parts: shared.iter().take(MAX_PARTS).map(fingerprint).collect(),
         }
     }
+
+    /// What it may have in common with others, each with its place in the prompt.
+    pub fn suspects(&self) -> impl Iterator<Item = (Suspect, usize)> {
+        let parts = self.parts.iter().enumerate();
+        parts.map(|(index, part)| (Suspect::Part(*part), index))
+    }
+
+    /// True if a suspect is among its traits.
+    pub fn has(&self, suspect: Suspect) -> bool {
+        self.suspects().any(|(own, _)| own == suspect)
+    }
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -16,6 +16,7 @@
 use super::metrics::OutcomeLabels;
 use super::place::{InFlightAttempt, Rejection};
 use super::platform::{Platform, RequestHead};
+use super::quarantine::QUARANTINED;
 use super::relay;
 use super::state::Gateway;
 use crate::core::balance::{Requirements, UpstreamFilter};
@@ -113,6 +114,8 @@
     may_have_run: bool,
     /// Failure response of an upstream, forwarded if no retry follows.
     failure_response: Option<BufferedResponse>,
+    /// True if the request is in quarantine and is sent once to try it.
+    pub is_trial: bool,
 }
 
 /// Outcome of a request for which no attempt succeeded.
@@ -196,6 +199,11 @@
 
     /// Sends a request to upstreams until one responds or no retry is allowed.
     pub async fn serve(self: &Rc<Self>, request: RoutedRequest) -> ServerResponse {
+        let mut attempts = Attempts::default();
+        if let Some(rejection) = self.check_quarantine(&request, &mut attempts).await {
+            let outcome = Self::outcome_without_upstream(&attempts, rejection);
+            return self.respond_with_failure(&request, &attempts, outcome);
+        }
         self.record_first_attempt(&request.requirements.service);
         if let Some(weights) = &request.requirements.weights {
             let now_ms = self.now_ms();
@@ -203,9 +211,13 @@
             let size = request.requirements.size;
             demand.record_request(now_ms, &request.requirements.service, weights, size);
         }
-        let mut attempts = Attempts::default();
         let outcome = loop {
-            let mut in_flight = match self.acquire_upstream(&request, &attempts.filter).await {
+            let acquired = self.acquire_upstream(&request, &attempts.filter).await;
+            // An entry may have been added while the request waited for an upstream.
+            let mut in_flight = match acquired.and_then(|in_flight| {
+                self.hold_back(&request, &attempts)
+                    .map_or(Ok(in_flight), Err)
+            }) {
                 Ok(in_flight) => in_flight,
                 Err(rejection) => break Self::outcome_without_upstream(&attempts, rejection),
             };
@@ -234,7 +246,7 @@
             };
             self.log_failed_attempt(&request, &upstream, &failure);
             if matches!(failure, AttemptFailure::Unknown) {
-                self.on_broken_off(&upstream, &request, None);
+                self.on_broken_off(&request, &in_flight.sent, None);
             }
             in_flight.finish(failure.attempt_outcome());
             match self
@@ -256,7 +268,7 @@
             return FailureOutcome::Unknown("upstream_failed");
         }
         FailureOutcome::NotRun {
-            reason: rejection.reason.as_str(),
+            reason: rejection.reason,
             retry_after_ms: rejection.retry_after_ms,
         }
     }
@@ -265,6 +277,7 @@
     fn may_repeat(&self, request: &RoutedRequest, attempts: &Attempts) -> bool {
         let sent = attempts.sent_to.len() as u32 + 1;
         request.kind.is_repeatable()
+            && !attempts.is_trial
             && sent < request.max_attempts
             && request.deadline_ms > self.now_ms()
     }
@@ -407,7 +420,9 @@
         } else {
             AttemptOutcome::Succeeded
         };
+        let began_ms = self.now_ms();
         in_flight.finish(attempt_outcome);
+        self.record_sound(&request.traits, began_ms);
         let outcome = if response.is_failure() {
             "failed"
         } else {
@@ -449,7 +464,7 @@
             FailureOutcome::Unknown(reason) => (502, "unknown", reason, None),
             FailureOutcome::TimedOut => (504, "unknown", "timed_out", None),
         };
-        if outcome == "not_run" {
+        if outcome == "not_run" && reason != QUARANTINED {
             self.request_weights_after_rejection(request);
         }
         self.log_outcome(request, attempts, outcome, reason, status, None);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -56,6 +56,8 @@
     pub upstreams_leaving: Counter,
     /// Upstreams that ended without having stated that they leave.
     pub upstreams_ended: Counter,
+    /// Suspects whose requests are not sent.
+    pub quarantined: Gauge,
     /// Questions for room at an engine without an answer in time.
     pub unanswered_asks: Counter,
     /// Time of one turn of the acting host.
@@ -91,6 +93,7 @@
             peer_datagrams: Counter::default(),
             upstreams_leaving: Counter::default(),
             upstreams_ended: Counter::default(),
+            quarantined: Gauge::default(),
             unanswered_asks: Counter::default(),
             turn_time_s: Histogram::new(buckets()),
             upstream_closures: Counter::default(),
@@ -184,6 +187,11 @@
             "Questions for room at an engine without an answer in time",
             self.unanswered_asks.clone(),
         );
+        registry.register(
+            "quarantined",
+            "Suspects whose requests are not sent because they crash upstreams",
+            self.quarantined.clone(),
+        );
         registry.register(
             "upstreams_ended",
             "Upstreams that ended unannounced under requests of this host",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -35,6 +35,7 @@
 pub mod place;
 pub mod placer;
 pub mod platform;
+pub mod quarantine;
 pub mod relay;
 pub mod room;
 pub mod run;
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -4,10 +4,13 @@
 
 use super::demand::ModelCounts;
 use super::store_relay::StoreChanges;
+use crate::core::crash_ledger::LostRequest;
 use crate::core::ids::{AdapterId, HostId, ModelId, ServiceId, UpstreamId};
 use crate::core::load::InFlight;
+use crate::core::quarantine::Quarantine;
 use crate::core::rate_account::{Keeping, Purpose};
 use crate::core::registry::Holdings;
+use crate::core::request_traits::Suspect;
 
 /// Holdings of one engine.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -206,6 +209,65 @@
         #[serde(rename = "i")]
         retry_in_ms: Option<u64>,
     },
+    /// An upstream has ended under requests of a host.
+    #[serde(rename = "x")]
+    Crash {
+        /// Upstream.
+        #[serde(rename = "u")]
+        upstream: UpstreamId,
+        /// Start of its incarnation, in milliseconds since the epoch.
+        #[serde(rename = "s")]
+        started_ms: u64,
+        /// Time since its end, in milliseconds.
+        #[serde(rename = "a")]
+        age_ms: u64,
+        /// Requests that may have caused it.
+        #[serde(rename = "r")]
+        requests: Vec<LostRequest>,
+    },
+    /// Suspects for which the acting host wants to know of sound responses.
+    #[serde(rename = "z")]
+    Watch {
+        /// Term of the acting host.
+        #[serde(rename = "t")]
+        term: u64,
+        /// Suspects.
+        #[serde(rename = "s")]
+        suspects: Vec<Suspect>,
+    },
+    /// A host has had sound responses to requests with these suspects.
+    #[serde(rename = "v")]
+    Sound {
+        /// Suspects, each with the time since the response began, in milliseconds.
+        #[serde(rename = "s")]
+        suspects: Vec<(Suspect, u64)>,
+    },
+    /// Requests that are not sent, from the acting host.
+    #[serde(rename = "j")]
+    Quarantine(Quarantine),
+    /// A host has a request with a suspect and asks whether it may be tried.
+    #[serde(rename = "m")]
+    AskTrial {
+        /// Sender.
+        #[serde(rename = "h")]
+        host: HostId,
+        /// Suspect.
+        #[serde(rename = "s")]
+        suspect: Suspect,
+        /// Identifies the question.
+        #[serde(rename = "k")]
+        ticket: u64,
+    },
+    /// Answer to a host that asks for a trial.
+    #[serde(rename = "i")]
+    Trial {
+        /// Question that it answers.
+        #[serde(rename = "k")]
+        ticket: u64,
+        /// True if the request may be sent.
+        #[serde(rename = "g")]
+        is_granted: bool,
+    },
     /// A host has a request for weights that no upstream can serve now.
     #[serde(rename = "w")]
     Want {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -220,6 +220,12 @@
                 ticket,
                 retry_in_ms,
             } => gateway.apply_permit(ticket, retry_in_ms),
+            PeerMessage::Crash { .. }
+            | PeerMessage::Watch { .. }
+            | PeerMessage::Sound { .. }
+            | PeerMessage::Quarantine(_)
+            | PeerMessage::AskTrial { .. }
+            | PeerMessage::Trial { .. } => gateway.handle_crash_message(message),
             PeerMessage::Loading {
                 term,
                 service,
@@ -369,7 +375,7 @@
     }
 
     /// True unless a message is from an earlier term than the current one.
-    fn is_current_term(&self, term: u64) -> bool {
+    pub(super) fn is_current_term(&self, term: u64) -> bool {
         let acting = self.acting_host.borrow();
         // A message of a new term can arrive before the store's listing.
         acting.as_ref().is_none_or(|a| term >= a.term)
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -168,7 +168,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Rejection {
     /// Reason.
-    pub reason: NoUpstream,
+    pub reason: &'static str,
     /// Time after which the caller may retry.
     pub retry_after_ms: u64,
 }
@@ -519,7 +519,7 @@
         };
         let mut rng = self.rng.borrow_mut();
         Rejection {
-            reason: forecast.reason,
+            reason: forecast.reason.as_str(),
             retry_after_ms: admission
                 .retry_schedule
                 .assign(now_ms, queue_key, input, &mut rng),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -17,12 +17,12 @@
 use tokio_util::sync::CancellationToken;
 
 use super::call::{Attempts, RoutedRequest};
+use super::crashes::SOUND_AFTER_MS;
 use super::exchange::{AttemptFailure, OpenStream};
 use super::place::InFlightAttempt;
 use super::platform::Platform;
 use super::state::Gateway;
 use crate::core::balance::UpstreamFilter;
-use crate::core::ids::UpstreamId;
 use crate::core::load::AttemptOutcome;
 use crate::edge::body::{ServerResponse, StreamedBody, Truncated};
 use crate::edge::pool::PooledBody;
@@ -67,13 +67,13 @@
         gateway: Rc::clone(gateway),
         request,
         attempts,
-        upstream: in_flight.sent.upstream.clone(),
         sender,
         disconnected,
         last_event_id: None,
         event_batches: 0,
         first_event_ms: 0,
         responding_since_ms: None,
+        is_sound: false,
         longest_gap_ms: 0,
     };
     compio::runtime::spawn(relay.run(in_flight, opened.body)).detach();
@@ -84,8 +84,6 @@
     gateway: Rc<Gateway<P>>,
     request: RoutedRequest,
     attempts: Attempts,
-    /// Upstream that sends the stream at present.
-    upstream: UpstreamId,
     sender: Sender<Bytes, Truncated>,
     disconnected: CancellationToken,
     last_event_id: Option<String>,
@@ -93,6 +91,8 @@
     first_event_ms: u64,
     /// Time of the first event from the present upstream.
     responding_since_ms: Option<u64>,
+    /// True once that upstream counts as responding soundly.
+    is_sound: bool,
     longest_gap_ms: u64,
 }
 
@@ -102,6 +102,11 @@
         let end = loop {
             let end = self.forward_events(&mut in_flight, &mut body).await;
             drop(body);
+            if end == SegmentEnd::Interrupted {
+                let since_ms = self.responding_since_ms;
+                self.gateway
+                    .on_broken_off(&self.request, &in_flight.sent, since_ms);
+            }
             in_flight.finish(match end {
                 SegmentEnd::Complete => AttemptOutcome::Succeeded,
                 SegmentEnd::Interrupted => AttemptOutcome::Failed,
@@ -110,18 +115,19 @@
             if end != SegmentEnd::Interrupted {
                 break end;
             }
-            let sender = &self.upstream;
-            let since_ms = self.responding_since_ms.take();
-            self.gateway.on_broken_off(sender, &self.request, since_ms);
             match self.resume().await {
                 Some((next, opened)) => {
-                    self.upstream = next.sent.upstream.clone();
+                    self.responding_since_ms = None;
+                    self.is_sound = false;
                     in_flight = next;
                     body = opened.body;
                 }
                 None => break end,
             }
         };
+        if end == SegmentEnd::Complete {
+            self.record_sound();
+        }
         if let (SegmentEnd::Complete, Some(weights)) = (end, &self.request.requirements.weights) {
             let now_ms = self.gateway.now_ms();
             let mut admission = self.gateway.admission_queue.borrow_mut();
@@ -208,7 +214,10 @@
         } else {
             in_flight.record_activity();
         }
-        self.responding_since_ms.get_or_insert(now_ms);
+        let since_ms = *self.responding_since_ms.get_or_insert(now_ms);
+        if !self.is_sound && now_ms >= since_ms + SOUND_AFTER_MS {
+            self.record_sound();
+        }
         self.event_batches += 1;
         if self.request.kind.is_repeatable()
             && let Some(id) = last_event_id(events)
@@ -217,10 +226,19 @@
         }
     }
 
+    /// Records that the present upstream responds soundly.
+    fn record_sound(&mut self) {
+        self.is_sound = true;
+        if let Some(since_ms) = self.responding_since_ms {
+            self.gateway.record_sound(&self.request.traits, since_ms);
+        }
+    }
+
     /// Opens the remainder of the stream at another upstream.
     async fn resume(&mut self) -> Option<(InFlightAttempt<P>, OpenStream)> {
         let is_exhausted = self.attempts.sent_to.len() as u32 >= self.request.max_attempts;
-        if !self.request.kind.is_repeatable() || is_exhausted {
+        let is_barred = self.attempts.is_trial || self.is_quarantined();
+        if !self.request.kind.is_repeatable() || is_exhausted || is_barred {
             return None;
         }
         let disconnected = self.disconnected.clone();
@@ -230,6 +248,11 @@
         }
     }
 
+    fn is_quarantined(&self) -> bool {
+        let barred = self.gateway.hold_back(&self.request, &self.attempts);
+        barred.is_some()
+    }
+
     async fn reopen(&mut self) -> Option<(InFlightAttempt<P>, OpenStream)> {
         if !self.gateway.try_retry(&self.request.requirements.service) {
             return None;
@@ -242,7 +265,8 @@
             .gateway
             .acquire_upstream(&self.request, &filter)
             .await
-            .ok()?;
+            .ok()
+            .filter(|_| !self.is_quarantined())?;
         let upstream = in_flight.sent.upstream.clone();
         let after = self.last_event_id.clone();
         self.attempts.sent_to.push(upstream.clone());
@@ -264,7 +288,8 @@
             }
             Err(failure) => {
                 if matches!(failure, AttemptFailure::Unknown) {
-                    self.gateway.on_broken_off(&upstream, &self.request, None);
+                    self.gateway
+                        .on_broken_off(&self.request, &in_flight.sent, None);
                 }
                 in_flight.finish(failure.attempt_outcome());
                 None
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -24,6 +24,7 @@
 use super::peers::PeerService;
 use super::placer::QueueDispatcher;
 use super::platform::Platform;
+use super::quarantine::QuarantineService;
 use super::settings::{self, GatewaySettings};
 use super::state::Gateway;
 use super::sync::StoreSync;
@@ -245,12 +246,14 @@
     let membership = kernel.register(Membership::new(Rc::clone(gateway)));
     let acting = kernel.register(ActingHostService::new(Rc::clone(gateway), membership));
     kernel.register(PeerService::new(Rc::clone(gateway), acting, peers));
+    kernel.register(QuarantineService::new(Rc::clone(gateway)));
     kernel.register(QueueDispatcher::new(Rc::clone(gateway)));
     kernel.register(ProbeServer::new(Rc::clone(gateway), probes));
     kernel.start::<StoreSync<P>>()?;
     kernel.start::<Membership<P>>()?;
     kernel.start::<ActingHostService<P>>()?;
     kernel.start::<PeerService<P, Rc<ActingHostService<P>>>>()?;
+    kernel.start::<QuarantineService<P>>()?;
     kernel.start::<QueueDispatcher<P>>()?;
     kernel.start::<ProbeServer<P>>()?;
     Ok(kernel.register(CallerServer::new(Rc::clone(gateway), callers)))
--- a/src/gateway/store_facts.rs
+++ b/src/gateway/store_facts.rs
@@ -3,13 +3,16 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use super::crashes::StoredVersion;
 use super::platform::Platform;
 use super::state::{ActingHost, Gateway};
 use crate::core::catalog::Catalog;
 use crate::core::ids::{HostId, UpstreamId};
 use crate::core::peer_list::Peer;
+use crate::core::quarantine::Quarantine;
 use crate::core::registry::Entry;
 use crate::core::store_era::{Era, term_number};
 use crate::edge::kv::{Change, KeyValue};
@@ -18,6 +21,8 @@
 pub const HOSTS_KEY: &str = "hosts/";
 /// Key of the acting host, after the prefix of the gateway's keys.
 pub const ACTING_KEY: &str = "acting";
+/// Key of the quarantine, after the prefix of the gateway's keys.
+pub const QUARANTINE_KEY: &str = "quarantine";
 
 /// Host as stored under its own key and under the acting host's key.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -50,6 +55,8 @@
     Acting(HostRecord),
     /// There is no acting host.
     NoActing,
+    /// Requests that are not sent.
+    Quarantine(Quarantine),
 }
 
 /// Fact with the revision of its key.
@@ -80,7 +87,10 @@
             return Some(self.decode_upstream(id, kv));
         }
         let suffix = kv.key.strip_prefix(P::GATEWAY_PREFIX)?;
-        let record = decode_host(kv)?;
+        if suffix == QUARANTINE_KEY {
+            return decode(kv).map(StoreFact::Quarantine);
+        }
+        let record = decode(kv)?;
         if suffix == ACTING_KEY {
             Some(StoreFact::Acting(record))
         } else {
@@ -133,6 +143,7 @@
         let mut entries = Vec::new();
         let mut peers = HashMap::new();
         let mut acting = None;
+        let mut stored_quarantine = StoredVersion::default();
         for kv in kvs {
             match self.decode_item(kv) {
                 Some(StoreFact::Catalog(catalog)) => self.apply_catalog(*catalog),
@@ -143,6 +154,10 @@
                 Some(StoreFact::Acting(record)) => {
                     acting = Some(acting_host(record, term_number(era, kv.mod_revision)));
                 }
+                Some(StoreFact::Quarantine(quarantine)) => {
+                    stored_quarantine = (quarantine.version, kv.mod_revision);
+                    self.apply_quarantine(quarantine, "store");
+                }
                 Some(StoreFact::NoUpstream(_) | StoreFact::NoHost(_) | StoreFact::NoActing)
                 | None => {}
             }
@@ -156,6 +171,7 @@
         for change in &changes {
             self.on_registry_change(change, 0);
         }
+        self.crashes.stored.set(stored_quarantine);
         self.peers.borrow_mut().replace(now_ms, peers);
         self.set_acting_host(acting);
         self.is_synced.set(true);
@@ -195,6 +211,10 @@
                 self.set_acting_host(Some(acting_host(record, term)));
             }
             StoreFact::NoActing => self.set_acting_host(None),
+            StoreFact::Quarantine(quarantine) => {
+                self.crashes.stored.set((quarantine.version, revision));
+                self.apply_quarantine(quarantine, "store");
+            }
         }
     }
 
@@ -211,7 +231,7 @@
     }
 }
 
-fn decode_host(kv: &KeyValue) -> Option<HostRecord> {
+fn decode<T: DeserializeOwned>(kv: &KeyValue) -> Option<T> {
     match serde_json::from_slice(&kv.value) {
         Ok(value) => Some(value),
         Err(error) => {
--- a/src/gateway/store_relay.rs
+++ b/src/gateway/store_relay.rs
@@ -65,6 +65,9 @@
     /// The configuration has changed; it is read from the store.
     #[serde(rename = "c")]
     Catalog,
+    /// The quarantine has changed; it is read from the store.
+    #[serde(rename = "q")]
+    Quarantine,
 }
 
 /// Consecutive changes of the store.
@@ -107,6 +110,7 @@
             StoreFact::NoHost(host) => Self::NoHost(host.clone()),
             StoreFact::Acting(record) => Self::Acting(record.clone()),
             StoreFact::NoActing => Self::NoActing,
+            StoreFact::Quarantine(_) => Self::Quarantine,
         }
     }
 }
@@ -201,9 +205,9 @@
         }
         let now_ms = self.now_ms();
         let position = self.position.get();
-        let changes_catalog = || {
+        let must_read = || {
             let mut facts = changes.facts.iter();
-            facts.any(|(_, fact)| *fact == RelayedFact::Catalog)
+            facts.any(|(_, fact)| matches!(fact, RelayedFact::Catalog | RelayedFact::Quarantine))
         };
         let until = Position {
             era: Era(changes.era),
@@ -214,7 +218,7 @@
             // This host has confirmed a later position than the watching host.
             Fit::Known => {}
             Fit::Gap => self.update_follower(|follower| follower.on_gap(now_ms)),
-            Fit::Continues if changes_catalog() => {
+            Fit::Continues if must_read() => {
                 let spread_ms = self.relay_times().batch_pause.as_millis() as usize;
                 let delay_ms = self.rng.borrow_mut().below(spread_ms) as u64;
                 self.update_follower(|follower| follower.on_change_to_read(now_ms, delay_ms));
@@ -247,7 +251,7 @@
             RelayedFact::NoHost(host) => StoreFact::NoHost(host),
             RelayedFact::Acting(record) => StoreFact::Acting(record),
             RelayedFact::NoActing => StoreFact::NoActing,
-            RelayedFact::Catalog => return,
+            RelayedFact::Catalog | RelayedFact::Quarantine => return,
         };
         self.apply_fact(RevisedFact { revision, fact }, era, lapse_until_ms);
     }
