Log which requests were in flight at upstreams that end

Requests now have a fingerprint of their caller, method, path and body, and the upstream lines (ended) name those in flight with their counts.

--- a/src/core/request_traits.rs
+++ b/src/core/request_traits.rs
@@ -52,25 +52,44 @@
     }
 }
 
+/// What the caller sends, apart from headers that differ with each attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestContent<'a> {
+    /// Method.
+    pub method: &'a str,
+    /// Path and query.
+    pub target: &'a str,
+    /// Body.
+    pub body: &'a [u8],
+}
+
 /// Fingerprints of one request.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RequestTraits {
     /// Caller.
     #[serde(rename = "c")]
     pub caller: Fingerprint,
+    /// The request as a whole: repeated by the same caller, it is the same.
+    #[serde(rename = "w")]
+    pub whole: Fingerprint,
     /// Parts of its prompt that other requests may share, first part first.
     #[serde(rename = "p")]
     pub parts: Vec<Fingerprint>,
 }
 
 impl RequestTraits {
-    /// Traits of a caller's request by the IDs of its prompt parts. The last part is the
-    /// request's own.
-    pub fn new(caller: &[u8], prompt_parts: &[String]) -> Self {
+    /// Traits of a caller's request. The last part of its prompt is its own.
+    pub fn new(caller: &[u8], content: RequestContent<'_>, prompt_parts: &[String]) -> Self {
         let shared = prompt_parts.split_last().map_or(&[][..], |(_, rest)| rest);
         let fingerprint = |part: &String| Fingerprint::of(&[b"part", part.as_bytes()]);
+        let RequestContent {
+            method,
+            target,
+            body,
+        } = content;
         Self {
             caller: Fingerprint::of(&[b"caller", caller]),
+            whole: Fingerprint::of(&[b"whole", caller, method.as_bytes(), target.as_bytes(), body]),
             parts: shared.iter().take(MAX_PARTS).map(fingerprint).collect(),
         }
     }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -23,7 +23,7 @@
 use crate::core::catalog::{Catalog, ModelSpec, RequestKind, Route};
 use crate::core::ids::UpstreamId;
 use crate::core::load::AttemptOutcome;
-use crate::core::request_traits::RequestTraits;
+use crate::core::request_traits::{RequestContent, RequestTraits};
 use crate::edge::body::{self, ServerResponse};
 use crate::edge::body_reader::BodyReservation;
 
@@ -164,8 +164,13 @@
             .deadline
             .map_or(route.timeout, |d| d.min(route.timeout));
         let caller = parts.headers.get(HOST).map_or(&[][..], |h| h.as_bytes());
-        let traits = RequestTraits::new(caller, &head.prompt_parts);
         let target = parts.uri.path_and_query().map_or("/", |t| t.as_str());
+        let content = RequestContent {
+            method: parts.method.as_str(),
+            target,
+            body: &body,
+        };
+        let traits = RequestTraits::new(caller, content, &head.prompt_parts);
         Some(RoutedRequest {
             request_id: head.request_id,
             route: route.name.clone(),
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -34,8 +34,8 @@
 const COLLECT_TIME: Duration = Duration::from_millis(50);
 /// Age of a response at which its request did not crash the upstream.
 pub const SOUND_AFTER_MS: u64 = 1_500;
-/// Prompt parts named in one log line.
-const MAX_LOGGED_PARTS: usize = 8;
+/// Fingerprints of one kind named in one log line.
+const MAX_LOGGED: usize = 8;
 /// Recent reports of this host.
 const MAX_REPORTS: usize = 32;
 /// Times that a report is sent to the same acting host.
@@ -165,7 +165,8 @@
             upstream = %upstream,
             change = "ended",
             suspects = suspects.len(),
-            parts = part_counts(suspects.iter().map(|s| &s.traits)),
+            parts = most_frequent(suspects.iter().flat_map(|s| &s.traits.parts)),
+            requests = most_frequent(suspects.iter().map(|s| &s.traits.whole)),
         );
         if suspects.is_empty() {
             return;
@@ -299,15 +300,15 @@
     }
 }
 
-/// Most frequent prompt parts of requests with their counts.
-fn part_counts<'a>(requests: impl Iterator<Item = &'a RequestTraits>) -> String {
+/// Most frequent fingerprints with their counts.
+fn most_frequent<'a>(fingerprints: impl Iterator<Item = &'a Fingerprint>) -> String {
     let mut counts: BTreeMap<Fingerprint, usize> = BTreeMap::new();
-    for part in requests.flat_map(|r| &r.parts) {
-        *counts.entry(*part).or_default() += 1;
+    for fingerprint in fingerprints {
+        *counts.entry(*fingerprint).or_default() += 1;
     }
     let mut counts: Vec<_> = counts.into_iter().collect();
     counts.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
-    let texts = counts.iter().take(MAX_LOGGED_PARTS);
-    let texts: Vec<String> = texts.map(|(part, n)| format!("{part}:{n}")).collect();
+    let texts = counts.iter().take(MAX_LOGGED);
+    let texts: Vec<String> = texts.map(|(hash, n)| format!("{hash}:{n}")).collect();
     texts.join(",")
 }
--- a/tests/gateway_crash_ledger.rs
+++ b/tests/gateway_crash_ledger.rs
@@ -1,20 +1,34 @@
 //! Judgement of crashes, and the list of requests that are not sent.
 
+use std::sync::atomic::{AtomicU64, Ordering};
+
 use currantcove::core::crash_ledger::{CrashLedger, LostRequest, SETTLE_MS};
 use currantcove::core::ids::UpstreamId;
 use currantcove::core::quarantine::{Quarantine, Verdict, Version};
-use currantcove::core::request_traits::{Fingerprint, RequestTraits, Suspect};
+use currantcove::core::request_traits::{Fingerprint, RequestContent, RequestTraits, Suspect};
 use currantcove::core::routing::Rng;
 use currantcove::core::sound_responses::SoundResponses;
 
 const CALLER: &str = "a.example";
 const OTHER_CALLER: &str = "b.example";
 
-/// Traits of a request with shared prompt parts and one of its own.
-fn traits(caller: &str, shared: &[&str]) -> RequestTraits {
+/// Traits of a request with shared prompt parts, one of its own and a body.
+fn traits_with_body(caller: &str, shared: &[&str], body: &str) -> RequestTraits {
     let own = std::iter::once(&"own");
     let parts: Vec<String> = shared.iter().chain(own).map(ToString::to_string).collect();
-    RequestTraits::new(caller.as_bytes(), &parts)
+    let content = RequestContent {
+        method: "POST",
+        target: "/x/1",
+        body: body.as_bytes(),
+    };
+    RequestTraits::new(caller.as_bytes(), content, &parts)
+}
+
+/// Traits of a request with shared prompt parts and a body of its own.
+fn traits(caller: &str, shared: &[&str]) -> RequestTraits {
+    static NUMBER: AtomicU64 = AtomicU64::new(0);
+    let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+    traits_with_body(caller, shared, &number.to_string())
 }
 
 fn part(id: &str) -> Suspect {
@@ -415,13 +429,13 @@
             let quarantine = &mut self.crashes.quarantine;
             let suspect = quarantine.find(&request).map(|e| e.suspect);
             let is_barred = suspect.is_some_and(|s| !quarantine.grant_trial(now_ms, 1, s));
-            if request != Self::deadly() {
+            if !request.has(part("deadly")) {
                 self.sound_sent += 1;
                 self.sound_barred += usize::from(is_barred);
             }
             if !is_barred && self.back_ms[index] <= self.now_ms {
                 let is_late = now_ms.checked_sub(self.fifth_ended_ms) > Some(3_000);
-                self.sent_late += usize::from(is_late && request == Self::deadly());
+                self.sent_late += usize::from(is_late && request.has(part("deadly")));
                 let begin_ms = self.now_ms + 50 + self.rng.below(400) as u64;
                 self.running[index].push((self.now_ms, begin_ms, request));
             }
@@ -447,7 +461,7 @@
     fn run(&mut self, index: usize) {
         let now_ms = self.now_ms;
         let is_deadly = |(_, begin_ms, request): &(u64, u64, RequestTraits)| {
-            *request == Self::deadly() && now_ms >= begin_ms + 20
+            request.has(part("deadly")) && now_ms >= begin_ms + 20
         };
         if self.running[index].iter().any(is_deadly) {
             let lost = std::mem::take(&mut self.running[index]);
