Stop sending a request that crashes upstreams again and again

Callers of a plain service with three upstreams saw it refuse everything for seconds, over and over: one request ended all three, came again with the same path, caller and body when they were back, and was sent like a new one by every host.

A request as a whole (caller, method, path and body) is a suspect like the parts of a prompt, and the narrowest one: it is convicted before the parts that it carries. Reports, judgement, list and trials are those of the quarantine.

--- a/src/core/crash_ledger.rs
+++ b/src/core/crash_ledger.rs
@@ -321,7 +321,7 @@
     shared > 0 && (is_smaller || depth(a) > depth(b))
 }
 
-/// Place of a suspect in the prompts of its requests, 0 for the first part.
+/// Depth of a suspect in its requests, 0 for the first part of the prompt.
 fn depth(crashes: &Evidence) -> usize {
     crashes.values().map(|e| e.depth).min().unwrap_or(0)
 }
--- a/src/core/request_traits.rs
+++ b/src/core/request_traits.rs
@@ -42,12 +42,16 @@
     /// Part of the prompt.
     #[serde(rename = "p")]
     Part(Fingerprint),
+    /// The request as a whole.
+    #[serde(rename = "w")]
+    Whole(Fingerprint),
 }
 
 impl fmt::Display for Suspect {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Part(part) => write!(f, "part:{part}"),
+            Self::Whole(whole) => write!(f, "request:{whole}"),
         }
     }
 }
@@ -94,10 +98,12 @@
         }
     }
 
-    /// What it may have in common with others, each with its place in the prompt.
+    /// What it may have in common with others, each with its depth: the place of a part
+    /// in the prompt, and more for the whole request.
     pub fn suspects(&self) -> impl Iterator<Item = (Suspect, usize)> {
         let parts = self.parts.iter().enumerate();
-        parts.map(|(index, part)| (Suspect::Part(*part), index))
+        let parts = parts.map(|(index, part)| (Suspect::Part(*part), index));
+        parts.chain(std::iter::once((Suspect::Whole(self.whole), usize::MAX)))
     }
 
     /// True if a suspect is among its traits.
--- a/tests/gateway_crash_ledger.rs
+++ b/tests/gateway_crash_ledger.rs
@@ -343,6 +343,43 @@
     assert_eq!(read, quarantine);
 }
 
+#[test]
+fn repeated_request_is_convicted_and_its_prompt_parts_are_not() {
+    let mut crashes = Crashes::default();
+    let deadly = traits_with_body(CALLER, &["first", "second"], "deadly");
+    for ended_ms in [1_000, 1_120, 1_240] {
+        crashes.add(ended_ms, std::slice::from_ref(&deadly));
+    }
+
+    let suspects = crashes.suspects(1_240);
+
+    assert_eq!(suspects, [Suspect::Whole(deadly.whole)]);
+}
+
+/// Guards against one caller that has the request of another one refused.
+#[test]
+fn same_request_of_another_caller_is_another_request() {
+    let own = traits_with_body(CALLER, &[], "same");
+    let other = traits_with_body(OTHER_CALLER, &[], "same");
+
+    assert_ne!(own.whole, other.whole);
+}
+
+#[test]
+fn repeated_request_that_is_served_is_cleared() {
+    let mut crashes = Crashes::default();
+    let popular = traits_with_body(CALLER, &[], "popular");
+    for ended_ms in [1_000, 1_500, 2_000] {
+        crashes.add(ended_ms, std::slice::from_ref(&popular));
+    }
+
+    crashes
+        .ledger
+        .record_sound(Suspect::Whole(popular.whole), 1_200);
+
+    assert!(crashes.judge(2_000).is_empty());
+}
+
 /// Guards against a popular part that is refused until its trial, although upstreams go on
 /// to end without it.
 #[test]
