Do not clear suspects by failure responses

Such a response counted as proof that the request is sound, so that its crashes were forgotten. Only successes count now.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -425,12 +425,11 @@
         } else {
             AttemptOutcome::Succeeded
         };
-        let began_ms = self.now_ms();
         in_flight.finish(attempt_outcome);
-        self.record_sound(&request.traits, began_ms);
         let outcome = if response.is_failure() {
             "failed"
         } else {
+            self.record_sound(&request.traits, self.now_ms());
             "served"
         };
         self.log_outcome(
