Acquit no suspect by a broader one

The requests with a suspect are among those with a broader one, e.g. a repeated request among those with a part of its prompt, so that the broader one always was in flight at as many crashes or more. It acquitted the narrower one, which would be sent again once the broader entry ended.

--- a/src/core/crash_ledger.rs
+++ b/src/core/crash_ledger.rs
@@ -245,6 +245,7 @@
         let is_explained = |(suspect, crashes): &&(Suspect, &Evidence)| {
             let explains = |other: &Evidence| {
                 crashes.keys().all(|index| other.contains_key(index))
+                    && !is_narrower(crashes, other)
                     && independent_crashes(other).len() > independent_crashes(crashes).len()
             };
             let mut others = known.iter().filter(|(other, _)| other != suspect);
--- a/tests/gateway_crash_ledger.rs
+++ b/tests/gateway_crash_ledger.rs
@@ -403,6 +403,31 @@
     assert_eq!(acquitted, [part("popular")]);
 }
 
+/// Guards against a request that is sent again because upstreams have ended under other
+/// requests with a part of its prompt, too.
+#[test]
+fn suspect_is_not_acquitted_by_a_broader_one() {
+    let mut crashes = Crashes::default();
+    let repeated = traits_with_body(CALLER, &["first", "second"], "deadly");
+    for ended_ms in [1_000, 1_500, 2_000] {
+        crashes.add(ended_ms, std::slice::from_ref(&repeated));
+    }
+    for verdict in crashes.judge(2_000) {
+        crashes.quarantine.convict(2_000, 1, verdict);
+    }
+    for ended_ms in [3_000, 3_500, 4_000] {
+        crashes.add(ended_ms, &[traits(CALLER, &["first", "second"])]);
+    }
+    for verdict in crashes.judge(4_000) {
+        crashes.quarantine.convict(4_000, 1, verdict);
+    }
+
+    let acquitted = crashes.ledger.acquitted(4_300, &crashes.quarantine);
+
+    assert_eq!(crashes.quarantine.entries.len(), 2);
+    assert_eq!(acquitted, []);
+}
+
 /// Fleet of upstreams under load, in steps of 10 ms. Requests with one part crash their
 /// upstream 20 to 500 ms after they begin.
 struct Simulation {
