Send a request that is tried once, even if upstreams refuse it

A request is sent again up to three times if upstreams refuse it without running it. So was the single request by which an entry of the quarantine is tried: four arrivals at upstreams that are busy, as they are right after they have come back.

request_that_is_tried_is_sent_once had 4 arrivals before and has 1.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -367,7 +367,8 @@
             attempts.filter.only.clone_from(&attempts.sent_to);
         }
         let time_left = request.time_left(self.now_ms());
-        let may_resend = attempts.refusals <= MAX_RESENDS && time_left > RESEND_DELAY * 2;
+        let may_resend =
+            attempts.refusals <= MAX_RESENDS && time_left > RESEND_DELAY * 2 && !attempts.is_trial;
         if !may_resend || !self.try_retry(&request.requirements.service) {
             return RetryDecision::Stop(Self::final_outcome(attempts, "refused_by_upstream"));
         }
