Count crashes under one request that follow closely as several

Three upstreams of a small service can end within 0.2 s under repeats that several hosts had sent before the first crash. They counted as one crash, as upstreams do that fail together, so that the request ended all of them once more when they came back. For a request as a whole 50 ms are enough: it is rarely in flight at several upstreams, unlike a part of a prompt.

repeats_that_were_sent_together_convict_a_request_by_crashes_that_follow_closely failed before; upstreams that end within 12 ms still convict nothing.

--- a/src/core/crash_ledger.rs
+++ b/src/core/crash_ledger.rs
@@ -14,7 +14,7 @@
 
 use super::ids::UpstreamId;
 use super::quarantine::{MIN_CRASHES, Quarantine, Verdict};
-use super::request_traits::{Fingerprint, RequestTraits, Suspect};
+use super::request_traits::{Fingerprint, RequestTraits, Suspect, WHOLE_REQUEST};
 
 /// Crashes that are kept; older ones are dropped.
 const MAX_CRASHES: usize = 64;
@@ -26,6 +26,8 @@
 pub const SETTLE_MS: u64 = 250;
 /// Time between two crashes without which they may have a common cause, in milliseconds.
 const MIN_APART_MS: u64 = 300;
+/// The same for a request as a whole, which is rarely in flight at several upstreams.
+const MIN_APART_OF_WHOLE_MS: u64 = 50;
 /// Crashes that convict a first prompt part which most suspect requests have.
 const MIN_CRASHES_OF_BROAD: usize = 5;
 /// Crashes at which the hosts are asked whether requests with a suspect were served.
@@ -271,10 +273,16 @@
 fn independent_crashes(crashes: &Evidence) -> Vec<u64> {
     let mut exhibits: Vec<&Exhibit> = crashes.values().collect();
     exhibits.sort_by_key(|e| e.ended_ms);
+    let is_whole = depth(crashes) == WHOLE_REQUEST;
+    let min_apart_ms = if is_whole {
+        MIN_APART_OF_WHOLE_MS
+    } else {
+        MIN_APART_MS
+    };
     let mut times: Vec<u64> = Vec::new();
     for exhibit in exhibits {
         let is_independent = times.last().is_none_or(|last| {
-            exhibit.ended_ms >= last + MIN_APART_MS || exhibit.last_sent_ms > *last
+            exhibit.ended_ms >= last + min_apart_ms || exhibit.last_sent_ms > *last
         });
         if is_independent {
             times.push(exhibit.ended_ms);
--- a/src/core/request_traits.rs
+++ b/src/core/request_traits.rs
@@ -11,6 +11,9 @@
 /// Largest number of prompt parts of one request that are compared.
 const MAX_PARTS: usize = 8;
 
+/// Depth of the whole request, which is more specific than any part of its prompt.
+pub const WHOLE_REQUEST: usize = usize::MAX;
+
 /// Hash for which callers cannot find a second input.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(transparent)]
@@ -103,7 +106,7 @@
     pub fn suspects(&self) -> impl Iterator<Item = (Suspect, usize)> {
         let parts = self.parts.iter().enumerate();
         let parts = parts.map(|(index, part)| (Suspect::Part(*part), index));
-        parts.chain(std::iter::once((Suspect::Whole(self.whole), usize::MAX)))
+        parts.chain(std::iter::once((Suspect::Whole(self.whole), WHOLE_REQUEST)))
     }
 
     /// True if a suspect is among its traits.
--- a/tests/gateway_crash_ledger.rs
+++ b/tests/gateway_crash_ledger.rs
@@ -356,6 +356,32 @@
     assert_eq!(suspects, [Suspect::Whole(deadly.whole)]);
 }
 
+/// Guards against repeats that end all upstreams of a small service at once: they are sent
+/// by several hosts before the first crash, and by none after the last.
+#[test]
+fn repeats_that_were_sent_together_convict_a_request_by_crashes_that_follow_closely() {
+    let mut crashes = Crashes::default();
+    let deadly = traits_with_body(CALLER, &[], "deadly");
+    for ended_ms in [1_000, 1_060, 1_120] {
+        crashes.add(ended_ms, std::slice::from_ref(&deadly));
+    }
+
+    let suspects = crashes.suspects(1_120);
+
+    assert_eq!(suspects, [Suspect::Whole(deadly.whole)]);
+}
+
+#[test]
+fn repeats_at_upstreams_that_end_at_the_same_moment_convict_nothing() {
+    let mut crashes = Crashes::default();
+    let popular = traits_with_body(CALLER, &[], "popular");
+    for ended_ms in [1_000, 1_003, 1_008, 1_012] {
+        crashes.add(ended_ms, std::slice::from_ref(&popular));
+    }
+
+    assert!(crashes.judge(1_012).is_empty());
+}
+
 /// Guards against one caller that has the request of another one refused.
 #[test]
 fn same_request_of_another_caller_is_another_request() {
