Take a request sent in the millisecond of a crash as sent after it

A request that is sent to the next upstream at once, after the first has ended under it, has the same time in milliseconds as that crash. The two crashes counted as one. request_sent_in_the_millisecond_of_a_crash_counts_as_sent_after_it failed before.

--- a/src/core/crash_ledger.rs
+++ b/src/core/crash_ledger.rs
@@ -282,7 +282,7 @@
     let mut times: Vec<u64> = Vec::new();
     for exhibit in exhibits {
         let is_independent = times.last().is_none_or(|last| {
-            exhibit.ended_ms >= last + min_apart_ms || exhibit.last_sent_ms > *last
+            exhibit.ended_ms >= last + min_apart_ms || exhibit.last_sent_ms >= *last
         });
         if is_independent {
             times.push(exhibit.ended_ms);
--- a/tests/gateway_crash_ledger.rs
+++ b/tests/gateway_crash_ledger.rs
@@ -129,6 +129,16 @@
     assert_eq!(crashes.suspects(1_240), [part("deadly")]);
 }
 
+#[test]
+fn request_sent_in_the_millisecond_of_a_crash_counts_as_sent_after_it() {
+    let mut crashes = Crashes::default();
+    for ended_ms in [1_000, 1_100, 1_200] {
+        crashes.add(ended_ms, &[traits(CALLER, &["first", "deadly"])]);
+    }
+
+    assert_eq!(crashes.suspects(1_200), [part("deadly")]);
+}
+
 #[test]
 fn sound_response_clears_the_crashes_before_it() {
     let mut crashes = Crashes::default();
