Keep the crashes that count against suspects in the store

Crashes were known to the acting host and, for its successor, to the hosts that had reported them. If all hosts restart between two crashes, e.g. since they are killed together, the count began anew, and each suspect could end three upstreams once more. The acting host now writes the last crashes that count against the suspects it watches, with the sound responses that clear others, under one key; all hosts that watch the store merge them into what they know.

--- a/src/core/crash_ledger.rs
+++ b/src/core/crash_ledger.rs
@@ -32,6 +32,9 @@
 const MIN_CRASHES_OF_BROAD: usize = 5;
 /// Crashes at which the hosts are asked whether requests with a suspect were served.
 const MIN_CRASHES_TO_WATCH: usize = 2;
+/// Crashes that are kept in the store, and requests of each.
+const MAX_STORED_CRASHES: usize = 8;
+const MAX_STORED_REQUESTS: usize = 12;
 /// Largest number of suspects that hosts watch.
 const MAX_WATCHED: usize = 24;
 
@@ -59,6 +62,30 @@
     requests: BTreeMap<Fingerprint, LostRequest>,
 }
 
+/// Crash as kept in the store.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct StoredCrash {
+    #[serde(rename = "u")]
+    upstream: UpstreamId,
+    #[serde(rename = "s")]
+    started_ms: u64,
+    #[serde(rename = "e")]
+    ended_ms: u64,
+    #[serde(rename = "r")]
+    requests: Vec<LostRequest>,
+}
+
+/// Part of a ledger that lasts in the store: the crashes that count against suspects which
+/// are watched.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StoredLedger {
+    #[serde(rename = "c")]
+    crashes: Vec<StoredCrash>,
+    /// Latest begin of a sound response, by suspect.
+    #[serde(rename = "s")]
+    sound_ms: Vec<(Suspect, u64)>,
+}
+
 /// Requests with a suspect at one crash.
 #[derive(Clone, Debug, Default)]
 struct Exhibit {
@@ -188,6 +215,52 @@
         quarantined.chain(others).take(MAX_WATCHED).collect()
     }
 
+    /// What is to last in the store.
+    pub fn to_stored(&self, quarantine: &Quarantine) -> StoredLedger {
+        let watched = self.watched(quarantine);
+        let is_watched = |r: &&LostRequest| watched.iter().any(|s| r.traits.has(*s));
+        let mut crashes: Vec<StoredCrash> = Vec::new();
+        for crash in self.crashes.iter().rev().take(MAX_STORED_CRASHES) {
+            let requests = crash.requests.values().filter(is_watched);
+            let requests: Vec<_> = requests.take(MAX_STORED_REQUESTS).cloned().collect();
+            if !requests.is_empty() {
+                crashes.push(StoredCrash {
+                    upstream: crash.upstream.clone(),
+                    started_ms: crash.started_ms,
+                    ended_ms: crash.ended_ms,
+                    requests,
+                });
+            }
+        }
+        crashes.reverse();
+        let named: BTreeSet<Suspect> = {
+            let requests = crashes.iter().flat_map(|c| &c.requests);
+            let suspects = requests.flat_map(|r| r.traits.suspects());
+            suspects.map(|(suspect, _)| suspect).collect()
+        };
+        let sound_ms = named
+            .into_iter()
+            .filter_map(|suspect| Some((suspect, *self.sound_ms.get(&suspect)?)));
+        let sound_ms = sound_ms.collect();
+        StoredLedger { crashes, sound_ms }
+    }
+
+    /// Adds what the store holds.
+    pub fn restore(&mut self, now_ms: u64, stored: StoredLedger) {
+        for crash in stored.crashes {
+            let StoredCrash {
+                upstream,
+                started_ms,
+                ended_ms,
+                requests,
+            } = crash;
+            self.record(now_ms, &upstream, started_ms, ended_ms, requests);
+        }
+        for (suspect, began_ms) in stored.sound_ms {
+            self.record_sound(suspect, began_ms);
+        }
+    }
+
     /// Time at which the youngest crash has settled, if that is still to come.
     pub fn settles_ms(&self, now_ms: u64) -> Option<u64> {
         let recorded_ms = self.crashes.iter().map(|c| c.recorded_ms).max()?;
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -22,7 +22,7 @@
 use super::platform::Platform;
 use super::quarantine::{SentWatch, TrialDesk};
 use super::state::Gateway;
-use crate::core::crash_ledger::{CrashLedger, LostRequest};
+use crate::core::crash_ledger::{CrashLedger, LostRequest, StoredLedger};
 use crate::core::ids::UpstreamId;
 use crate::core::load::SentRequest;
 use crate::core::quarantine::{Quarantine, Version};
@@ -76,6 +76,8 @@
     watched_ms: Cell<u64>,
     /// Crashes of the fleet, at the acting host.
     pub(super) ledger: RefCell<CrashLedger>,
+    /// What this host has last written of it to the store.
+    pub(super) stored_ledger: RefCell<StoredLedger>,
     /// Requests that are not sent.
     pub(super) quarantine: RefCell<Quarantine>,
     /// What the store holds of it.
@@ -241,6 +243,14 @@
         self.crashes.wake.notify_one();
     }
 
+    /// Adds the crashes that the store holds, which another acting host has written.
+    pub fn restore_crashes(&self, stored: StoredLedger) {
+        let mut ledger = self.crashes.ledger.borrow_mut();
+        ledger.restore(self.now_ms(), stored);
+        drop(ledger);
+        self.crashes.wake.notify_one();
+    }
+
     /// Records that a request was served soundly, by a response that began at `began_ms`.
     pub fn record_sound(&self, traits: &RequestTraits, began_ms: u64) {
         let mut sound = self.crashes.sound.borrow_mut();
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -18,7 +18,7 @@
 use super::place::Rejection;
 use super::platform::{FleetStore, Platform};
 use super::state::Gateway;
-use super::store_facts::QUARANTINE_KEY;
+use super::store_facts::{CRASHES_KEY, QUARANTINE_KEY};
 use crate::core::ids::HostId;
 use crate::core::quarantine::Quarantine;
 use crate::core::request_traits::Suspect;
@@ -318,6 +318,27 @@
     }
 }
 
+impl<P: Platform> Gateway<P> {
+    /// Writes the crashes that count against suspects to the store if they have changed.
+    async fn store_crashes(&self) -> Result<(), KvError> {
+        let ledger = {
+            let ledger = self.crashes.ledger.borrow();
+            ledger.to_stored(&self.crashes.quarantine.borrow())
+        };
+        if ledger == *self.crashes.stored_ledger.borrow() {
+            return Ok(());
+        }
+        let Ok(value) = serde_json::to_vec(&ledger) else {
+            tracing::error!(event = "bug", "cannot encode the crashes");
+            return Ok(());
+        };
+        let key = format!("{}{CRASHES_KEY}", P::GATEWAY_PREFIX);
+        self.platform.store().put(&key, &value, 0).await?;
+        self.crashes.stored_ledger.replace(ledger);
+        Ok(())
+    }
+}
+
 /// Service that reports crashes to the acting host and judges them there.
 #[derive(Debug)]
 pub struct QuarantineService<P: Platform> {
@@ -344,12 +365,17 @@
         }
         gateway.watch_fleet();
         gateway.judge_crashes();
-        if let Err(error) = gateway.store_quarantine().await {
-            tracing::warn!(
-                event = "quarantine",
-                error = error.as_str(),
-                "cannot write it to the store"
-            );
+        for stored in [
+            gateway.store_quarantine().await,
+            gateway.store_crashes().await,
+        ] {
+            if let Err(error) = stored {
+                tracing::warn!(
+                    event = "quarantine",
+                    error = error.as_str(),
+                    "cannot write it to the store"
+                );
+            }
         }
         let now_ms = gateway.now_ms();
         let settles_ms = gateway.crashes.ledger.borrow().settles_ms(now_ms);
--- a/src/gateway/store_facts.rs
+++ b/src/gateway/store_facts.rs
@@ -10,6 +10,7 @@
 use super::platform::Platform;
 use super::state::{ActingHost, Gateway};
 use crate::core::catalog::Catalog;
+use crate::core::crash_ledger::StoredLedger;
 use crate::core::ids::{HostId, UpstreamId};
 use crate::core::peer_list::Peer;
 use crate::core::quarantine::Quarantine;
@@ -24,6 +25,9 @@
 /// Key of the quarantine, after the prefix of the gateway's keys.
 pub const QUARANTINE_KEY: &str = "quarantine";
 
+/// Key of the crashes that count against suspects, after the prefix of the gateway's keys.
+pub const CRASHES_KEY: &str = "crashes";
+
 /// Host as stored under its own key and under the acting host's key.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HostRecord {
@@ -57,6 +61,8 @@
     NoActing,
     /// Requests that are not sent.
     Quarantine(Quarantine),
+    /// Crashes that count against suspects.
+    Crashes(StoredLedger),
 }
 
 /// Fact with the revision of its key.
@@ -90,6 +96,9 @@
         if suffix == QUARANTINE_KEY {
             return decode(kv).map(StoreFact::Quarantine);
         }
+        if suffix == CRASHES_KEY {
+            return decode(kv).map(StoreFact::Crashes);
+        }
         let record = decode(kv)?;
         if suffix == ACTING_KEY {
             Some(StoreFact::Acting(record))
@@ -158,6 +167,7 @@
                     stored_quarantine = (quarantine.version, kv.mod_revision);
                     self.apply_quarantine(quarantine, "store");
                 }
+                Some(StoreFact::Crashes(stored)) => self.restore_crashes(stored),
                 Some(StoreFact::NoUpstream(_) | StoreFact::NoHost(_) | StoreFact::NoActing)
                 | None => {}
             }
@@ -211,6 +221,7 @@
                 self.set_acting_host(Some(acting_host(record, term)));
             }
             StoreFact::NoActing => self.set_acting_host(None),
+            StoreFact::Crashes(stored) => self.restore_crashes(stored),
             StoreFact::Quarantine(quarantine) => {
                 self.crashes.stored.set((quarantine.version, revision));
                 self.apply_quarantine(quarantine, "store");
--- a/src/gateway/store_relay.rs
+++ b/src/gateway/store_relay.rs
@@ -68,6 +68,9 @@
     /// The quarantine has changed; it is read from the store.
     #[serde(rename = "q")]
     Quarantine,
+    /// The crashes have changed; only hosts that watch the store need them.
+    #[serde(rename = "x")]
+    Crashes,
 }
 
 /// Consecutive changes of the store.
@@ -111,6 +114,7 @@
             StoreFact::Acting(record) => Self::Acting(record.clone()),
             StoreFact::NoActing => Self::NoActing,
             StoreFact::Quarantine(_) => Self::Quarantine,
+            StoreFact::Crashes(_) => Self::Crashes,
         }
     }
 }
@@ -251,7 +255,7 @@
             RelayedFact::NoHost(host) => StoreFact::NoHost(host),
             RelayedFact::Acting(record) => StoreFact::Acting(record),
             RelayedFact::NoActing => StoreFact::NoActing,
-            RelayedFact::Catalog | RelayedFact::Quarantine => return,
+            RelayedFact::Catalog | RelayedFact::Quarantine | RelayedFact::Crashes => return,
         };
         self.apply_fact(RevisedFact { revision, fact }, era, lapse_until_ms);
     }
--- a/tests/gateway_crash_ledger.rs
+++ b/tests/gateway_crash_ledger.rs
@@ -336,6 +336,45 @@
     assert_eq!(sound.get(most_recent), Some(19_999));
 }
 
+/// Guards against crashes that are forgotten, and against parts that are refused because
+/// only their sound responses are.
+#[test]
+fn stored_crashes_convict_the_same_suspects_after_a_restart() {
+    let mut before = Crashes::default();
+    for ended_ms in [1_000, 1_500] {
+        let popular = traits(CALLER, &["first", "popular"]);
+        before.add(ended_ms, &[traits(CALLER, &["first", "deadly"]), popular]);
+    }
+    before.ledger.record_sound(part("popular"), 1_800);
+
+    let stored = before.ledger.to_stored(&before.quarantine);
+    let mut after = Crashes {
+        number: 100,
+        ..Crashes::default()
+    };
+    after.ledger.restore(3_000, stored);
+    let popular = traits(CALLER, &["first", "popular"]);
+    after.add(4_000, &[traits(CALLER, &["first", "deadly"]), popular]);
+
+    assert_eq!(after.suspects(4_000), [part("deadly")]);
+}
+
+#[test]
+fn what_is_stored_of_crashes_is_bounded() {
+    let mut crashes = Crashes::default();
+    for number in 0..200 {
+        crashes.add(
+            1_000 + number * 400,
+            &vec![traits(CALLER, &["first", "deadly"]); 300],
+        );
+    }
+
+    let stored = crashes.ledger.to_stored(&crashes.quarantine);
+
+    let bytes = serde_json::to_vec(&stored).expect("JSON").len();
+    assert!(bytes < 32 * 1024, "{bytes} bytes");
+}
+
 #[test]
 fn quarantine_is_the_same_after_it_was_stored() {
     let mut quarantine = Quarantine::default();
