Send reports on crashes again for as long as a partition lasts

A report was sent three times within 0.3 s. A host that is cut off from the acting host at that time never told it of the crash: the count of a suspect lacked it in the whole fleet. Reports are sent four times more, over half a minute.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -38,8 +38,9 @@
 const MAX_LOGGED: usize = 8;
 /// Recent reports of this host.
 const MAX_REPORTS: usize = 32;
-/// Times that a report is sent to the same acting host.
-const SENDS_PER_REPORT: u32 = 3;
+/// Times after which a report is sent again to the same acting host; the last ones are for
+/// partitions.
+const RESEND_DELAYS_MS: [u64; 6] = [150, 150, 1_000, 3_000, 8_000, 20_000];
 /// Time after which the acting host has to renew what it watches, in milliseconds.
 const WATCH_MS: u64 = 10_000;
 
@@ -60,7 +61,28 @@
     started_ms: u64,
     ended_ms: u64,
     requests: Vec<LostRequest>,
-    sends_left: u32,
+    sends: usize,
+    /// Time of the next sending; none if it was sent often enough.
+    next_send_ms: Option<u64>,
+}
+
+impl Report {
+    /// Prepares the sending to another acting host.
+    fn restart(&mut self) {
+        self.sends = 0;
+        self.next_send_ms = Some(0);
+    }
+
+    /// True if it is to be sent now, which is counted.
+    fn take_due(&mut self, now_ms: u64) -> bool {
+        let is_due = self.next_send_ms.is_some_and(|at| now_ms >= at);
+        if is_due {
+            let delay_ms = RESEND_DELAYS_MS.get(self.sends);
+            self.next_send_ms = delay_ms.map(|delay| now_ms + delay);
+            self.sends += 1;
+        }
+        is_due
+    }
 }
 
 /// What this host knows of upstreams that end and of the requests that cause it.
@@ -182,31 +204,30 @@
             started_ms,
             ended_ms,
             requests: suspects,
-            sends_left: SENDS_PER_REPORT,
+            sends: 0,
+            next_send_ms: Some(0),
         });
         drop(reports);
         self.crashes.wake.notify_one();
     }
 
-    /// Sends the reports that the acting host may lack; true if some are to be sent again.
-    pub(super) fn send_crash_reports(&self) -> bool {
-        let Some(acting) = self.acting_host.borrow().clone() else {
-            return false;
-        };
+    /// Sends the reports that the acting host may lack; returns the time until some are to
+    /// be sent again.
+    pub(super) fn send_crash_reports(&self) -> Option<Duration> {
+        let acting = self.acting_host.borrow().clone()?;
         let is_new_term = self.crashes.reported_term.replace(acting.term) != acting.term;
+        let now_ms = self.now_ms();
         let mut due = Vec::new();
-        let mut is_pending = false;
+        let mut next_ms: Option<u64> = None;
         for report in self.crashes.reports.borrow_mut().iter_mut() {
             if is_new_term {
-                report.sends_left = SENDS_PER_REPORT;
+                report.restart();
             }
-            if report.sends_left > 0 {
-                report.sends_left -= 1;
-                is_pending |= report.sends_left > 0;
+            if report.take_due(now_ms) {
                 due.push(report.clone());
             }
+            next_ms = report.next_send_ms.into_iter().chain(next_ms).min();
         }
-        let now_ms = self.now_ms();
         for report in due {
             let age_ms = now_ms.saturating_sub(report.ended_ms);
             for index in 0..report.requests.len().div_ceil(MAX_ITEMS_PER_DATAGRAM) {
@@ -224,7 +245,7 @@
                 self.send_peer(acting.addr, &message);
             }
         }
-        is_pending
+        next_ms.map(|at| Duration::from_millis(at.saturating_sub(now_ms)))
     }
 
     /// Records a host's report that an upstream has ended.
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -31,8 +31,6 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(50);
 /// Time between two rounds without news.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
-/// Time until a round that has something left to do is followed by another.
-const BUSY_INTERVAL: Duration = Duration::from_millis(150);
 /// Shortest time between two rounds, over which news is collected.
 const MIN_INTERVAL: Duration = Duration::from_millis(20);
 /// Time after which hosts are asked again to watch the same suspects, in milliseconds.
@@ -354,12 +352,8 @@
     /// Does what is due; returns the time until the next round.
     async fn take_round(&self) -> Duration {
         let gateway = &self.gateway;
-        let is_pending = gateway.send_crash_reports();
-        let pause = if is_pending {
-            BUSY_INTERVAL
-        } else {
-            IDLE_INTERVAL
-        };
+        let until_resend = gateway.send_crash_reports();
+        let pause = until_resend.map_or(IDLE_INTERVAL, |until| until.min(IDLE_INTERVAL));
         if !gateway.is_acting_host() {
             return pause;
         }
