Send nothing to an upstream whose lapse has ended, removed or not

Lapsed entries were dropped with the next plan, up to 0.2 s after their grace period. Selection, forecast and the check before each send now ask whether the entry still takes requests at that moment.

--- a/src/core/balance.rs
+++ b/src/core/balance.rs
@@ -156,7 +156,7 @@
     let mut best_failing: Option<(f64, &Entry)> = None;
     let mut reason = NoUpstream::NoneListed;
     for entry in registry.of_service(&requirements.service) {
-        if entry.is_draining {
+        if !registry.takes_requests(entry, now_ms) {
             continue;
         }
         let scored = predict_cost(
@@ -337,7 +337,7 @@
     for entry in registry.of_service(&requirements.service) {
         let weights = requirements.weights.as_ref();
         let has_weights = weights.is_none_or(|w| entry.has_ready(&w.model, w.adapter.as_ref()));
-        if entry.is_draining || !has_weights || !filter.allows(&entry.id) {
+        if !registry.takes_requests(entry, now_ms) || !has_weights || !filter.allows(&entry.id) {
             continue;
         }
         let load = loads.get(entry.id.as_str()).unwrap_or(&unknown_load);
--- a/src/core/registry.rs
+++ b/src/core/registry.rs
@@ -143,6 +143,13 @@
         self.entries.get(id)
     }
 
+    /// True if an entry takes requests: it is listed and not about to leave, and has not
+    /// lapsed for longer than its grace period, whether it has been removed yet or not.
+    pub fn takes_requests(&self, entry: &Entry, now_ms: u64) -> bool {
+        let until_ms = self.lapsed_until_ms.get(&entry.id);
+        !entry.is_draining && until_ms.is_none_or(|at| now_ms < *at)
+    }
+
     /// All entries, by name.
     pub fn entries(&self) -> impl Iterator<Item = &Entry> {
         self.entries.values()
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -204,7 +204,7 @@
         let is_accepting_requests = || {
             let registry = self.registry.borrow();
             let entry = registry.get(upstream.as_str());
-            let is_in_service = entry.is_some_and(|e| !e.is_draining);
+            let is_in_service = entry.is_some_and(|e| registry.takes_requests(e, self.now_ms()));
             is_in_service && !self.is_closed(upstream)
         };
         let sent_ms = self.now_ms();
--- a/tests/gateway_load.rs
+++ b/tests/gateway_load.rs
@@ -627,3 +627,18 @@
         "short prompts use both"
     );
 }
+
+/// Guards against requests to an upstream that has left: its lapsed entry was used until
+/// the next plan removed it, later than requests may be sent there.
+#[test]
+fn upstream_that_has_lapsed_for_longer_than_its_grace_period_takes_no_request() {
+    let mut fleet = fleet(vec![engine("e1", &[])]);
+    fleet.registry.remove("e1", Some(2_750), 1_000);
+    let (requirements, filter) = (requirements(100, None), UpstreamFilter::default());
+
+    let in_period = fleet.select(2_749, &requirements, &filter);
+    let after = fleet.select(2_750, &requirements, &filter);
+
+    assert_eq!(in_period, Ok("e1".to_owned()));
+    assert_eq!(after, Err(NoUpstream::NoneListed));
+}
