Judge crashes only when something that counts has changed

The acting host judged all recorded crashes in every round, at least once a second for as long as they are kept, and after every report and sound response. The ledger counts its changes now; rounds without one only renew what is due.

revision_changes_only_with_what_counts_against_suspects holds the count.

--- a/src/core/crash_ledger.rs
+++ b/src/core/crash_ledger.rs
@@ -107,9 +107,17 @@
     crashes: VecDeque<Crash>,
     /// Latest begin of a sound response, by suspect.
     sound_ms: HashMap<Suspect, u64>,
+    /// Rises with every change of what counts against suspects.
+    revision: u64,
 }
 
 impl CrashLedger {
+    /// Number that rises with every change of what counts against suspects, so that an
+    /// unchanged ledger need not be judged again.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Records a host's report that an upstream has ended.
     pub fn record(
         &mut self,
@@ -145,17 +153,24 @@
             if crash.requests.len() >= MAX_REQUESTS {
                 break;
             }
-            crash.requests.insert(request.id, request);
+            let is_new = crash.requests.insert(request.id, request).is_none();
+            self.revision += u64::from(is_new);
         }
     }
 
     /// Records that a request with a suspect was served soundly.
     pub fn record_sound(&mut self, suspect: Suspect, began_ms: u64) {
-        let has_suspect = |c: &Crash| c.requests.values().any(|r| r.traits.has(suspect));
-        if self.crashes.iter().any(has_suspect) {
-            let latest_ms = self.sound_ms.entry(suspect).or_default();
-            *latest_ms = began_ms.max(*latest_ms);
+        let has_suspect = |c: &&Crash| c.requests.values().any(|r| r.traits.has(suspect));
+        let mut crashes = self.crashes.iter().filter(has_suspect).peekable();
+        if crashes.peek().is_none() {
+            return;
+        }
+        let latest_ms = self.sound_ms.entry(suspect).or_default();
+        let cleared_ms = (*latest_ms + 1)..=began_ms;
+        if crashes.any(|c| cleared_ms.contains(&c.ended_ms)) {
+            self.revision += 1;
         }
+        *latest_ms = began_ms.max(*latest_ms);
     }
 
     /// Drops the records of suspects that no crash names any more.
@@ -337,6 +352,7 @@
         Self {
             crashes: settled.cloned().collect(),
             sound_ms: self.sound_ms.clone(),
+            revision: self.revision,
         }
     }
 }
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -20,7 +20,7 @@
 use super::state::Gateway;
 use super::store_facts::{CRASHES_KEY, QUARANTINE_KEY};
 use crate::core::ids::HostId;
-use crate::core::quarantine::Quarantine;
+use crate::core::quarantine::{Quarantine, Version};
 use crate::core::request_traits::Suspect;
 use crate::edge::kv::{Cas, CasAllOutcome, KvError};
 use crate::kernel::Service;
@@ -254,22 +254,31 @@
         self.metrics.quarantined.set(entries.cast_signed() as i64);
     }
 
-    /// Asks all hosts to report sound responses of suspects.
-    fn watch_fleet(&self) {
+    /// Selects the suspects for which all hosts are to report sound responses.
+    fn select_watched(&self) {
         let suspects = {
             let mut ledger = self.crashes.ledger.borrow_mut();
             ledger.prune();
             ledger.watched(&self.crashes.quarantine.borrow())
         };
-        let now_ms = self.now_ms();
         let mut sent = self.crashes.sent_watch.borrow_mut();
-        let is_known = sent.suspects == suspects && now_ms < sent.at_ms + WATCH_INTERVAL_MS;
-        if suspects.is_empty() || is_known {
-            return;
+        if sent.suspects != suspects {
+            sent.suspects = suspects;
+            sent.at_ms = 0;
         }
-        sent.suspects.clone_from(&suspects);
-        sent.at_ms = now_ms;
-        drop(sent);
+    }
+
+    /// Sends the suspects that hosts are to watch, if they have changed or it is time.
+    fn send_watch(&self) {
+        let now_ms = self.now_ms();
+        let suspects = {
+            let mut sent = self.crashes.sent_watch.borrow_mut();
+            if sent.suspects.is_empty() || now_ms < sent.at_ms + WATCH_INTERVAL_MS {
+                return;
+            }
+            sent.at_ms = now_ms;
+            sent.suspects.clone()
+        };
         self.watch_suspects(&suspects);
         let term = self.term();
         let addrs = self.other_hosts(|_| true);
@@ -341,12 +350,33 @@
 #[derive(Debug)]
 pub struct QuarantineService<P: Platform> {
     gateway: Rc<Gateway<P>>,
+    judged: Cell<Option<JudgedState>>,
+}
+
+/// What the last judgement depended on; it is the same as long as this is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct JudgedState {
+    term: u64,
+    revision: u64,
+    version: Version,
+    is_settling: bool,
 }
 
 impl<P: Platform> QuarantineService<P> {
     /// Creates the service on the shared state.
     pub fn new(gateway: Rc<Gateway<P>>) -> Self {
-        Self { gateway }
+        Self {
+            gateway,
+            judged: Cell::new(None),
+        }
+    }
+
+    fn log_store_error(error: KvError) {
+        tracing::warn!(
+            event = "quarantine",
+            error = error.as_str(),
+            "cannot write to the store"
+        );
     }
 
     /// Does what is due; returns the time until the next round.
@@ -357,22 +387,27 @@
         if !gateway.is_acting_host() {
             return pause;
         }
-        gateway.watch_fleet();
-        gateway.judge_crashes();
-        for stored in [
-            gateway.store_quarantine().await,
-            gateway.store_crashes().await,
-        ] {
-            if let Err(error) = stored {
-                tracing::warn!(
-                    event = "quarantine",
-                    error = error.as_str(),
-                    "cannot write it to the store"
-                );
-            }
-        }
         let now_ms = gateway.now_ms();
         let settles_ms = gateway.crashes.ledger.borrow().settles_ms(now_ms);
+        let state = JudgedState {
+            term: gateway.term(),
+            revision: gateway.crashes.ledger.borrow().revision(),
+            version: gateway.crashes.quarantine.borrow().version,
+            is_settling: settles_ms.is_some(),
+        };
+        if self.judged.get() != Some(state) {
+            gateway.select_watched();
+            gateway.judge_crashes();
+            self.judged.set(Some(state));
+            if let Err(error) = gateway.store_crashes().await {
+                self.judged.set(None);
+                Self::log_store_error(error);
+            }
+        }
+        gateway.send_watch();
+        if let Err(error) = gateway.store_quarantine().await {
+            Self::log_store_error(error);
+        }
         let until_settled = settles_ms.map(|at| Duration::from_millis(at - now_ms));
         until_settled.map_or(pause, |until| until.min(pause))
     }
--- a/tests/gateway_crash_ledger.rs
+++ b/tests/gateway_crash_ledger.rs
@@ -336,6 +336,26 @@
     assert_eq!(sound.get(most_recent), Some(19_999));
 }
 
+/// Guards against an acting host that judges the same crashes over and over: sound
+/// responses arrive all the time.
+#[test]
+fn revision_changes_only_with_what_counts_against_suspects() {
+    let mut crashes = Crashes::default();
+    crashes.add(1_000, &[traits(CALLER, &["first", "popular"])]);
+    let recorded = crashes.ledger.revision();
+
+    crashes.ledger.record_sound(part("popular"), 900);
+    crashes.ledger.record_sound(part("unknown"), 1_100);
+    let not_cleared = crashes.ledger.revision();
+    crashes.ledger.record_sound(part("popular"), 1_000);
+    let cleared = crashes.ledger.revision();
+    crashes.ledger.record_sound(part("popular"), 5_000);
+
+    assert_eq!(not_cleared, recorded);
+    assert!(cleared > recorded);
+    assert_eq!(crashes.ledger.revision(), cleared);
+}
+
 /// Guards against crashes that are forgotten, and against parts that are refused because
 /// only their sound responses are.
 #[test]
