End the judgement although more suspects are convicted than the list holds

A full list dropped its oldest entry for each new one. With more than 32 suspects convicted by the same crashes, the acting host would have added and dropped entries for ever, and served nothing meanwhile. An entry gives way only to one with a later crash now. Found by reading; judgement_ends_with_more_suspects_than_the_list_holds was not run on the code before. Candidates of the judgement have a type with named fields.

--- a/src/core/crash_ledger.rs
+++ b/src/core/crash_ledger.rs
@@ -100,6 +100,14 @@
 /// Crashes that count against a suspect, by their index, oldest first.
 type Evidence = BTreeMap<usize, Exhibit>;
 
+/// Suspect against which enough crashes count.
+struct Candidate<'a> {
+    suspect: Suspect,
+    evidence: &'a Evidence,
+    /// Times of the independent crashes.
+    crashes_ms: Vec<u64>,
+}
+
 /// Crashes of the whole fleet and what has been served soundly since.
 #[derive(Clone, Debug, Default)]
 pub struct CrashLedger {
@@ -290,30 +298,36 @@
         }
         let settled = self.settled(now_ms);
         let evidence = settled.evidence(quarantine);
-        let mut candidates: Vec<(Suspect, &Evidence, Vec<u64>)> = Vec::new();
-        for (suspect, crashes) in &evidence {
-            let crashes_ms = independent_crashes(crashes);
-            let scope = common_caller(crashes);
+        let mut candidates: Vec<Candidate<'_>> = Vec::new();
+        for (suspect, evidence) in &evidence {
+            let crashes_ms = independent_crashes(evidence);
+            let scope = common_caller(evidence);
             let is_known = quarantine
                 .get(*suspect)
                 .is_some_and(|e| e.caller.is_none() || e.caller == scope);
-            if !is_known && crashes_ms.len() >= min_crashes(crashes) {
-                candidates.push((*suspect, crashes, crashes_ms));
+            if !is_known && crashes_ms.len() >= min_crashes(evidence) {
+                candidates.push(Candidate {
+                    suspect: *suspect,
+                    evidence,
+                    crashes_ms,
+                });
             }
         }
-        let is_explained = |(suspect, crashes, _): &&(Suspect, &Evidence, Vec<u64>)| {
-            let mut others = candidates.iter().filter(|(other, ..)| other != suspect);
-            others.any(|(_, other, _)| is_narrower(other, crashes))
+        let is_explained = |candidate: &Candidate<'_>| {
+            let mut others = candidates.iter().filter(|c| c.suspect != candidate.suspect);
+            others.any(|other| is_narrower(other.evidence, candidate.evidence))
         };
         let unexplained: Vec<_> = candidates.iter().filter(|c| !is_explained(c)).collect();
         // Those with fewer crashes are judged again once these are quarantined.
-        let most = unexplained.iter().map(|(.., ms)| ms.len()).max();
-        let verdicts = unexplained.iter().filter(|(.., ms)| Some(ms.len()) == most);
+        let most = unexplained.iter().map(|c| c.crashes_ms.len()).max();
+        let verdicts = unexplained
+            .iter()
+            .filter(|c| Some(c.crashes_ms.len()) == most);
         let mut verdicts: Vec<Verdict> = verdicts
-            .map(|(suspect, crashes, crashes_ms)| Verdict {
-                suspect: *suspect,
-                caller: common_caller(crashes),
-                crashes_ms: crashes_ms.clone(),
+            .map(|candidate| Verdict {
+                suspect: candidate.suspect,
+                caller: common_caller(candidate.evidence),
+                crashes_ms: candidate.crashes_ms.clone(),
                 has_rivals: false,
             })
             .collect();
--- a/src/core/quarantine.rs
+++ b/src/core/quarantine.rs
@@ -13,7 +13,7 @@
 
 use super::request_traits::{Fingerprint, RequestTraits, Suspect};
 
-/// Largest number of entries; the one whose last crash is oldest is dropped.
+/// Largest number of entries; one whose last crash is older gives way to a new one.
 const MAX_ENTRIES: usize = 32;
 /// Crashes of which an entry keeps the time.
 const MAX_CRASH_TIMES: usize = 8;
@@ -156,9 +156,9 @@
         };
     }
 
-    /// Adds an entry, or widens the one of the same suspect.
-    pub fn convict(&mut self, now_ms: u64, term: u64, verdict: Verdict) {
-        self.next_version(term);
+    /// Adds an entry, or widens the one of the same suspect; false if the list is full of
+    /// entries with later crashes.
+    pub fn convict(&mut self, now_ms: u64, term: u64, verdict: Verdict) -> bool {
         let mut entries = self.entries.iter_mut();
         if let Some(entry) = entries.find(|e| e.suspect == verdict.suspect) {
             if entry.caller != verdict.caller {
@@ -166,14 +166,21 @@
             }
             entry.crashes_ms = verdict.crashes_ms;
             entry.trim_crashes();
-            return;
+            self.next_version(term);
+            return true;
         }
         if self.entries.len() >= MAX_ENTRIES {
-            let last_crash = |e: &Entry| e.crashes_ms.last().copied();
-            let oldest = (0..self.entries.len()).min_by_key(|i| last_crash(&self.entries[*i]));
-            oldest.map(|i| self.entries.swap_remove(i));
+            let last_crash = |index: &usize| self.entries[*index].crashes_ms.last().copied();
+            let oldest = (0..self.entries.len()).min_by_key(last_crash);
+            let older = oldest.filter(|i| last_crash(i) < verdict.crashes_ms.last().copied());
+            let Some(older) = older else {
+                return false;
+            };
+            self.entries.swap_remove(older);
         }
         self.entries.push(Entry::new(now_ms, verdict));
+        self.next_version(term);
+        true
     }
 
     /// Applies that a request with a suspect, whose response began at `began_ms`, was served
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -20,7 +20,7 @@
 use super::state::Gateway;
 use super::store_facts::{CRASHES_KEY, QUARANTINE_KEY};
 use crate::core::ids::HostId;
-use crate::core::quarantine::{Quarantine, Version};
+use crate::core::quarantine::{Quarantine, Verdict, Version};
 use crate::core::request_traits::Suspect;
 use crate::edge::kv::{Cas, CasAllOutcome, KvError};
 use crate::kernel::Service;
@@ -186,27 +186,20 @@
         let now_ms = self.now_ms();
         let term = self.term();
         let mut is_changed = false;
-        // Each round adds or widens an entry, so that this ends.
+        // Ends, since an entry gives way only to one with a later crash.
         loop {
             let verdicts = {
                 let ledger = self.crashes.ledger.borrow();
                 ledger.judge(now_ms, &self.crashes.quarantine.borrow())
             };
-            if verdicts.is_empty() {
-                break;
-            }
+            let mut is_new = false;
             for verdict in verdicts {
-                tracing::warn!(
-                    event = "quarantine",
-                    change = "added",
-                    suspect = %verdict.suspect,
-                    caller = verdict.caller.map_or_else(String::new, |c| c.to_string()),
-                    crashes = verdict.crashes_ms.len(),
-                );
-                let mut quarantine = self.crashes.quarantine.borrow_mut();
-                quarantine.convict(now_ms, term, verdict);
-                is_changed = true;
+                is_new |= self.convict(now_ms, term, verdict);
             }
+            if !is_new {
+                break;
+            }
+            is_changed = true;
         }
         let acquitted = {
             let ledger = self.crashes.ledger.borrow();
@@ -223,6 +216,25 @@
         }
     }
 
+    fn convict(&self, now_ms: u64, term: u64, verdict: Verdict) -> bool {
+        let Verdict {
+            suspect, caller, ..
+        } = verdict;
+        let crashes = verdict.crashes_ms.len();
+        let mut quarantine = self.crashes.quarantine.borrow_mut();
+        let is_new = quarantine.convict(now_ms, term, verdict);
+        if is_new {
+            tracing::warn!(
+                event = "quarantine",
+                change = "added",
+                suspect = %suspect,
+                caller = caller.map_or_else(String::new, |c| c.to_string()),
+                crashes,
+            );
+        }
+        is_new
+    }
+
     fn publish_quarantine(&self) {
         let quarantine = self.crashes.quarantine.borrow().clone();
         let entries = quarantine.entries.len().cast_signed() as i64;
--- a/tests/gateway_crash_ledger.rs
+++ b/tests/gateway_crash_ledger.rs
@@ -395,6 +395,35 @@
     assert!(bytes < 32 * 1024, "{bytes} bytes");
 }
 
+/// Guards against an acting host that adds and drops entries for ever, since more suspects
+/// are convicted than the list holds.
+#[test]
+fn judgement_ends_with_more_suspects_than_the_list_holds() {
+    let mut crashes = Crashes::default();
+    let parts: Vec<String> = (0..40).map(|n| format!("p{n}")).collect();
+    for ended_ms in [1_000, 1_500, 2_000] {
+        let requests = parts.iter().map(|id| traits(CALLER, &["first", id]));
+        crashes.add(ended_ms, &requests.collect::<Vec<_>>());
+    }
+
+    let mut added = 0;
+    loop {
+        let verdicts = crashes.judge(2_000);
+        let new = verdicts.into_iter().filter(|v| {
+            let quarantine = &mut crashes.quarantine;
+            quarantine.convict(2_000, 1, v.clone())
+        });
+        let new = new.count();
+        added += new;
+        if new == 0 {
+            break;
+        }
+        assert!(added <= 1_000, "judgement does not end");
+    }
+
+    assert_eq!(crashes.quarantine.entries.len(), 32);
+}
+
 #[test]
 fn quarantine_is_the_same_after_it_was_stored() {
     let mut quarantine = Quarantine::default();
