Keep questions to other hosts in one type

Questions for room, for permits and for trials each had their own table of tickets, a channel, a timeout and the removal of what was not answered. Questions does this for all three.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -20,7 +20,8 @@
 use super::peer_messages::PeerMessage;
 use super::peers::{MAX_ITEMS_PER_DATAGRAM, datagram_chunk, report_interval};
 use super::platform::Platform;
-use super::quarantine::{SentWatch, TrialDesk};
+use super::quarantine::SentWatch;
+use super::questions::Questions;
 use super::state::Gateway;
 use crate::core::crash_ledger::{CrashLedger, LostRequest, StoredLedger};
 use crate::core::ids::UpstreamId;
@@ -104,7 +105,8 @@
     pub(super) quarantine: RefCell<Quarantine>,
     /// What the store holds of it.
     pub stored: Cell<StoredVersion>,
-    pub(super) trials: TrialDesk,
+    /// Questions whether a request in quarantine may be tried.
+    pub(super) trials: Questions<bool>,
     pub(super) sent_watch: RefCell<SentWatch>,
     pub(super) wake: Notify,
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -36,6 +36,7 @@
 pub mod placer;
 pub mod platform;
 pub mod quarantine;
+pub mod questions;
 pub mod relay;
 pub mod room;
 pub mod run;
--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -1,15 +1,13 @@
 //! Asks for a permit before anything is sent to an upstream that states how many
 //! requests a second it takes, and keeps this host's accounts (`core::rate_account`).
 
-use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tokio::sync::oneshot;
-
 use super::peer_messages::{AskPermit, PeerMessage};
 use super::platform::Platform;
+use super::questions::Questions;
 use super::state::Gateway;
 use crate::core::ids::{HostId, UpstreamId};
 use crate::core::rate_account::{AccountRate, Keeping, Permit, Purpose, RateAccounts, keepers_of};
@@ -24,8 +22,7 @@
 /// Questions of this host, and the accounts that it keeps.
 #[derive(Debug, Default)]
 pub struct PermitDesk {
-    questions: RefCell<HashMap<u64, oneshot::Sender<Permit>>>,
-    last_ticket: Cell<u64>,
+    questions: Questions<Permit>,
     accounts: RefCell<RateAccounts>,
 }
 
@@ -81,36 +78,26 @@
                 let mut accounts = self.permits.accounts.borrow_mut();
                 return Some(accounts.try_take(self.now_ms(), upstream, rate, keeping, purpose));
             }
-            let question = AskPermit {
-                host: own.clone(),
-                upstream: upstream.clone(),
-                started_ms: rate.started_ms,
-                per_mille_s: rate.per_mille_s,
-                age_ms: self.now_ms().saturating_sub(rate.stated_ms),
-                keeping,
-                purpose,
-                ticket: self.permits.last_ticket.get() + 1,
+            let send = |ticket| {
+                let question = AskPermit {
+                    host: own.clone(),
+                    upstream: upstream.clone(),
+                    started_ms: rate.started_ms,
+                    per_mille_s: rate.per_mille_s,
+                    age_ms: self.now_ms().saturating_sub(rate.stated_ms),
+                    keeping,
+                    purpose,
+                    ticket,
+                };
+                self.send_peer(addr, &PeerMessage::AskPermit(question));
             };
-            let permit = self.ask_for_permit(addr, question).await;
+            let permit = self.permits.questions.ask(ASK_TIMEOUT, send).await;
             if permit.is_some() {
                 return permit;
             }
-        }
-        None
-    }
-
-    async fn ask_for_permit(&self, addr: SocketAddr, question: AskPermit) -> Option<Permit> {
-        let (sender, answer) = oneshot::channel();
-        let ticket = question.ticket;
-        self.permits.last_ticket.set(ticket);
-        self.permits.questions.borrow_mut().insert(ticket, sender);
-        self.send_peer(addr, &PeerMessage::AskPermit(question));
-        let answer = compio::time::timeout(ASK_TIMEOUT, answer).await;
-        if answer.is_err() {
-            self.permits.questions.borrow_mut().remove(&ticket);
             self.metrics.unanswered_asks.inc();
         }
-        answer.ok()?.ok()
+        None
     }
 
     /// Answers another host by an account that this host keeps.
@@ -157,10 +144,7 @@
             None => Permit::Granted,
             Some(retry_in_ms) => Permit::Denied { retry_in_ms },
         };
-        if let Some(question) = self.permits.questions.borrow_mut().remove(&ticket) {
-            // Fails if the task that asked has ended.
-            let _ = question.send(permit);
-        }
+        self.permits.questions.answer(ticket, permit);
     }
 
     /// Applies the rate of an upstream that another host has learned of; true if it is
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -4,13 +4,11 @@
 //! The acting host judges the crashes that hosts report, tells all hosts at once and
 //! writes the list to the store, from which hosts that start or have missed it read it.
 
-use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::FutureExt;
-use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 
 use super::call::{Attempts, RoutedRequest};
@@ -38,13 +36,6 @@
 /// Largest list that is sent to all hosts at once; hosts read a longer one from the store.
 const MAX_SENT_ENTRIES: usize = 12;
 
-/// Questions of this host whether a request may be tried.
-#[derive(Debug, Default)]
-pub struct TrialDesk {
-    questions: RefCell<HashMap<u64, oneshot::Sender<bool>>>,
-    last_ticket: Cell<u64>,
-}
-
 /// Suspects that the acting host has last asked all hosts to watch.
 #[derive(Debug, Default)]
 pub struct SentWatch {
@@ -106,20 +97,16 @@
         if acting.host == host {
             return self.grant_trial(suspect);
         }
-        let (sender, answer) = oneshot::channel();
-        let ticket = self.crashes.trials.last_ticket.get() + 1;
-        self.crashes.trials.last_ticket.set(ticket);
-        let questions = &self.crashes.trials.questions;
-        questions.borrow_mut().insert(ticket, sender);
-        let question = PeerMessage::AskTrial {
-            host,
-            suspect,
-            ticket,
+        let send = |ticket| {
+            let question = PeerMessage::AskTrial {
+                host,
+                suspect,
+                ticket,
+            };
+            self.send_peer(acting.addr, &question);
         };
-        self.send_peer(acting.addr, &question);
-        let answer = compio::time::timeout(ASK_TIMEOUT, answer).await;
-        questions.borrow_mut().remove(&ticket);
-        matches!(answer, Ok(Ok(true)))
+        let answer = self.crashes.trials.ask(ASK_TIMEOUT, send).await;
+        answer == Some(true)
     }
 
     /// Answers another host that asks for a trial.
@@ -136,11 +123,7 @@
 
     /// Passes the acting host's answer to the task that asked.
     pub fn apply_trial(&self, ticket: u64, is_granted: bool) {
-        let question = self.crashes.trials.questions.borrow_mut().remove(&ticket);
-        if let Some(question) = question {
-            // Fails if the task that asked has ended.
-            let _ = question.send(is_granted);
-        }
+        self.crashes.trials.answer(ticket, is_granted);
     }
 
     fn grant_trial(&self, suspect: Suspect) -> bool {
--- a/src/gateway/room.rs
+++ b/src/gateway/room.rs
@@ -3,17 +3,16 @@
 //!
 //! Used in fleets too large for every host to know the loads of all others at once.
 
-use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tokio::sync::oneshot;
-
 use super::call::RoutedRequest;
 use super::peer_messages::PeerMessage;
 use super::peers::{MAX_ITEMS_PER_DATAGRAM, datagram_chunk};
 use super::platform::Platform;
+use super::questions::Questions;
 use super::state::Gateway;
 use crate::core::balance::has_room_for_counted;
 use crate::core::engine_room::{RoomWaiters, keeper_of};
@@ -28,8 +27,7 @@
 /// keeps.
 #[derive(Debug, Default)]
 pub struct RoomDesk {
-    questions: RefCell<HashMap<u64, oneshot::Sender<()>>>,
-    last_ticket: Cell<u64>,
+    questions: Questions<()>,
     waiters: RefCell<RoomWaiters>,
 }
 
@@ -117,21 +115,18 @@
 
     /// Asks for the load of the others; false if there is no answer in time.
     async fn ask_keeper(&self, addr: SocketAddr, upstream: &UpstreamId) -> bool {
-        let (sender, answer) = oneshot::channel();
-        let ticket = self.room.last_ticket.get() + 1;
-        self.room.last_ticket.set(ticket);
-        self.room.questions.borrow_mut().insert(ticket, sender);
-        let message = PeerMessage::AskRoom {
-            host: self.settings().host.clone(),
-            started_ms: self.clock.started_ms(),
-            upstream: upstream.clone(),
-            load: self.own_load(upstream),
-            ticket,
+        let send = |ticket| {
+            let message = PeerMessage::AskRoom {
+                host: self.settings().host.clone(),
+                started_ms: self.clock.started_ms(),
+                upstream: upstream.clone(),
+                load: self.own_load(upstream),
+                ticket,
+            };
+            self.send_peer(addr, &message);
         };
-        self.send_peer(addr, &message);
-        let is_answered = compio::time::timeout(ASK_TIMEOUT, answer).await.is_ok();
+        let is_answered = self.room.questions.ask(ASK_TIMEOUT, send).await.is_some();
         if !is_answered {
-            self.room.questions.borrow_mut().remove(&ticket);
             self.metrics.unanswered_asks.inc();
         }
         is_answered
@@ -188,10 +183,8 @@
     pub fn apply_room(&self, ticket: u64, upstream: &UpstreamId, others: InFlight) {
         let now_ms = self.now_ms();
         self.loads.borrow_mut().set_remote(now_ms, upstream, others);
-        match self.room.questions.borrow_mut().remove(&ticket) {
-            // The task that asked may have ended.
-            Some(question) => drop(question.send(())),
-            None => self.admission_queue.borrow().wake(),
+        if !self.room.questions.answer(ticket, ()) {
+            self.admission_queue.borrow().wake();
         }
     }
 
