Simplify how the quarantine is checked, judged and stored

acquire_upstream holds back what came into quarantine while it waited, so that its two callers do not each check again; a trial is a property of the request. The judgement iterates over the settled crashes instead of copying the ledger, the crashes to store use the suspects that were just selected, and a stored list is decoded and applied in one place.

--- a/src/core/crash_ledger.rs
+++ b/src/core/crash_ledger.rs
@@ -191,11 +191,15 @@
         self.sound_ms.retain(|suspect, _| is_named(suspect));
     }
 
-    /// Crashes that count against each suspect: those after its last sound response that
-    /// no other entry of the quarantine explains.
-    fn evidence(&self, quarantine: &Quarantine) -> BTreeMap<Suspect, Evidence> {
+    /// Crashes that count against each suspect, of some with their index: those after its
+    /// last sound response that no other entry of the quarantine explains.
+    fn evidence<'a>(
+        &self,
+        crashes: impl Iterator<Item = (usize, &'a Crash)>,
+        quarantine: &Quarantine,
+    ) -> BTreeMap<Suspect, Evidence> {
         let mut evidence: BTreeMap<Suspect, Evidence> = BTreeMap::new();
-        for (index, crash) in self.crashes.iter().enumerate() {
+        for (index, crash) in crashes {
             let explaining: BTreeSet<Suspect> = {
                 let requests = crash.requests.values();
                 let entries = requests.filter_map(|r| quarantine.find(&r.traits));
@@ -225,7 +229,7 @@
 
     /// Suspects for which hosts are to report sound responses.
     pub fn watched(&self, quarantine: &Quarantine) -> Vec<Suspect> {
-        let evidence = self.evidence(quarantine);
+        let evidence = self.evidence(self.crashes.iter().enumerate(), quarantine);
         let mut counts: Vec<(usize, Suspect)> = evidence
             .iter()
             .map(|(suspect, crashes)| (independent_crashes(crashes).len(), *suspect))
@@ -238,9 +242,8 @@
         quarantined.chain(others).take(MAX_WATCHED).collect()
     }
 
-    /// What is to last in the store.
-    pub fn to_stored(&self, quarantine: &Quarantine) -> StoredLedger {
-        let watched = self.watched(quarantine);
+    /// What is to last in the store, of the crashes under requests with watched suspects.
+    pub fn to_stored(&self, watched: &[Suspect]) -> StoredLedger {
         let is_watched = |r: &&LostRequest| watched.iter().any(|s| r.traits.has(*s));
         let mut crashes: Vec<StoredCrash> = Vec::new();
         for crash in self.crashes.iter().rev().take(MAX_STORED_CRASHES) {
@@ -296,8 +299,7 @@
         if self.crashes.len() < MIN_CRASHES {
             return Vec::new();
         }
-        let settled = self.settled(now_ms);
-        let evidence = settled.evidence(quarantine);
+        let evidence = self.evidence(self.settled(now_ms), quarantine);
         let mut candidates: Vec<Candidate<'_>> = Vec::new();
         for (suspect, evidence) in &evidence {
             let crashes_ms = independent_crashes(evidence);
@@ -320,28 +322,23 @@
         let unexplained: Vec<_> = candidates.iter().filter(|c| !is_explained(c)).collect();
         // Those with fewer crashes are judged again once these are quarantined.
         let most = unexplained.iter().map(|c| c.crashes_ms.len()).max();
-        let verdicts = unexplained
-            .iter()
-            .filter(|c| Some(c.crashes_ms.len()) == most);
-        let mut verdicts: Vec<Verdict> = verdicts
-            .map(|candidate| Verdict {
-                suspect: candidate.suspect,
-                caller: common_caller(candidate.evidence),
-                crashes_ms: candidate.crashes_ms.clone(),
-                has_rivals: false,
-            })
+        let strongest: Vec<_> = unexplained
+            .into_iter()
+            .filter(|c| Some(c.crashes_ms.len()) == most)
             .collect();
-        let has_rivals = verdicts.len() > 1;
-        for verdict in &mut verdicts {
-            verdict.has_rivals = has_rivals;
-        }
-        verdicts
+        let verdicts = strongest.iter().map(|candidate| Verdict {
+            suspect: candidate.suspect,
+            caller: common_caller(candidate.evidence),
+            crashes_ms: candidate.crashes_ms.clone(),
+            has_rivals: strongest.len() > 1,
+        });
+        verdicts.collect()
     }
 
     /// Suspects in quarantine whose crashes another one explains, under which upstreams
     /// have gone on to end.
     pub fn acquitted(&self, now_ms: u64, quarantine: &Quarantine) -> Vec<Suspect> {
-        let evidence = self.settled(now_ms).evidence(&Quarantine::default());
+        let evidence = self.evidence(self.settled(now_ms), &Quarantine::default());
         let entries = quarantine.entries.iter().map(|e| e.suspect);
         let known: Vec<(Suspect, &Evidence)> = entries
             .filter_map(|suspect| Some((suspect, evidence.get(&suspect)?)))
@@ -359,15 +356,10 @@
         explained.map(|(suspect, _)| *suspect).collect()
     }
 
-    /// The crashes of which all reports have arrived.
-    fn settled(&self, now_ms: u64) -> Self {
-        let crashes = self.crashes.iter();
-        let settled = crashes.filter(|c| c.recorded_ms + SETTLE_MS <= now_ms);
-        Self {
-            crashes: settled.cloned().collect(),
-            sound_ms: self.sound_ms.clone(),
-            revision: self.revision,
-        }
+    /// The crashes of which all reports have arrived, with their index.
+    fn settled(&self, now_ms: u64) -> impl Iterator<Item = (usize, &Crash)> {
+        let crashes = self.crashes.iter().enumerate();
+        crashes.filter(move |(_, c)| c.recorded_ms + SETTLE_MS <= now_ms)
     }
 }
 
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -91,6 +91,8 @@
     pub body_reservation: Rc<BodyReservation>,
     /// Version of the configuration that supplied the route.
     pub config_version: u64,
+    /// True if it is in quarantine and is sent once to try it.
+    pub is_trial: bool,
 }
 
 impl RoutedRequest {
@@ -114,8 +116,6 @@
     may_have_run: bool,
     /// Failure response of an upstream, forwarded if no retry follows.
     failure_response: Option<BufferedResponse>,
-    /// True if the request is in quarantine and is sent once to try it.
-    pub is_trial: bool,
 }
 
 /// Outcome of a request for which no attempt succeeded.
@@ -199,13 +199,14 @@
             body,
             body_reservation: Rc::new(body_reservation),
             config_version: catalog.version,
+            is_trial: false,
         })
     }
 
     /// Sends a request to upstreams until one responds or no retry is allowed.
-    pub async fn serve(self: &Rc<Self>, request: RoutedRequest) -> ServerResponse {
+    pub async fn serve(self: &Rc<Self>, mut request: RoutedRequest) -> ServerResponse {
         let mut attempts = Attempts::default();
-        if let Some(rejection) = self.check_quarantine(&request, &mut attempts).await {
+        if let Some(rejection) = self.check_quarantine(&mut request).await {
             let outcome = Self::outcome_without_upstream(&attempts, rejection);
             return self.respond_with_failure(&request, &attempts, outcome);
         }
@@ -217,12 +218,7 @@
             demand.record_request(now_ms, &request.requirements.service, weights, size);
         }
         let outcome = loop {
-            let acquired = self.acquire_upstream(&request, &attempts.filter).await;
-            // An entry may have been added while the request waited for an upstream.
-            let mut in_flight = match acquired.and_then(|in_flight| {
-                self.hold_back(&request, &attempts)
-                    .map_or(Ok(in_flight), Err)
-            }) {
+            let mut in_flight = match self.acquire_upstream(&request, &attempts.filter).await {
                 Ok(in_flight) => in_flight,
                 Err(rejection) => break Self::outcome_without_upstream(&attempts, rejection),
             };
@@ -250,9 +246,7 @@
                 }
             };
             self.log_failed_attempt(&request, &upstream, &failure);
-            if matches!(failure, AttemptFailure::Unknown) {
-                self.on_broken_off(&request, &in_flight.sent, None);
-            }
+            self.on_failed_attempt(&request, &in_flight.sent, &failure);
             in_flight.finish(failure.attempt_outcome());
             match self
                 .handle_failure(&request, &mut attempts, &upstream, failure)
@@ -282,7 +276,7 @@
     fn may_repeat(&self, request: &RoutedRequest, attempts: &Attempts) -> bool {
         let sent = attempts.sent_to.len() as u32 + 1;
         request.kind.is_repeatable()
-            && !attempts.is_trial
+            && !request.is_trial
             && sent < request.max_attempts
             && request.deadline_ms > self.now_ms()
     }
@@ -368,7 +362,7 @@
         }
         let time_left = request.time_left(self.now_ms());
         let may_resend =
-            attempts.refusals <= MAX_RESENDS && time_left > RESEND_DELAY * 2 && !attempts.is_trial;
+            attempts.refusals <= MAX_RESENDS && time_left > RESEND_DELAY * 2 && !request.is_trial;
         if !may_resend || !self.try_retry(&request.requirements.service) {
             return RetryDecision::Stop(Self::final_outcome(attempts, "refused_by_upstream"));
         }
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -17,6 +17,7 @@
 use tokio::sync::Notify;
 
 use super::call::RoutedRequest;
+use super::exchange::AttemptFailure;
 use super::peer_messages::PeerMessage;
 use super::peers::{MAX_ITEMS_PER_DATAGRAM, datagram_chunk, report_interval};
 use super::platform::Platform;
@@ -131,11 +132,25 @@
                 suspect,
                 ticket,
             } => self.answer_trial(&host, suspect, ticket),
-            PeerMessage::Trial { ticket, is_granted } => self.apply_trial(ticket, is_granted),
+            PeerMessage::Trial { ticket, is_granted } => {
+                self.crashes.trials.answer(ticket, is_granted);
+            }
             _ => {}
         }
     }
 
+    /// Records an attempt that failed before the response began.
+    pub fn on_failed_attempt(
+        self: &Rc<Self>,
+        request: &RoutedRequest,
+        sent: &SentRequest,
+        failure: &AttemptFailure,
+    ) {
+        if matches!(failure, AttemptFailure::Unknown) {
+            self.on_broken_off(request, sent, None);
+        }
+    }
+
     /// Records that the response to a request broke off; `responding_since_ms` is the time
     /// of its first event.
     pub fn on_broken_off(
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -213,7 +213,8 @@
             // The account is advice: the last choice is sent by what this host knows.
             let has_room = check == MAX_ROOM_CHECKS || self.has_room(request, upstream).await;
             if has_room && self.take_permit(upstream, Purpose::Caller).await {
-                return Ok(in_flight);
+                // The request may have been put into quarantine while it waited.
+                return self.hold_back(request).map_or(Ok(in_flight), Err);
             }
         }
         let queue_key = QueueKey::of(&request.requirements);
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -11,12 +11,12 @@
 use futures_util::FutureExt;
 use tokio_util::sync::CancellationToken;
 
-use super::call::{Attempts, RoutedRequest};
+use super::call::RoutedRequest;
 use super::peer_messages::PeerMessage;
 use super::place::Rejection;
 use super::platform::{FleetStore, Platform};
 use super::state::Gateway;
-use super::store_facts::{CRASHES_KEY, QUARANTINE_KEY};
+use super::store_facts::{CRASHES_KEY, QUARANTINE_KEY, decode};
 use crate::core::ids::HostId;
 use crate::core::quarantine::{Quarantine, Verdict, Version};
 use crate::core::request_traits::Suspect;
@@ -45,10 +45,10 @@
 
 impl<P: Platform> Gateway<P> {
     /// Rejection of a request in quarantine, unless it is the one that is tried.
-    pub fn hold_back(&self, request: &RoutedRequest, attempts: &Attempts) -> Option<Rejection> {
+    pub fn hold_back(&self, request: &RoutedRequest) -> Option<Rejection> {
         let quarantine = self.crashes.quarantine.borrow();
         let entry = quarantine.find(&request.traits);
-        let entry = entry.filter(|_| !attempts.is_trial)?;
+        let entry = entry.filter(|_| !request.is_trial)?;
         let retry_after_ms = entry.retry_after_ms(self.now_ms());
         tracing::info!(
             event = "turned_away",
@@ -65,11 +65,7 @@
 
     /// Rejection of a request in quarantine. If a trial is due and the acting host grants
     /// it, the request is marked as one instead.
-    pub async fn check_quarantine(
-        &self,
-        request: &RoutedRequest,
-        attempts: &mut Attempts,
-    ) -> Option<Rejection> {
+    pub async fn check_quarantine(&self, request: &mut RoutedRequest) -> Option<Rejection> {
         let due = {
             let quarantine = self.crashes.quarantine.borrow();
             let entry = quarantine.find(&request.traits)?;
@@ -84,9 +80,9 @@
                 request = request.request_id,
                 suspect = %suspect,
             );
-            attempts.is_trial = true;
+            request.is_trial = true;
         }
-        self.hold_back(request, attempts)
+        self.hold_back(request)
     }
 
     async fn ask_for_trial(&self, suspect: Suspect) -> bool {
@@ -121,11 +117,6 @@
         }
     }
 
-    /// Passes the acting host's answer to the task that asked.
-    pub fn apply_trial(&self, ticket: u64, is_granted: bool) {
-        self.crashes.trials.answer(ticket, is_granted);
-    }
-
     fn grant_trial(&self, suspect: Suspect) -> bool {
         let now_ms = self.now_ms();
         let term = self.term();
@@ -280,52 +271,46 @@
         self.send_peers(addrs, &PeerMessage::Watch { term, suspects });
     }
 
+    /// Applies the list that the store holds since a revision.
+    pub fn apply_stored_quarantine(&self, quarantine: Quarantine, revision: u64) {
+        self.crashes.stored.set((quarantine.version, revision));
+        self.apply_quarantine(quarantine, "store");
+    }
+
     /// Writes the list to the store if that has another version.
     async fn store_quarantine(&self) -> Result<(), KvError> {
-        let (version, revision) = self.crashes.stored.get();
-        let quarantine = self.crashes.quarantine.borrow().clone();
-        if version == quarantine.version {
+        let (stored_version, revision) = self.crashes.stored.get();
+        let version = self.crashes.quarantine.borrow().version;
+        if version == stored_version {
             return Ok(());
         }
         let write = Cas {
             key: format!("{}{QUARANTINE_KEY}", P::GATEWAY_PREFIX),
             expected_revision: revision,
-            value: serde_json::to_vec(&quarantine).ok(),
+            value: serde_json::to_vec(&*self.crashes.quarantine.borrow()).ok(),
             lease: 0,
         };
-        let store = self.platform.store();
-        match store.commit(&[write]).await? {
+        let items = match self.platform.store().commit(&[write]).await? {
             CasAllOutcome::Written(revision) => {
-                self.crashes.stored.set((quarantine.version, revision));
-            }
-            CasAllOutcome::Conflict(items) => {
-                let Some(item) = items.into_iter().flatten().next() else {
-                    self.crashes.stored.set(Default::default());
-                    return Ok(());
-                };
-                match serde_json::from_slice::<Quarantine>(&item.value) {
-                    Ok(stored) => {
-                        self.crashes.stored.set((stored.version, item.mod_revision));
-                        self.apply_quarantine(stored, "store");
-                    }
-                    Err(error) => {
-                        tracing::warn!(event = "store", key = item.key, %error, "cannot decode entry");
-                        let unknown = Quarantine::default().version;
-                        self.crashes.stored.set((unknown, item.mod_revision));
-                    }
-                }
+                self.crashes.stored.set((version, revision));
+                return Ok(());
             }
+            CasAllOutcome::Conflict(items) => items,
+        };
+        let item = items.into_iter().flatten().next();
+        let revision = item.as_ref().map_or(0, |i| i.mod_revision);
+        match item.as_ref().and_then(decode) {
+            Some(stored) => self.apply_stored_quarantine(stored, revision),
+            None => self.crashes.stored.set((Version::default(), revision)),
         }
         Ok(())
     }
-}
 
-impl<P: Platform> Gateway<P> {
     /// Writes the crashes that count against suspects to the store if they have changed.
     async fn store_crashes(&self) -> Result<(), KvError> {
         let ledger = {
             let ledger = self.crashes.ledger.borrow();
-            ledger.to_stored(&self.crashes.quarantine.borrow())
+            ledger.to_stored(&self.crashes.sent_watch.borrow().suspects)
         };
         if ledger == *self.crashes.stored_ledger.borrow() {
             return Ok(());
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -18,7 +18,7 @@
 
 use super::call::{Attempts, RoutedRequest};
 use super::crashes::SOUND_AFTER_MS;
-use super::exchange::{AttemptFailure, OpenStream};
+use super::exchange::OpenStream;
 use super::place::InFlightAttempt;
 use super::platform::Platform;
 use super::state::Gateway;
@@ -237,7 +237,7 @@
     /// Opens the remainder of the stream at another upstream.
     async fn resume(&mut self) -> Option<(InFlightAttempt<P>, OpenStream)> {
         let is_exhausted = self.attempts.sent_to.len() as u32 >= self.request.max_attempts;
-        let is_barred = self.attempts.is_trial || self.is_quarantined();
+        let is_barred = self.request.is_trial || self.gateway.hold_back(&self.request).is_some();
         if !self.request.kind.is_repeatable() || is_exhausted || is_barred {
             return None;
         }
@@ -248,11 +248,6 @@
         }
     }
 
-    fn is_quarantined(&self) -> bool {
-        let barred = self.gateway.hold_back(&self.request, &self.attempts);
-        barred.is_some()
-    }
-
     async fn reopen(&mut self) -> Option<(InFlightAttempt<P>, OpenStream)> {
         if !self.gateway.try_retry(&self.request.requirements.service) {
             return None;
@@ -265,8 +260,7 @@
             .gateway
             .acquire_upstream(&self.request, &filter)
             .await
-            .ok()
-            .filter(|_| !self.is_quarantined())?;
+            .ok()?;
         let upstream = in_flight.sent.upstream.clone();
         let after = self.last_event_id.clone();
         self.attempts.sent_to.push(upstream.clone());
@@ -287,10 +281,8 @@
                 Some((in_flight, opened))
             }
             Err(failure) => {
-                if matches!(failure, AttemptFailure::Unknown) {
-                    self.gateway
-                        .on_broken_off(&self.request, &in_flight.sent, None);
-                }
+                self.gateway
+                    .on_failed_attempt(&self.request, &in_flight.sent, &failure);
                 in_flight.finish(failure.attempt_outcome());
                 None
             }
--- a/src/gateway/store_facts.rs
+++ b/src/gateway/store_facts.rs
@@ -24,7 +24,6 @@
 pub const ACTING_KEY: &str = "acting";
 /// Key of the quarantine, after the prefix of the gateway's keys.
 pub const QUARANTINE_KEY: &str = "quarantine";
-
 /// Key of the crashes that count against suspects, after the prefix of the gateway's keys.
 pub const CRASHES_KEY: &str = "crashes";
 
@@ -152,7 +151,7 @@
         let mut entries = Vec::new();
         let mut peers = HashMap::new();
         let mut acting = None;
-        let mut stored_quarantine = StoredVersion::default();
+        self.crashes.stored.set(StoredVersion::default());
         for kv in kvs {
             match self.decode_item(kv) {
                 Some(StoreFact::Catalog(catalog)) => self.apply_catalog(*catalog),
@@ -164,8 +163,7 @@
                     acting = Some(acting_host(record, term_number(era, kv.mod_revision)));
                 }
                 Some(StoreFact::Quarantine(quarantine)) => {
-                    stored_quarantine = (quarantine.version, kv.mod_revision);
-                    self.apply_quarantine(quarantine, "store");
+                    self.apply_stored_quarantine(quarantine, kv.mod_revision);
                 }
                 Some(StoreFact::Crashes(stored)) => self.restore_crashes(stored),
                 Some(StoreFact::NoUpstream(_) | StoreFact::NoHost(_) | StoreFact::NoActing)
@@ -181,7 +179,6 @@
         for change in &changes {
             self.on_registry_change(change, 0);
         }
-        self.crashes.stored.set(stored_quarantine);
         self.peers.borrow_mut().replace(now_ms, peers);
         self.set_acting_host(acting);
         self.is_synced.set(true);
@@ -222,10 +219,7 @@
             }
             StoreFact::NoActing => self.set_acting_host(None),
             StoreFact::Crashes(stored) => self.restore_crashes(stored),
-            StoreFact::Quarantine(quarantine) => {
-                self.crashes.stored.set((quarantine.version, revision));
-                self.apply_quarantine(quarantine, "store");
-            }
+            StoreFact::Quarantine(quarantine) => self.apply_stored_quarantine(quarantine, revision),
         }
     }
 
@@ -242,7 +236,8 @@
     }
 }
 
-fn decode<T: DeserializeOwned>(kv: &KeyValue) -> Option<T> {
+/// Decodes a value of this system; `None` if it is invalid, which is logged.
+pub(super) fn decode<T: DeserializeOwned>(kv: &KeyValue) -> Option<T> {
     match serde_json::from_slice(&kv.value) {
         Ok(value) => Some(value),
         Err(error) => {
--- a/tests/gateway_crash_ledger.rs
+++ b/tests/gateway_crash_ledger.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use currantcove::core::crash_ledger::{CrashLedger, LostRequest, SETTLE_MS};
+use currantcove::core::crash_ledger::{CrashLedger, LostRequest, SETTLE_MS, StoredLedger};
 use currantcove::core::ids::UpstreamId;
 use currantcove::core::quarantine::{Quarantine, Verdict, Version};
 use currantcove::core::request_traits::{Fingerprint, RequestContent, RequestTraits, Suspect};
@@ -64,6 +64,11 @@
         self.ledger.judge(now_ms + SETTLE_MS, &self.quarantine)
     }
 
+    fn to_stored(&self) -> StoredLedger {
+        let watched = self.ledger.watched(&self.quarantine);
+        self.ledger.to_stored(&watched)
+    }
+
     fn suspects(&self, now_ms: u64) -> Vec<Suspect> {
         let verdicts = self.judge(now_ms);
         verdicts.iter().map(|v| v.suspect).collect()
@@ -367,7 +372,7 @@
     }
     before.ledger.record_sound(part("popular"), 1_800);
 
-    let stored = before.ledger.to_stored(&before.quarantine);
+    let stored = before.to_stored();
     let mut after = Crashes {
         number: 100,
         ..Crashes::default()
@@ -389,7 +394,7 @@
         );
     }
 
-    let stored = crashes.ledger.to_stored(&crashes.quarantine);
+    let stored = crashes.to_stored();
 
     let bytes = serde_json::to_vec(&stored).expect("JSON").len();
     assert!(bytes < 32 * 1024, "{bytes} bytes");
