Judge again if a report moves the end of an upstream

A later report may show that an upstream ended earlier, which can put the crash before a sound response or close to another crash. The ledger's count of changes left that out, so that the crash was judged by its first time until something else changed. Found by reading; revision_changes_with_the_end_of_an_upstream failed before.

--- a/src/core/crash_ledger.rs
+++ b/src/core/crash_ledger.rs
@@ -156,7 +156,10 @@
                 &mut self.crashes[last]
             }
         };
-        crash.ended_ms = crash.ended_ms.min(ended_ms);
+        if ended_ms < crash.ended_ms {
+            crash.ended_ms = ended_ms;
+            self.revision += 1;
+        }
         for request in requests {
             if crash.requests.len() >= MAX_REQUESTS {
                 break;
--- a/tests/gateway_crash_ledger.rs
+++ b/tests/gateway_crash_ledger.rs
@@ -361,6 +361,20 @@
     assert_eq!(crashes.ledger.revision(), cleared);
 }
 
+/// Guards against a judgement that is not repeated although a report moves a crash to
+/// before a sound response.
+#[test]
+fn revision_changes_with_the_end_of_an_upstream() {
+    let mut crashes = Crashes::default();
+    crashes.add(1_000, &[traits(CALLER, &["first", "popular"])]);
+    let recorded = crashes.ledger.revision();
+
+    let upstream = UpstreamId::new("i-1");
+    crashes.ledger.record(1_100, &upstream, 1, 950, []);
+
+    assert!(crashes.ledger.revision() > recorded);
+}
+
 /// Guards against crashes that are forgotten, and against parts that are refused because
 /// only their sound responses are.
 #[test]
