--- a/src/core/crash_ledger.rs
+++ b/src/core/crash_ledger.rs
@@ -135,8 +135,11 @@
         ended_ms: u64,
         requests: impl IntoIterator<Item = LostRequest>,
     ) {
-        self.crashes
-            .retain(|c| now_ms < c.recorded_ms.saturating_add(MAX_AGE_MS));
+        let is_recent = |ended_ms: u64| now_ms < ended_ms.saturating_add(MAX_AGE_MS);
+        self.crashes.retain(|c| is_recent(c.ended_ms));
+        if !is_recent(ended_ms) {
+            return;
+        }
         let mut known = self.crashes.iter_mut();
         let known = known.find(|c| c.upstream == *upstream && c.started_ms == started_ms);
         let crash = match known {
--- a/tests/gateway_crash_ledger.rs
+++ b/tests/gateway_crash_ledger.rs
@@ -398,6 +398,26 @@
     assert_eq!(after.suspects(4_000), [part("deadly")]);
 }
 
+/// Guards against crashes of another day that the store still holds.
+#[test]
+fn stored_crashes_do_not_count_once_they_are_too_old() {
+    let mut before = Crashes::default();
+    for ended_ms in [1_000, 1_500] {
+        before.add(ended_ms, &[traits(CALLER, &["first", "deadly"])]);
+    }
+    let stored = before.to_stored();
+    let mut after = Crashes {
+        number: 100,
+        ..Crashes::default()
+    };
+
+    let next_day_ms = 86_400_000;
+    after.ledger.restore(next_day_ms, stored);
+    after.add(next_day_ms + 500, &[traits(CALLER, &["first", "deadly"])]);
+
+    assert!(after.judge(next_day_ms + 500).is_empty());
+}
+
 #[test]
 fn what_is_stored_of_crashes_is_bounded() {
     let mut crashes = Crashes::default();
