--- a/tests/gateway_crash_ledger.rs
+++ b/tests/gateway_crash_ledger.rs
@@ -60,6 +60,15 @@
         self.ledger.record(ended_ms, &upstream, 1, ended_ms, lost);
     }
 
+    /// Records crashes at these times, each under a request with the deadly part.
+    fn of_deadly_part(times_ms: &[u64]) -> Self {
+        let mut crashes = Self::default();
+        for ended_ms in times_ms {
+            crashes.add(*ended_ms, &[traits(CALLER, &["first", "deadly"])]);
+        }
+        crashes
+    }
+
     fn judge(&self, now_ms: u64) -> Vec<Verdict> {
         self.ledger.judge(now_ms + SETTLE_MS, &self.quarantine)
     }
@@ -90,10 +99,7 @@
 
 #[test]
 fn deeper_part_is_convicted_if_both_are_in_the_same_requests() {
-    let mut crashes = Crashes::default();
-    for ended_ms in [1_000, 1_500, 2_000] {
-        crashes.add(ended_ms, &[traits(CALLER, &["first", "deadly"])]);
-    }
+    let crashes = Crashes::of_deadly_part(&[1_000, 1_500, 2_000]);
 
     let suspects = crashes.suspects(2_000);
 
@@ -102,10 +108,7 @@
 
 #[test]
 fn two_crashes_convict_nothing() {
-    let mut crashes = Crashes::default();
-    for ended_ms in [1_000, 1_500] {
-        crashes.add(ended_ms, &[traits(CALLER, &["first", "deadly"])]);
-    }
+    let crashes = Crashes::of_deadly_part(&[1_000, 1_500]);
 
     assert!(crashes.judge(1_500).is_empty());
 }
@@ -126,20 +129,14 @@
 /// upstream to upstream.
 #[test]
 fn crashes_under_requests_sent_after_the_one_before_count_however_close() {
-    let mut crashes = Crashes::default();
-    for ended_ms in [1_000, 1_120, 1_240] {
-        crashes.add(ended_ms, &[traits(CALLER, &["first", "deadly"])]);
-    }
+    let crashes = Crashes::of_deadly_part(&[1_000, 1_120, 1_240]);
 
     assert_eq!(crashes.suspects(1_240), [part("deadly")]);
 }
 
 #[test]
 fn request_sent_in_the_millisecond_of_a_crash_counts_as_sent_after_it() {
-    let mut crashes = Crashes::default();
-    for ended_ms in [1_000, 1_100, 1_200] {
-        crashes.add(ended_ms, &[traits(CALLER, &["first", "deadly"])]);
-    }
+    let crashes = Crashes::of_deadly_part(&[1_000, 1_100, 1_200]);
 
     assert_eq!(crashes.suspects(1_200), [part("deadly")]);
 }
@@ -215,10 +212,7 @@
 
 #[test]
 fn crash_without_the_convicted_caller_widens_the_entry_to_all() {
-    let mut crashes = Crashes::default();
-    for ended_ms in [1_000, 1_500, 2_000] {
-        crashes.add(ended_ms, &[traits(CALLER, &["first", "deadly"])]);
-    }
+    let mut crashes = Crashes::of_deadly_part(&[1_000, 1_500, 2_000]);
     for verdict in crashes.judge(2_000) {
         crashes.quarantine.convict(2_000, 1, verdict);
     }
@@ -401,10 +395,7 @@
 /// Guards against crashes of another day that the store still holds.
 #[test]
 fn stored_crashes_do_not_count_once_they_are_too_old() {
-    let mut before = Crashes::default();
-    for ended_ms in [1_000, 1_500] {
-        before.add(ended_ms, &[traits(CALLER, &["first", "deadly"])]);
-    }
+    let before = Crashes::of_deadly_part(&[1_000, 1_500]);
     let stored = before.to_stored();
     let mut after = Crashes {
         number: 100,
