Refuse the requests that still wait when a host stops

Requests that wait for weights stay in the queue for up to 0.7 of their caller's patience, longer than the grace period, and nothing ended their wait. The queue now closes 0.75 s before the end of the grace period: what still waits is refused with a delay, and a request that could only wait longer is refused at once.

stopping_host_refuses_the_requests_that_still_wait failed before (no response) and passes.

--- a/src/core/waiting.rs
+++ b/src/core/waiting.rs
@@ -97,6 +97,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct WaitQueue {
     requests: Vec<QueuedRequest>,
+    /// Time at which all requests expire, if this host stops.
+    closes_ms: Option<u64>,
     dispatch_rates: HashMap<QueueKey, DecayingRate>,
 }
 
@@ -126,6 +128,16 @@
         self.requests.push(request);
     }
 
+    /// Lets all requests expire at a time at the latest.
+    pub fn close_at(&mut self, at_ms: u64) {
+        self.closes_ms = Some(at_ms);
+    }
+
+    /// Time at which a request that may wait until `expires_ms` expires.
+    pub fn expiry_ms(&self, expires_ms: u64) -> u64 {
+        self.closes_ms.map_or(expires_ms, |at| at.min(expires_ms))
+    }
+
     /// Removes a request whose caller has disconnected.
     pub fn remove(&mut self, ticket: u64) {
         self.requests.retain(|r| r.ticket != ticket);
@@ -203,7 +215,9 @@
                     self.record_dispatch(now_ms, &queue_key);
                     round.dispatched.push((request.ticket, upstream));
                 }
-                Err(reason) if now_ms >= request.expires_ms || is_terminal(reason) => {
+                Err(reason)
+                    if now_ms >= self.expiry_ms(request.expires_ms) || is_terminal(reason) =>
+                {
                     round.removed.push((request.ticket, reason));
                 }
                 Err(reason) => {
@@ -242,7 +256,8 @@
 
     /// Earliest time at which a queued request expires.
     pub fn next_expiry_ms(&self) -> Option<u64> {
-        self.requests.iter().map(|r| r.expires_ms).min()
+        let expiries_ms = self.requests.iter().map(|r| self.expiry_ms(r.expires_ms));
+        expiries_ms.min()
     }
 }
 
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -93,6 +93,12 @@
         self.queue.len()
     }
 
+    /// Lets all queued requests expire at a time at the latest, since this host stops.
+    pub fn close_at(&mut self, at_ms: u64) {
+        self.queue.close_at(at_ms);
+        self.wake();
+    }
+
     /// Notification that queued requests may find capacity.
     pub(super) fn wake_signal(&self) -> Rc<Notify> {
         Rc::clone(&self.wake)
@@ -263,7 +269,10 @@
             wait_ms: self.predicted_wait_ms(request, &queue_key, reason, capacity, ahead),
         };
         let expires_ms = Self::expiry_ms(request, reason, due_ms, is_starved);
-        let queued = self.admission_queue.borrow().queue.len();
+        let (queued, expires_ms) = {
+            let admission = self.admission_queue.borrow();
+            (admission.queue.len(), admission.queue.expiry_ms(expires_ms))
+        };
         let useful_ms = expires_ms.saturating_sub(now_ms);
         if admit(queued, forecast, useful_ms) == QueueDecision::Reject {
             let rejection = self.reject(request, &queue_key, forecast, capacity);
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -60,6 +60,9 @@
 const READINESS_DRAIN_TIME: Duration = Duration::from_millis(2_600);
 /// Time before the end of the grace period at which a stopping process exits.
 const EXIT_MARGIN: Duration = Duration::from_millis(250);
+/// Time before that at which requests that still wait are refused, so that the refusals
+/// reach their callers.
+const REFUSAL_MARGIN: Duration = Duration::from_millis(500);
 /// Time between two checks of the settings file for changes.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -220,6 +223,9 @@
         tracing::info!(event = "stop", in_flight, "stopping");
         gateway.stopping.cancel();
         let grace = Duration::from_secs_f64(gateway.settings().stop_grace_s);
+        let until_refusal = grace.saturating_sub(EXIT_MARGIN + REFUSAL_MARGIN);
+        let refuses_ms = gateway.now_ms() + until_refusal.as_millis() as u64;
+        gateway.admission_queue.borrow_mut().close_at(refuses_ms);
         let drain_time = READINESS_DRAIN_TIME.min(grace / 2);
         compio::time::sleep(drain_time).await;
         self.server_cancel.cancel();
