Log the software versions between which a stream goes on

The log could not show that a stream holds events of two software versions: the version in an upstream's entry was not decoded, and a caller's request to resume did not name the request that began the stream. Entries, relayed entries, and the upstream, resume and request lines now have them. No decision uses them yet.

--- a/src/core/registry.rs
+++ b/src/core/registry.rs
@@ -18,7 +18,7 @@
 use std::net::SocketAddr;
 
 use super::catalog::WeightSource;
-use super::ids::{AdapterId, ModelId, ServiceId, UpstreamId, ZoneId};
+use super::ids::{AdapterId, ModelId, ServiceId, SoftwareVersion, UpstreamId, ZoneId};
 use super::store_era::Era;
 
 /// Time for which an entry that lapsed during an outage stays in use, in
@@ -50,6 +50,8 @@
     pub addr: SocketAddr,
     /// Availability zone.
     pub zone: ZoneId,
+    /// Version of its software, if stated.
+    pub software: Option<SoftwareVersion>,
     /// Requests that run concurrently.
     pub slots: u32,
     /// True once it accepts no new requests.
@@ -74,6 +76,11 @@
         WeightSource::of(self.in_memory.contains(model), self.on_disk.contains(model))
     }
 
+    /// Name of the version of its software; empty if unknown.
+    pub fn software_name(&self) -> &str {
+        self.software.as_ref().map_or("", SoftwareVersion::as_str)
+    }
+
     /// True if the model, and the adapter if one is named, are ready.
     pub fn has_ready(&self, model: &ModelId, adapter: Option<&AdapterId>) -> bool {
         self.resident
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -79,6 +79,8 @@
     pub deadline_ms: u64,
     /// ID of the last event that the caller received, if it resumes a stream.
     pub last_event_id: Option<String>,
+    /// ID of the caller's request that began the stream that it resumes.
+    pub resumes: Option<String>,
     /// Method.
     pub method: Method,
     /// Path and query.
@@ -193,6 +195,7 @@
             arrived_ms,
             deadline_ms: arrived_ms + timeout.as_millis() as u64,
             last_event_id: head.last_event_id,
+            resumes: head.resumes,
             target: target.to_owned(),
             method: parts.method,
             headers: parts.headers,
@@ -525,6 +528,9 @@
             reason,
             status,
             upstream = upstream.map_or("", UpstreamId::as_str),
+            software = upstream.map_or_else(String::new, |u| self.software_of(u)),
+            after = request.last_event_id.as_deref().unwrap_or(""),
+            resumes = request.resumes.as_deref().unwrap_or(""),
             tried = attempts.sent_to.len(),
             total_ms = self.now_ms().saturating_sub(request.arrived_ms),
             objective_ms = request.objective.as_millis() as u64,
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -209,6 +209,8 @@
     pub size: RequestSize,
     /// ID of the last event that the caller has received, if it resumes a stream.
     pub last_event_id: Option<String>,
+    /// ID of the caller's request that began the stream that it resumes.
+    pub resumes: Option<String>,
     /// IDs of the parts of its prompt, first part first.
     pub prompt_parts: Vec<String>,
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -263,6 +263,7 @@
             .ok()?;
         let upstream = in_flight.sent.upstream.clone();
         let after = self.last_event_id.clone();
+        let began_at = self.attempts.sent_to.last().unwrap_or(&upstream).clone();
         self.attempts.sent_to.push(upstream.clone());
         let opened = self
             .gateway
@@ -272,6 +273,9 @@
             event = "resume",
             request = self.request.request_id,
             upstream = %upstream,
+            software = self.gateway.software_of(&upstream),
+            began_at = %began_at,
+            began_software = self.gateway.software_of(&began_at),
             after = after.as_deref().unwrap_or(""),
             opened = opened.is_ok(),
         );
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -18,11 +18,11 @@
 use super::room::RoomDesk;
 use super::settings::GatewaySettings;
 use crate::core::catalog::Catalog;
-use crate::core::ids::{HostId, ServiceId};
+use crate::core::ids::{HostId, ServiceId, UpstreamId};
 use crate::core::load::LoadTable;
 use crate::core::peer_list::{MAX_SMALL_FLEET, Peer, PeerList};
 use crate::core::peer_loads::PeerLoads;
-use crate::core::registry::{Registry, RegistryChange};
+use crate::core::registry::{Entry, Registry, RegistryChange};
 use crate::core::retry::RetryBudget;
 use crate::core::routing::Rng;
 use crate::core::store_relay::{Follower, Position};
@@ -217,6 +217,13 @@
         self.metrics.config_version.set(version.cast_signed());
     }
 
+    /// Name of the version of an upstream's software; empty if unknown.
+    pub fn software_of(&self, upstream: &UpstreamId) -> String {
+        let registry = self.registry.borrow();
+        let entry = registry.get(upstream.as_str());
+        entry.map_or("", Entry::software_name).to_owned()
+    }
+
     /// Logs a change of the registry and drops the load of a removed upstream.
     pub fn on_registry_change(&self, change: &RegistryChange, revision: u64) {
         let (change_kind, id) = match change {
@@ -235,6 +242,7 @@
                 change = change_kind,
                 revision,
                 service = entry.map_or("", |e| e.service.as_str()),
+                software = entry.map_or("", Entry::software_name),
                 models = entry.map_or(0, |e| e.resident.len()),
                 in_memory = entry.map_or(0, |e| e.in_memory.len()),
                 on_disk = entry.map_or(0, |e| e.on_disk.len()),
--- a/src/gateway/store_relay.rs
+++ b/src/gateway/store_relay.rs
@@ -9,7 +9,7 @@
 use super::platform::Platform;
 use super::state::Gateway;
 use super::store_facts::{HostRecord, RevisedFact, StoreFact};
-use crate::core::ids::{HostId, ServiceId, UpstreamId, ZoneId};
+use crate::core::ids::{HostId, ServiceId, SoftwareVersion, UpstreamId, ZoneId};
 use crate::core::registry::{Entry, Holdings};
 use crate::core::store_era::Era;
 use crate::core::store_relay::{Fit, Follower, Position, is_watcher};
@@ -29,6 +29,8 @@
     addr: SocketAddr,
     #[serde(rename = "z")]
     zone: ZoneId,
+    #[serde(rename = "w", default)]
+    software: Option<SoftwareVersion>,
     #[serde(rename = "n")]
     slots: u32,
     #[serde(rename = "d")]
@@ -102,6 +104,7 @@
                 service: entry.service.clone(),
                 addr: entry.addr,
                 zone: entry.zone.clone(),
+                software: entry.software.clone(),
                 slots: entry.slots,
                 is_draining: entry.is_draining,
                 started_ms: entry.started_ms,
@@ -274,6 +277,7 @@
             service: relayed.service,
             addr: relayed.addr,
             zone: relayed.zone,
+            software: relayed.software,
             slots: relayed.slots,
             is_draining: relayed.is_draining,
             started_ms: relayed.started_ms,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -9,7 +9,9 @@
 use currantcove::core::fleet::{
     Fleet, ListedState, ListedUpstream, LoadReport, Observation, UpstreamKind,
 };
-use currantcove::core::ids::{AdapterId, ArtifactId, ModelId, ServiceId, UpstreamId, ZoneId};
+use currantcove::core::ids::{
+    AdapterId, ArtifactId, ModelId, ServiceId, SoftwareVersion, UpstreamId, ZoneId,
+};
 use currantcove::core::placement::{PlannedModel, PlannedUpstream};
 use currantcove::core::registry::{Entry, Holdings};
 
@@ -98,6 +100,7 @@
         service: ServiceId::new(service),
         addr: SocketAddr::from(([10, 0, 0, 1], 8000)),
         zone: ZoneId::new("a"),
+        software: Some(SoftwareVersion::new("v1")),
         slots,
         is_draining: false,
         started_ms: 1,
--- a/tests/model_engine_orders.rs
+++ b/tests/model_engine_orders.rs
@@ -232,6 +232,7 @@
             service: ServiceId::new("drafts"),
             addr: SocketAddr::from(([10, 0, 0, 1], 8000)),
             zone: ZoneId::new("a"),
+            software: None,
             slots: 8,
             is_draining: false,
             started_ms: engine.started_ms,
