Go on with a stream only at the software version that began it

Callers received responses whose events came from two software versions. It is the class of resuming by content while the state behind it depends on who wrote it.

Hosts record the incarnation that sends the first event of a resumable stream, tell three other hosts, and ask for it when a caller takes the stream up. Both ways of going on select upstreams of that version only, after their report has named the listed incarnation; without certainty the caller is refused at once. Streams do not begin at the last upstream of a version if another version has several.

--- a/src/core/balance.rs
+++ b/src/core/balance.rs
@@ -25,11 +25,16 @@
 //! it wants none. It is no candidate until then. If all upstreams are closed, the
 //! time until the first one reopens is the predicted wait, so that a request that
 //! cannot wait for so long is rejected at once.
+//!
+//! Load pattern: upstreams of several software versions serve, and a release replaces
+//! them. A stream goes on only at the version that began it, so that it begins elsewhere
+//! than at the last upstream of a version.
 
-use super::ids::{AdapterId, ModelId, ServiceId, UpstreamId, ZoneId};
+use super::ids::{AdapterId, ModelId, ServiceId, SoftwareVersion, UpstreamId, ZoneId};
 use super::load::{Load, LoadTable, RequestSize};
 use super::registry::{Entry, Registry};
 use super::routing::Rng;
+use super::software::VersionCounts;
 
 /// Jitter added to the predicted time, in milliseconds: about the prefill time
 /// of one prompt, which is the error caused by one request of another host that
@@ -49,6 +54,9 @@
 /// Cost of an upstream that states how many requests a second it takes, in
 /// milliseconds; others are asked first unless they are almost full.
 const LIMITED_COST_MS: f64 = 200.0;
+/// Cost of the last upstream of a software version while others have several, in
+/// milliseconds: a stream that begins there has nowhere to go on.
+const LONE_VERSION_COST_MS: f64 = 400.0;
 /// Share of an engine's KV cache that requests in flight may reserve; the rest
 /// holds shared prompt prefixes.
 const MAX_RESERVED_CACHE_SHARE: f64 = 0.92;
@@ -97,6 +105,8 @@
 pub enum NoUpstream {
     /// The service has no upstream that accepts new requests.
     NoneListed,
+    /// No upstream of the software version that began the stream accepts requests.
+    NoSoftware,
     /// No upstream has the model ready.
     NoModel,
     /// Upstreams have the model ready, but none has the adapter.
@@ -116,6 +126,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::NoneListed => "none_listed",
+            Self::NoSoftware => "no_software",
             Self::NoModel => "no_model",
             Self::NoAdapter => "no_adapter",
             Self::Full => "full",
@@ -134,9 +145,19 @@
     /// If not empty, the only eligible upstreams; a request that has used up
     /// its attempts may be retried where it was refused without being executed.
     pub only: Vec<UpstreamId>,
+    /// The only eligible software version, for a stream that it began.
+    pub software: Option<SoftwareVersion>,
+    /// True if a stream begins that may have to go on at a second upstream of the same
+    /// software version.
+    pub may_go_on: bool,
 }
 
 impl UpstreamFilter {
+    /// True if the software version of an upstream is eligible.
+    pub fn allows_software(&self, entry: &Entry) -> bool {
+        self.software.is_none() || self.software == entry.software
+    }
+
     fn allows(&self, id: &UpstreamId) -> bool {
         !self.excluded.contains(id) && (self.only.is_empty() || self.only.contains(id))
     }
@@ -155,6 +176,9 @@
     let mut best: Option<(f64, &Entry)> = None;
     let mut best_failing: Option<(f64, &Entry)> = None;
     let mut reason = NoUpstream::NoneListed;
+    let versions = filter
+        .may_go_on
+        .then(|| VersionCounts::of(now_ms, registry, &requirements.service));
     for entry in registry.of_service(&requirements.service) {
         if !registry.takes_requests(entry, now_ms) {
             continue;
@@ -173,13 +197,21 @@
                 continue;
             }
         };
+        let lone_ms = if versions
+            .as_ref()
+            .is_some_and(|v| v.is_worse_than_others(entry))
+        {
+            LONE_VERSION_COST_MS
+        } else {
+            0.0
+        };
         let zone_ms = if entry.zone == *zone {
             0.0
         } else {
             CROSS_ZONE_COST_MS
         };
         let jitter_ms = (rng.next_u64() % COST_JITTER_MS) as f64 * jitter_scale(requirements);
-        let cost_ms = cost_ms + zone_ms + jitter_ms;
+        let cost_ms = cost_ms + zone_ms + lone_ms + jitter_ms;
         let current = if is_failing {
             &mut best_failing
         } else {
@@ -216,6 +248,9 @@
     requirements: &Requirements,
     filter: &UpstreamFilter,
 ) -> Result<(f64, bool), NoUpstream> {
+    if !filter.allows_software(entry) {
+        return Err(NoUpstream::NoSoftware);
+    }
     if let Some(weights) = &requirements.weights {
         if !entry.has_ready(&weights.model, None) {
             return Err(NoUpstream::NoModel);
@@ -337,7 +372,8 @@
     for entry in registry.of_service(&requirements.service) {
         let weights = requirements.weights.as_ref();
         let has_weights = weights.is_none_or(|w| entry.has_ready(&w.model, w.adapter.as_ref()));
-        if !registry.takes_requests(entry, now_ms) || !has_weights || !filter.allows(&entry.id) {
+        let is_eligible = filter.allows(&entry.id) && filter.allows_software(entry);
+        if !registry.takes_requests(entry, now_ms) || !has_weights || !is_eligible {
             continue;
         }
         let load = loads.get(entry.id.as_str()).unwrap_or(&unknown_load);
@@ -394,12 +430,13 @@
 fn more_specific(a: NoUpstream, b: NoUpstream) -> NoUpstream {
     let rank = |reason| match reason {
         NoUpstream::NoneListed => 0,
-        NoUpstream::NoModel => 1,
-        NoUpstream::NoAdapter => 2,
-        NoUpstream::AllTried => 3,
-        NoUpstream::Closed => 4,
-        NoUpstream::Failing => 5,
-        NoUpstream::Full => 6,
+        NoUpstream::NoSoftware => 1,
+        NoUpstream::NoModel => 2,
+        NoUpstream::NoAdapter => 3,
+        NoUpstream::AllTried => 4,
+        NoUpstream::Closed => 5,
+        NoUpstream::Failing => 6,
+        NoUpstream::Full => 7,
     };
     if rank(a) >= rank(b) { a } else { b }
 }
--- /dev/null
+++ b/src/core/stream_origin.rs
@@ -0,0 +1,191 @@
+//! Upstreams at which streams began, as far as this host was told.
+//!
+//! Fault: a stream breaks off, and its caller takes it up at any other host, perhaps after
+//! the first one has died. Upstreams of several software versions serve, and the stream may
+//! go on only at the version that began it, which neither the response nor the caller names.
+//!
+//! Load pattern: hundreds of hosts begin a few streams a second each, and few streams break
+//! off. The host that begins a stream tells a small number of others, which all hosts find
+//! by hashing, in several availability zones; a host that is asked to take the stream up
+//! asks them.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use super::ids::{HostId, ServiceId, SoftwareVersion, UpstreamId};
+use super::rendezvous;
+use super::request_traits::Fingerprint;
+
+/// Time for which the origin of a stream is remembered, in milliseconds; longer than callers
+/// wait for a stream.
+const MEMORY_MS: u64 = 60_000;
+/// Limit of the remembered streams.
+const MAX_STREAMS: usize = 16_384;
+/// Hosts that are told of a stream.
+const TOLD_HOSTS: usize = 3;
+/// Hosts that are asked in the zone of the host that asks.
+const ASKED_OWN_ZONE: usize = 3;
+/// Hosts that are asked in each other zone.
+const ASKED_OTHER_ZONE: usize = 2;
+
+/// Incarnation at which a stream began.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StreamOrigin {
+    /// Service.
+    #[serde(rename = "s")]
+    pub service: ServiceId,
+    /// Version of its software.
+    #[serde(rename = "w")]
+    pub software: SoftwareVersion,
+    /// Upstream.
+    #[serde(rename = "u")]
+    pub upstream: UpstreamId,
+    /// Start of its incarnation, in milliseconds since the epoch.
+    #[serde(rename = "b")]
+    pub started_ms: u64,
+}
+
+impl StreamOrigin {
+    /// True if a stream that began at either may go on at the other.
+    fn is_compatible(&self, other: &Self) -> bool {
+        self.service == other.service && self.software == other.software
+    }
+}
+
+/// Identifies a stream by its caller and the request that began it, so that a caller cannot
+/// name a stream of another one.
+pub fn stream_key(caller: &[u8], request_id: &str) -> Fingerprint {
+    let caller = caller.to_ascii_lowercase();
+    Fingerprint::of(&[b"stream", &caller, request_id.as_bytes()])
+}
+
+/// Remembered origin; none if it is uncertain.
+#[derive(Clone, Debug)]
+struct Known {
+    origin: Option<StreamOrigin>,
+    told_ms: u64,
+}
+
+/// Origins of recent streams.
+#[derive(Clone, Debug, Default)]
+pub struct StreamOrigins {
+    known: HashMap<Fingerprint, Known>,
+    /// Streams by the time at which they were first told.
+    order: VecDeque<(u64, Fingerprint)>,
+}
+
+impl StreamOrigins {
+    /// Records where a stream began; without an origin, or if it contradicts an earlier one,
+    /// the stream cannot go on anywhere.
+    pub fn record(&mut self, now_ms: u64, stream: Fingerprint, origin: Option<StreamOrigin>) {
+        self.forget_old(now_ms);
+        if let Some(known) = self.known.get_mut(&stream) {
+            let is_confirmed = matches!((&known.origin, &origin),
+                (Some(known), Some(origin)) if known.is_compatible(origin));
+            if !is_confirmed {
+                known.origin = None;
+            }
+            known.told_ms = now_ms;
+            return;
+        }
+        self.order.push_back((now_ms, stream));
+        let told_ms = now_ms;
+        self.known.insert(stream, Known { origin, told_ms });
+    }
+
+    /// Origin of a stream. The inner value is none if it is uncertain.
+    pub fn get(&self, now_ms: u64, stream: Fingerprint) -> Option<Option<&StreamOrigin>> {
+        let known = self.known.get(&stream)?;
+        let is_recent = now_ms < known.told_ms + MEMORY_MS;
+        is_recent.then_some(known.origin.as_ref())
+    }
+
+    /// Number of remembered streams.
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
+    /// True if no stream is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    fn forget_old(&mut self, now_ms: u64) {
+        while let Some((first_ms, stream)) = self.order.front().copied() {
+            let is_crowded = self.known.len() >= MAX_STREAMS;
+            if now_ms < first_ms + MEMORY_MS && !is_crowded {
+                return;
+            }
+            self.order.pop_front();
+            let told_ms = self.known.get(&stream).map_or(0, |k| k.told_ms);
+            if now_ms < told_ms + MEMORY_MS && !is_crowded {
+                // It was told again.
+                self.order.push_back((told_ms, stream));
+            } else {
+                self.known.remove(&stream);
+            }
+        }
+    }
+}
+
+/// Hosts other than `own` by zone, those that are responsible for a stream first. The zones
+/// are ordered likewise.
+fn ranked_zones<'a>(
+    stream: Fingerprint,
+    own: &HostId,
+    hosts: &[(&'a HostId, &'a str)],
+) -> Vec<(&'a str, Vec<&'a HostId>)> {
+    let key = rendezvous::hash(&stream.to_string());
+    let rank = |name: &str| Reverse(rendezvous::weight(key, rendezvous::hash(name)));
+    let mut zones: BTreeMap<&str, Vec<&HostId>> = BTreeMap::new();
+    for (host, zone) in hosts.iter().filter(|(host, _)| *host != own) {
+        zones.entry(zone).or_default().push(host);
+    }
+    let mut zones: Vec<_> = zones.into_iter().collect();
+    zones.sort_by_key(|(zone, _)| rank(zone));
+    for (_, hosts) in &mut zones {
+        hosts.sort_by_key(|host| (rank(host.as_str()), *host));
+    }
+    zones
+}
+
+/// Hosts that a host tells of a stream that it begins: one of its own zone, then one of each
+/// of some other zones, then further ones of its own.
+pub fn told_hosts<'a>(
+    stream: Fingerprint,
+    own: &HostId,
+    own_zone: &str,
+    hosts: &[(&'a HostId, &'a str)],
+) -> Vec<&'a HostId> {
+    let zones = ranked_zones(stream, own, hosts);
+    let same = zones.iter().find(|(zone, _)| *zone == own_zone);
+    let same = same.map_or(&[][..], |(_, hosts)| hosts);
+    let others = zones.iter().filter(|(zone, _)| *zone != own_zone);
+    let elsewhere = others.filter_map(|(_, hosts)| hosts.first());
+    let ordered = same.iter().take(1).chain(elsewhere);
+    let ordered = ordered.chain(same.iter().skip(1));
+    ordered.take(TOLD_HOSTS).copied().collect()
+}
+
+/// Hosts that may know a stream, for the host that has to take it up.
+pub fn asked_hosts<'a>(
+    stream: Fingerprint,
+    own: &HostId,
+    own_zone: &str,
+    hosts: &[(&'a HostId, &'a str)],
+) -> Vec<&'a HostId> {
+    let zones = ranked_zones(stream, own, hosts);
+    let count = |zone: &str| {
+        if zone == own_zone {
+            ASKED_OWN_ZONE
+        } else {
+            ASKED_OTHER_ZONE
+        }
+    };
+    let asked = zones
+        .iter()
+        .flat_map(|(zone, hosts)| hosts.iter().take(count(zone)));
+    asked.copied().collect()
+}
--- a/src/core/waiting.rs
+++ b/src/core/waiting.rs
@@ -74,8 +74,8 @@
     pub due_ms: u64,
     /// Latest dispatch whose response is still of use to the caller.
     pub expires_ms: u64,
-    /// True if its weights have not been served for a long time; it precedes
-    /// all others.
+    /// True if its weights have not been served for a long time, or if it is a stream
+    /// that goes on; it precedes all others.
     pub is_starved: bool,
     /// Why the last dispatch round found no upstream.
     pub reason: NoUpstream,
@@ -294,7 +294,10 @@
 
 /// True if waiting cannot resolve the reason.
 fn is_terminal(reason: NoUpstream) -> bool {
-    matches!(reason, NoUpstream::NoneListed | NoUpstream::AllTried)
+    matches!(
+        reason,
+        NoUpstream::NoneListed | NoUpstream::NoSoftware | NoUpstream::AllTried
+    )
 }
 
 /// Forecast for a request that finds no upstream.
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -19,9 +19,10 @@
 use super::quarantine::QUARANTINED;
 use super::relay;
 use super::state::Gateway;
+use super::stream_origins::UNKNOWN_SOFTWARE;
 use crate::core::balance::{Requirements, UpstreamFilter};
 use crate::core::catalog::{Catalog, ModelSpec, RequestKind, Route};
-use crate::core::ids::UpstreamId;
+use crate::core::ids::{ServiceId, SoftwareVersion, UpstreamId};
 use crate::core::load::AttemptOutcome;
 use crate::core::request_traits::{RequestContent, RequestTraits};
 use crate::edge::body::{self, ServerResponse};
@@ -81,6 +82,10 @@
     pub last_event_id: Option<String>,
     /// ID of the caller's request that began the stream that it resumes.
     pub resumes: Option<String>,
+    /// The only software version at which it may go on, if it takes up a stream.
+    pub software: Option<SoftwareVersion>,
+    /// Timeout of its route.
+    pub route_timeout: Duration,
     /// Method.
     pub method: Method,
     /// Path and query.
@@ -98,12 +103,44 @@
 }
 
 impl RoutedRequest {
+    /// True if it takes up a stream that an earlier request began.
+    pub fn takes_up_stream(&self) -> bool {
+        self.kind.is_stream() && self.last_event_id.is_some()
+    }
+
+    /// Restriction of its first attempt.
+    fn filter(&self) -> UpstreamFilter {
+        UpstreamFilter {
+            software: self.software.clone(),
+            may_go_on: self.kind.is_stream() && self.kind.is_repeatable(),
+            ..UpstreamFilter::default()
+        }
+    }
+
+    /// Replaces the service by another one of its route.
+    pub fn set_service(&mut self, catalog: &Catalog, service: &ServiceId) {
+        let spec = catalog.services.get(service);
+        let engine = spec.and_then(|s| s.engine.as_ref());
+        let requirements = &mut self.requirements;
+        requirements.service = service.clone();
+        requirements.cache_tokens = engine.map_or(u64::MAX, |e| e.cache_tokens);
+        requirements.max_prefill_ms = max_prefill_ms(catalog, service);
+        let model = requirements.weights.as_ref().map(|w| &w.model);
+        self.model_spec = model.and_then(|m| engine?.models.get(m).cloned());
+    }
+
     /// Time from `now_ms` to the deadline.
     pub fn time_left(&self, now_ms: u64) -> Duration {
         Duration::from_millis(self.deadline_ms.saturating_sub(now_ms))
     }
 }
 
+/// Longest uninterrupted prefill that the streams of a service bear.
+fn max_prefill_ms(catalog: &Catalog, service: &ServiceId) -> f64 {
+    let gap = catalog.min_event_gap(service);
+    gap.map_or(f64::MAX, |gap| gap.as_millis() as f64 * PREFILL_SHARE)
+}
+
 /// Attempts made so far for one request.
 #[derive(Clone, Debug, Default)]
 pub struct Attempts {
@@ -182,9 +219,7 @@
                 weights,
                 size: head.size,
                 cache_tokens: engine.map_or(u64::MAX, |e| e.cache_tokens),
-                max_prefill_ms: catalog
-                    .min_event_gap(service)
-                    .map_or(f64::MAX, |p| p.as_millis() as f64 * PREFILL_SHARE),
+                max_prefill_ms: max_prefill_ms(catalog, service),
             },
             traits,
             model_spec,
@@ -196,6 +231,8 @@
             deadline_ms: arrived_ms + timeout.as_millis() as u64,
             last_event_id: head.last_event_id,
             resumes: head.resumes,
+            software: None,
+            route_timeout: route.timeout,
             target: target.to_owned(),
             method: parts.method,
             headers: parts.headers,
@@ -209,6 +246,14 @@
     /// Sends a request to upstreams until one responds or no retry is allowed.
     pub async fn serve(self: &Rc<Self>, mut request: RoutedRequest) -> ServerResponse {
         let mut attempts = Attempts::default();
+        if request.takes_up_stream() && !self.bind_to_origin(&mut request).await {
+            let outcome = FailureOutcome::NotRun {
+                reason: UNKNOWN_SOFTWARE,
+                retry_after_ms: REFUSED_RETRY_AFTER_MS,
+            };
+            return self.respond_with_failure(&request, &attempts, outcome);
+        }
+        attempts.filter = request.filter();
         if let Some(rejection) = self.check_quarantine(&mut request).await {
             let outcome = Self::outcome_without_upstream(&attempts, rejection);
             return self.respond_with_failure(&request, &attempts, outcome);
@@ -227,7 +272,9 @@
             };
             let upstream = in_flight.sent.upstream.clone();
             let failure = if request.kind.is_stream() {
-                match self.open_stream(&request, &mut in_flight, None).await {
+                let software = request.software.as_ref();
+                let opening = self.open_stream_at(&request, &mut in_flight, None, software);
+                match opening.await {
                     Ok(opened) => {
                         attempts.sent_to.push(upstream);
                         return relay::start(self, request, attempts, in_flight, opened);
@@ -262,6 +309,16 @@
         self.respond_with_failure(&request, &attempts, outcome)
     }
 
+    /// Binds a request that takes up a stream to the software version that began it; false
+    /// if that is unknown.
+    async fn bind_to_origin(&self, request: &mut RoutedRequest) -> bool {
+        let place = self.resume_place(request).await;
+        match (place, self.catalog()) {
+            (Some(place), Some(catalog)) => self.bind_to_place(&catalog, request, place),
+            _ => false,
+        }
+    }
+
     fn outcome_without_upstream(attempts: &Attempts, rejection: Rejection) -> FailureOutcome {
         if let Some(response) = &attempts.failure_response {
             return FailureOutcome::UpstreamFailure(response.clone());
@@ -303,7 +360,9 @@
         failure: AttemptFailure,
     ) -> RetryDecision {
         match failure {
-            AttemptFailure::NotConnected | AttemptFailure::NotSent => {
+            AttemptFailure::NotConnected
+            | AttemptFailure::NotSent
+            | AttemptFailure::NotConfirmed => {
                 attempts.unsent += 1;
                 attempts.filter.excluded.push(upstream.clone());
                 if attempts.unsent < MAX_UNSENT_ATTEMPTS {
@@ -400,7 +459,7 @@
         );
     }
 
-    fn retries_left(&self, service: &crate::core::ids::ServiceId) -> u32 {
+    fn retries_left(&self, service: &ServiceId) -> u32 {
         let budgets = self.retry_budgets.borrow();
         budgets
             .get(service)
@@ -466,7 +525,7 @@
             FailureOutcome::Unknown(reason) => (502, "unknown", reason, None),
             FailureOutcome::TimedOut => (504, "unknown", "timed_out", None),
         };
-        if outcome == "not_run" && reason != QUARANTINED {
+        if outcome == "not_run" && reason != QUARANTINED && reason != UNKNOWN_SOFTWARE {
             self.request_weights_after_rejection(request);
         }
         self.log_outcome(request, attempts, outcome, reason, status, None);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -15,6 +15,7 @@
 use super::platform::{ForwardingHeaders, Platform, ResponseKind};
 use super::state::Gateway;
 use crate::core::load::AttemptOutcome;
+use crate::core::stream_origin::StreamOrigin;
 use crate::edge::body::{self, ReadError, ServerResponse};
 use crate::edge::pool::{PooledBody, SendError};
 
@@ -28,6 +29,9 @@
     NotConnected,
     /// No byte was sent.
     NotSent,
+    /// No byte was sent, as the upstream may no longer have the software version at which
+    /// the stream goes on.
+    NotConfirmed,
     /// The upstream states that it did not run the request.
     NotRun {
         /// True if the address belongs to another upstream, or the weights are not
@@ -48,6 +52,7 @@
         match self {
             Self::NotConnected => "not_connected",
             Self::NotSent => "not_sent",
+            Self::NotConfirmed => "not_confirmed",
             Self::NotRun {
                 is_misdirected: true,
             } => "misdirected",
@@ -63,7 +68,7 @@
     /// Effect on the upstream's health.
     pub fn attempt_outcome(&self) -> AttemptOutcome {
         match self {
-            Self::NotRun { .. } => AttemptOutcome::Neutral,
+            Self::NotRun { .. } | Self::NotConfirmed => AttemptOutcome::Neutral,
             Self::NotConnected => AttemptOutcome::Unreachable,
             Self::NotSent | Self::Unknown | Self::TimedOut | Self::FailureResponse(_) => {
                 AttemptOutcome::Failed
@@ -105,6 +110,8 @@
     pub headers: HeaderMap,
     /// Body with the events.
     pub body: PooledBody,
+    /// Incarnation that sends it, if that and its software version are known.
+    pub origin: Option<StreamOrigin>,
 }
 
 impl<P: Platform> Gateway<P> {
@@ -144,6 +151,7 @@
         resume_after: Option<&str>,
     ) -> Result<OpenStream, AttemptFailure> {
         let timeout = request.time_left(self.now_ms());
+        let origin = self.listed_origin(&in_flight.sent.upstream);
         let head = self.send(request, in_flight, timeout, resume_after);
         let response = match compio::time::timeout(timeout, head).await {
             Ok(response) => response?,
@@ -166,6 +174,7 @@
             status: parts.status,
             headers,
             body,
+            origin: origin.filter(|o| self.is_not_contradicted(o)),
         })
     }
 
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -24,6 +24,13 @@
     pub kind: &'static str,
 }
 
+/// Label of a stream that a caller takes up.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct ResumeLabels {
+    /// What tells the software version at which it goes on.
+    pub source: &'static str,
+}
+
 /// All metrics and their registry.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -42,6 +49,10 @@
     pub retries: Counter,
     /// Streams resumed at another upstream.
     pub streams_resumed: Counter,
+    /// Streams that broke off and found no upstream of their software version.
+    pub streams_stranded: Counter,
+    /// Streams that callers take up, by what tells their software version.
+    pub taken_up: Family<ResumeLabels, Counter>,
     /// Registered upstreams.
     pub upstreams: Gauge,
     /// Version of the configuration in force.
@@ -86,6 +97,8 @@
             requests_waiting: Gauge::default(),
             retries: Counter::default(),
             streams_resumed: Counter::default(),
+            streams_stranded: Counter::default(),
+            taken_up: Family::default(),
             upstreams: Gauge::default(),
             config_version: Gauge::default(),
             store_calls: Gauge::default(),
@@ -103,6 +116,7 @@
             dropped_log_lines: Gauge::default(),
         };
         metrics.register();
+        metrics.register_streams();
         metrics
     }
 }
@@ -140,11 +154,6 @@
             self.requests_waiting.clone(),
         );
         registry.register("retries", "Retried attempts", self.retries.clone());
-        registry.register(
-            "streams_resumed",
-            "Streams resumed elsewhere",
-            self.streams_resumed.clone(),
-        );
         registry.register("upstreams", "Listed upstreams", self.upstreams.clone());
         registry.register(
             "config_version",
@@ -211,6 +220,25 @@
         );
     }
 
+    fn register_streams(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "streams_resumed",
+            "Streams resumed elsewhere",
+            self.streams_resumed.clone(),
+        );
+        registry.register(
+            "streams_stranded",
+            "Streams that broke off without an upstream of their software version",
+            self.streams_stranded.clone(),
+        );
+        registry.register(
+            "taken_up",
+            "Streams that callers take up, by what tells their software version",
+            self.taken_up.clone(),
+        );
+    }
+
     /// Metrics in the Prometheus text format.
     pub fn encode(&self) -> String {
         let mut text = String::new();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -45,4 +45,5 @@
 pub mod store_era;
 pub mod store_facts;
 pub mod store_relay;
+pub mod stream_origins;
 pub mod sync;
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -4,13 +4,14 @@
 
 use super::demand::ModelCounts;
 use super::store_relay::StoreChanges;
+use super::stream_origins::ToldOrigin;
 use crate::core::crash_ledger::LostRequest;
 use crate::core::ids::{AdapterId, HostId, ModelId, ServiceId, UpstreamId};
 use crate::core::load::InFlight;
 use crate::core::quarantine::Quarantine;
 use crate::core::rate_account::{Keeping, Purpose};
 use crate::core::registry::Holdings;
-use crate::core::request_traits::Suspect;
+use crate::core::request_traits::{Fingerprint, Suspect};
 
 /// Holdings of one engine.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -268,6 +269,36 @@
         #[serde(rename = "g")]
         is_granted: bool,
     },
+    /// Streams have begun at a host.
+    #[serde(rename = "sb")]
+    StreamsBegan {
+        /// Streams and where they began; none if that is uncertain.
+        #[serde(rename = "s")]
+        streams: Vec<ToldOrigin>,
+    },
+    /// A host has to take up a stream and asks where it began.
+    #[serde(rename = "sa")]
+    AskOrigin {
+        /// Sender.
+        #[serde(rename = "h")]
+        host: HostId,
+        /// Stream.
+        #[serde(rename = "s")]
+        stream: Fingerprint,
+        /// Identifies the question.
+        #[serde(rename = "k")]
+        ticket: u64,
+    },
+    /// Answer to a host that asks where a stream began.
+    #[serde(rename = "so")]
+    Origin {
+        /// Question that it answers.
+        #[serde(rename = "k")]
+        ticket: u64,
+        /// Where it began; absent if the sender does not know the stream.
+        #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
+        known: Option<ToldOrigin>,
+    },
     /// A host has a request for weights that no upstream can serve now.
     #[serde(rename = "w")]
     Want {
--- a/src/gateway/permits.rs
+++ b/src/gateway/permits.rs
@@ -47,7 +47,7 @@
         false
     }
 
-    fn stated_rate(&self, upstream: &UpstreamId) -> Option<AccountRate> {
+    pub(super) fn stated_rate(&self, upstream: &UpstreamId) -> Option<AccountRate> {
         let known = self.known_rates.borrow();
         if known.is_empty() {
             return None;
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -45,6 +45,9 @@
 /// Share of a caller's timeout that its request may spend in the queue; the rest
 /// is left for the upstream.
 const QUEUE_TIME_SHARE: f64 = 0.7;
+/// Longest time in the queue of a stream that goes on, in milliseconds; callers give up
+/// a stream after a gap of about two seconds.
+const MAX_GAP_IN_QUEUE_MS: u64 = 1_000;
 /// Longest retry delay as a share of the request's remaining time; the rest
 /// is left for the second try, and callers do not wait longer in any case.
 const MAX_RETRY_AFTER_SHARE: f64 = 1.0 / 3.0;
@@ -238,9 +241,10 @@
         let queue_key = QueueKey::of(&request.requirements);
         let due_ms = self.due_ms(request);
         let weights = request.requirements.weights.as_ref();
+        let goes_on = filter.software.is_some();
         let (ahead, is_starved) = {
             let admission = self.admission_queue.borrow();
-            let is_starved = weights.is_some_and(|w| admission.is_starved(w, now_ms));
+            let is_starved = goes_on || weights.is_some_and(|w| admission.is_starved(w, now_ms));
             let ahead = if is_starved {
                 0
             } else {
@@ -268,7 +272,11 @@
             reason,
             wait_ms: self.predicted_wait_ms(request, &queue_key, reason, capacity, ahead),
         };
-        let expires_ms = Self::expiry_ms(request, reason, due_ms, is_starved);
+        let expires_ms = if goes_on {
+            request.deadline_ms.min(now_ms + MAX_GAP_IN_QUEUE_MS)
+        } else {
+            Self::expiry_ms(request, reason, due_ms, is_starved)
+        };
         let (queued, expires_ms) = {
             let admission = self.admission_queue.borrow();
             (admission.queue.len(), admission.queue.expiry_ms(expires_ms))
@@ -367,7 +375,9 @@
         match reason {
             NoUpstream::NoModel => self.load_wait_ms(request, queue_key),
             NoUpstream::NoAdapter => ADAPTER_WAIT_MS,
-            NoUpstream::NoneListed | NoUpstream::AllTried => NONE_LISTED_WAIT_MS,
+            NoUpstream::NoneListed | NoUpstream::NoSoftware | NoUpstream::AllTried => {
+                NONE_LISTED_WAIT_MS
+            }
             NoUpstream::Full | NoUpstream::Failing | NoUpstream::Closed => {
                 let Some(capacity) = capacity else {
                     return NONE_LISTED_WAIT_MS;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,11 +1,13 @@
 //! Forwards an upstream's event stream to the caller.
 //!
 //! Only complete events are forwarded, as they arrive. A stream that breaks off
-//! is resumed at another upstream after the last event if its route allows that.
+//! is resumed after the last event if its route allows that, at another upstream of the
+//! software version that began it, since events of two versions do not fit together.
 //! Otherwise the response ends with an error, so that the caller can detect the
 //! truncation. When the caller disconnects, the upstream's connection is closed
 //! at once, which cancels the request there.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
@@ -18,12 +20,14 @@
 
 use super::call::{Attempts, RoutedRequest};
 use super::crashes::SOUND_AFTER_MS;
-use super::exchange::OpenStream;
+use super::exchange::{AttemptFailure, OpenStream};
 use super::place::InFlightAttempt;
 use super::platform::Platform;
 use super::state::Gateway;
 use crate::core::balance::UpstreamFilter;
+use crate::core::ids::{SoftwareVersion, UpstreamId};
 use crate::core::load::AttemptOutcome;
+use crate::core::stream_origin::StreamOrigin;
 use crate::edge::body::{ServerResponse, StreamedBody, Truncated};
 use crate::edge::pool::PooledBody;
 
@@ -36,6 +40,13 @@
 /// Field with the ID of an event.
 const ID_FIELD: &[u8] = b"id:";
 
+/// Upstreams that are asked whether they still have the software version of a stream.
+const MAX_CONFIRMATIONS: u32 = 3;
+
+/// It is not certain which software version began a stream.
+#[derive(Clone, Copy, Debug)]
+struct UncertainOrigin;
+
 /// How the part of a stream that one upstream sent ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum SegmentEnd {
@@ -69,6 +80,8 @@
         attempts,
         sender,
         disconnected,
+        origin: opened.origin,
+        began: None,
         last_event_id: None,
         event_batches: 0,
         first_event_ms: 0,
@@ -80,12 +93,23 @@
     response
 }
 
+/// Incarnation that sent the first event.
+#[derive(Clone, Debug)]
+struct Began {
+    origin: StreamOrigin,
+    /// True once the incarnation is known to be the listed one.
+    is_certain: Rc<Cell<bool>>,
+}
+
 struct Relay<P: Platform> {
     gateway: Rc<Gateway<P>>,
     request: RoutedRequest,
     attempts: Attempts,
     sender: Sender<Bytes, Truncated>,
     disconnected: CancellationToken,
+    /// Incarnation that sends the present response.
+    origin: Option<StreamOrigin>,
+    began: Option<Began>,
     last_event_id: Option<String>,
     event_batches: u64,
     first_event_ms: u64,
@@ -119,6 +143,7 @@
                 Some((next, opened)) => {
                     self.responding_since_ms = None;
                     self.is_sound = false;
+                    self.origin = opened.origin;
                     in_flight = next;
                     body = opened.body;
                 }
@@ -207,6 +232,7 @@
 
     fn record_events(&mut self, in_flight: &mut InFlightAttempt<P>, events: &[u8], now_ms: u64) {
         if self.event_batches == 0 {
+            self.record_origin();
             in_flight.record_first_response();
             self.first_event_ms = now_ms.saturating_sub(self.request.arrived_ms);
             let first_event_s = self.first_event_ms as f64 / 1000.0;
@@ -234,63 +260,158 @@
         }
     }
 
+    /// Records where the stream began, as soon as it is certain which incarnation that is.
+    fn record_origin(&mut self) {
+        if !self.request.kind.is_repeatable() {
+            return;
+        }
+        let Some(origin) = self.origin.clone() else {
+            return;
+        };
+        let is_announced = self.gateway.is_recently_announced(&origin);
+        let is_certain = Rc::new(Cell::new(is_announced));
+        self.began = Some(Began {
+            origin: origin.clone(),
+            is_certain: Rc::clone(&is_certain),
+        });
+        if is_announced {
+            self.gateway.record_origin(&self.request, Some(origin));
+            return;
+        }
+        let gateway = Rc::clone(&self.gateway);
+        let request = self.request.clone();
+        compio::runtime::spawn(async move {
+            if gateway.confirm_incarnation(&origin).await {
+                is_certain.set(true);
+                gateway.record_origin(&request, Some(origin));
+            }
+        })
+        .detach();
+    }
+
+    /// Software version at which the stream may go on; `Ok(None)` if any may continue it,
+    /// as no event was sent, and an error if that version is not certain.
+    fn software_to_go_on(&self) -> Result<Option<SoftwareVersion>, UncertainOrigin> {
+        if self.request.software.is_some() || self.event_batches == 0 {
+            return Ok(self.request.software.clone());
+        }
+        let began = self.began.as_ref().ok_or(UncertainOrigin)?;
+        if !self.gateway.is_not_contradicted(&began.origin) {
+            // Another incarnation is listed by now, which may have sent the events.
+            self.gateway.record_origin(&self.request, None);
+            return Err(UncertainOrigin);
+        }
+        if began.is_certain.get() {
+            Ok(Some(began.origin.software.clone()))
+        } else {
+            Err(UncertainOrigin)
+        }
+    }
+
     /// Opens the remainder of the stream at another upstream.
     async fn resume(&mut self) -> Option<(InFlightAttempt<P>, OpenStream)> {
         let is_exhausted = self.attempts.sent_to.len() as u32 >= self.request.max_attempts;
         let is_barred = self.request.is_trial || self.gateway.hold_back(&self.request).is_some();
+        let software = self.software_to_go_on();
         if !self.request.kind.is_repeatable() || is_exhausted || is_barred {
             return None;
         }
+        let Ok(software) = software else {
+            self.log_stranded("uncertain_origin");
+            return None;
+        };
         let disconnected = self.disconnected.clone();
         futures_util::select_biased! {
             () = disconnected.cancelled().fuse() => None,
-            opened = self.reopen().fuse() => opened,
+            opened = self.reopen(software).fuse() => opened,
         }
     }
 
-    async fn reopen(&mut self) -> Option<(InFlightAttempt<P>, OpenStream)> {
+    async fn reopen(
+        &mut self,
+        software: Option<SoftwareVersion>,
+    ) -> Option<(InFlightAttempt<P>, OpenStream)> {
         if !self.gateway.try_retry(&self.request.requirements.service) {
             return None;
         }
-        let filter = UpstreamFilter {
+        let mut filter = UpstreamFilter {
             excluded: self.attempts.sent_to.clone(),
-            only: Vec::new(),
+            software,
+            may_go_on: true,
+            ..UpstreamFilter::default()
         };
-        let mut in_flight = self
-            .gateway
-            .acquire_upstream(&self.request, &filter)
-            .await
-            .ok()?;
-        let upstream = in_flight.sent.upstream.clone();
-        let after = self.last_event_id.clone();
-        let began_at = self.attempts.sent_to.last().unwrap_or(&upstream).clone();
-        self.attempts.sent_to.push(upstream.clone());
-        let opened = self
-            .gateway
-            .open_stream(&self.request, &mut in_flight, after.as_deref())
-            .await;
+        for _ in 0..MAX_CONFIRMATIONS {
+            let acquired = self.gateway.acquire_upstream(&self.request, &filter).await;
+            let mut in_flight = match acquired {
+                Ok(in_flight) => in_flight,
+                Err(rejection) => {
+                    self.log_stranded(rejection.reason);
+                    return None;
+                }
+            };
+            let upstream = in_flight.sent.upstream.clone();
+            let after = self.last_event_id.clone();
+            let opening = self.gateway.open_stream_at(
+                &self.request,
+                &mut in_flight,
+                after.as_deref(),
+                filter.software.as_ref(),
+            );
+            let opened = opening.await;
+            self.log_resume(&upstream, &filter, &opened);
+            match opened {
+                Ok(opened) => {
+                    self.attempts.sent_to.push(upstream);
+                    self.gateway.metrics.streams_resumed.inc();
+                    return Some((in_flight, opened));
+                }
+                Err(AttemptFailure::NotConfirmed) => {
+                    in_flight.finish(AttemptOutcome::Neutral);
+                    filter.excluded.push(upstream);
+                }
+                Err(failure) => {
+                    self.attempts.sent_to.push(upstream);
+                    self.gateway
+                        .on_failed_attempt(&self.request, &in_flight.sent, &failure);
+                    in_flight.finish(failure.attempt_outcome());
+                    return None;
+                }
+            }
+        }
+        self.log_stranded("not_confirmed");
+        None
+    }
+
+    fn log_resume(
+        &self,
+        upstream: &UpstreamId,
+        filter: &UpstreamFilter,
+        opened: &Result<OpenStream, AttemptFailure>,
+    ) {
+        let began_at = self.began.as_ref().map(|b| b.origin.upstream.as_str());
         tracing::info!(
             event = "resume",
             request = self.request.request_id,
             upstream = %upstream,
-            software = self.gateway.software_of(&upstream),
-            began_at = %began_at,
-            began_software = self.gateway.software_of(&began_at),
-            after = after.as_deref().unwrap_or(""),
+            software = self.gateway.software_of(upstream),
+            began_at = began_at.unwrap_or(""),
+            began_software = filter.software.as_ref().map_or("", SoftwareVersion::as_str),
+            after = self.last_event_id.as_deref().unwrap_or(""),
             opened = opened.is_ok(),
+            failure = opened.as_ref().err().map_or("", AttemptFailure::as_str),
+        );
+    }
+
+    fn log_stranded(&self, reason: &'static str) {
+        self.gateway.metrics.streams_stranded.inc();
+        let began = self.began.as_ref().map(|b| &b.origin);
+        tracing::info!(
+            event = "stranded",
+            request = self.request.request_id,
+            reason,
+            began_at = began.map_or("", |o| o.upstream.as_str()),
+            began_software = began.map_or("", |o| o.software.as_str()),
         );
-        match opened {
-            Ok(opened) => {
-                self.gateway.metrics.streams_resumed.inc();
-                Some((in_flight, opened))
-            }
-            Err(failure) => {
-                self.gateway
-                    .on_failed_attempt(&self.request, &in_flight.sent, &failure);
-                in_flight.finish(failure.attempt_outcome());
-                None
-            }
-        }
     }
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -17,6 +17,7 @@
 use super::platform::Platform;
 use super::room::RoomDesk;
 use super::settings::GatewaySettings;
+use super::stream_origins::OriginDesk;
 use crate::core::catalog::Catalog;
 use crate::core::ids::{HostId, ServiceId, UpstreamId};
 use crate::core::load::LoadTable;
@@ -25,6 +26,7 @@
 use crate::core::registry::{Entry, Registry, RegistryChange};
 use crate::core::retry::RetryBudget;
 use crate::core::routing::Rng;
+use crate::core::software::SoftwareHistory;
 use crate::core::store_relay::{Follower, Position};
 use crate::core::upstream_rate::KnownRates;
 use crate::edge::pool::Pool;
@@ -83,6 +85,10 @@
     pub permits: PermitDesk,
     /// Requests that broke off when their upstreams ended.
     pub crashes: CrashDesk,
+    /// Where recent streams began.
+    pub origins: OriginDesk,
+    /// Software versions that were listed.
+    pub software: RefCell<SoftwareHistory>,
     /// Questions and accounts of room at engines.
     pub room: RoomDesk,
     /// Sends messages to other hosts.
@@ -128,6 +134,8 @@
             known_rates: RefCell::default(),
             permits: PermitDesk::default(),
             crashes: CrashDesk::default(),
+            origins: OriginDesk::default(),
+            software: RefCell::default(),
             room: RoomDesk::default(),
             peer_sender: PeerSender::default(),
             rng: RefCell::new(Rng::new(seed)),
--- a/src/gateway/store_facts.rs
+++ b/src/gateway/store_facts.rs
@@ -171,6 +171,13 @@
             }
         }
         let now_ms = self.now_ms();
+        {
+            let mut software = self.software.borrow_mut();
+            software.restart(now_ms);
+            for entry in &entries {
+                software.record(now_ms, entry);
+            }
+        }
         let changes = {
             let mut registry = self.registry.borrow_mut();
             registry.start_era(era);
@@ -192,6 +199,7 @@
         match revised.fact {
             StoreFact::Catalog(catalog) => self.apply_catalog(*catalog),
             StoreFact::Upstream(entry) => {
+                self.software.borrow_mut().record(now_ms, &entry);
                 let change = self.registry.borrow_mut().upsert(*entry, now_ms);
                 if let Some(change) = change {
                     self.on_registry_change(&change, revision);
--- a/src/gateway/store_relay.rs
+++ b/src/gateway/store_relay.rs
@@ -172,6 +172,7 @@
     /// confirmed.
     pub fn confirm_position(&self, position: Position) {
         self.position.set(position);
+        self.software.borrow_mut().confirm(self.now_ms());
         self.update_follower(|follower| follower.on_confirmed(self.now_ms()));
     }
 
