Do not hold up requests behind a stream that waits for its software version

A stream that goes on precedes all others in the queue. If the upstreams of its version were full, it blocked all requests for the same model at this host for up to a second, although upstreams of other versions had room. It blocks none now.

--- a/src/core/waiting.rs
+++ b/src/core/waiting.rs
@@ -87,7 +87,9 @@
     fn blocks(&self, queue_key: &QueueKey, requirements: &Requirements) -> bool {
         let adapter = self.requirements.adapter();
         let has_same_copies = adapter.is_none() || adapter == requirements.adapter();
+        let is_restricted = self.filter.software.is_some();
         self.reason == NoUpstream::Full
+            && !is_restricted
             && has_same_copies
             && QueueKey::of(&self.requirements) == *queue_key
     }
@@ -221,7 +223,9 @@
                     round.removed.push((request.ticket, reason));
                 }
                 Err(reason) => {
-                    if reason == NoUpstream::Full {
+                    // A stream that goes on at a software version does not hold up requests
+                    // that may be sent to any.
+                    if reason == NoUpstream::Full && request.filter.software.is_none() {
                         full.insert((queue_key, adapter));
                     }
                     request.reason = reason;
