Record where a stream began only once its incarnation is certain

An announcement read before a stream was opened counted as proof of who sends it. Found by review, as were: - an ID whose streams contradict each other fell back to the only listed version; - an answer to a question of an earlier process could be taken for another stream's; - the only version was that of a service drawn by weight, or of a route that had moved; - a listing that is read again made old announcements recent; - a resume ended at the first upstream that could not be reached, and its waits added up; - the count of awaited answers leaked when a caller left.

--- a/src/core/balance.rs
+++ b/src/core/balance.rs
@@ -56,7 +56,7 @@
 const LIMITED_COST_MS: f64 = 200.0;
 /// Cost of the last upstream of a software version while others have several, in
 /// milliseconds: a stream that begins there has nowhere to go on.
-const LONE_VERSION_COST_MS: f64 = 400.0;
+const SOLE_UPSTREAM_COST_MS: f64 = 400.0;
 /// Share of an engine's KV cache that requests in flight may reserve; the rest
 /// holds shared prompt prefixes.
 const MAX_RESERVED_CACHE_SHARE: f64 = 0.92;
@@ -147,9 +147,11 @@
     pub only: Vec<UpstreamId>,
     /// The only eligible software version, for a stream that it began.
     pub software: Option<SoftwareVersion>,
+    /// Time by which a stream has to go on, in milliseconds since the epoch.
+    pub go_on_by_ms: Option<u64>,
     /// True if a stream begins that may have to go on at a second upstream of the same
     /// software version.
-    pub may_go_on: bool,
+    pub is_resumable: bool,
 }
 
 impl UpstreamFilter {
@@ -177,7 +179,7 @@
     let mut best_failing: Option<(f64, &Entry)> = None;
     let mut reason = NoUpstream::NoneListed;
     let versions = filter
-        .may_go_on
+        .is_resumable
         .then(|| VersionCounts::of(now_ms, registry, &requirements.service));
     for entry in registry.of_service(&requirements.service) {
         if !registry.takes_requests(entry, now_ms) {
@@ -197,11 +199,11 @@
                 continue;
             }
         };
-        let lone_ms = if versions
+        let sole_ms = if versions
             .as_ref()
             .is_some_and(|v| v.is_worse_than_others(entry))
         {
-            LONE_VERSION_COST_MS
+            SOLE_UPSTREAM_COST_MS
         } else {
             0.0
         };
@@ -211,7 +213,7 @@
             CROSS_ZONE_COST_MS
         };
         let jitter_ms = (rng.next_u64() % COST_JITTER_MS) as f64 * jitter_scale(requirements);
-        let cost_ms = cost_ms + zone_ms + lone_ms + jitter_ms;
+        let cost_ms = cost_ms + zone_ms + sole_ms + jitter_ms;
         let current = if is_failing {
             &mut best_failing
         } else {
--- a/src/core/registry.rs
+++ b/src/core/registry.rs
@@ -60,7 +60,7 @@
     pub started_ms: u64,
     /// Sequence number of this announcement of the upstream.
     pub sequence: u64,
-    /// Time at which this host read the announcement.
+    /// Time at which this host first read the announcement.
     pub read_ms: u64,
     /// Models and adapters that are ready.
     pub resident: Holdings,
@@ -235,6 +235,10 @@
             // An outdated announcement, perhaps of an earlier incarnation.
             return None;
         }
+        if (entry.started_ms, entry.sequence) == (old.started_ms, old.sequence) {
+            // The same announcement, listed again.
+            entry.read_ms = old.read_ms;
+        }
         let is_restarted = entry.started_ms > old.started_ms;
         let is_newly_draining = entry.is_draining && !old.is_draining;
         let observed_ms = self
--- a/src/core/software.rs
+++ b/src/core/software.rs
@@ -31,7 +31,7 @@
 }
 
 impl SoftwareHistory {
-    /// Records an announcement.
+    /// Records an announcement, or the removal of an entry.
     pub fn record(&mut self, now_ms: u64, entry: &Entry) {
         let versions = self.announced.entry(entry.service.clone()).or_default();
         versions.insert(entry.software.clone(), now_ms);
@@ -56,9 +56,14 @@
         registry: &Registry,
         service: &ServiceId,
     ) -> Option<SoftwareVersion> {
+        if window_ms >= MEMORY_MS {
+            return None;
+        }
         let is_current = now_ms < self.confirmed_ms + MAX_SILENCE_MS;
         let from_ms = now_ms.saturating_sub(window_ms);
-        let is_covered = self.followed_since_ms.is_some_and(|at| at <= from_ms);
+        let is_covered = self
+            .followed_since_ms
+            .is_some_and(|at| now_ms >= at + window_ms);
         if !is_current || !is_covered {
             return None;
         }
--- a/src/core/stream_origin.rs
+++ b/src/core/stream_origin.rs
@@ -23,12 +23,12 @@
 const MEMORY_MS: u64 = 60_000;
 /// Limit of the remembered streams.
 const MAX_STREAMS: usize = 16_384;
-/// Hosts that are told of a stream.
-const TOLD_HOSTS: usize = 3;
+/// Other hosts that know a stream.
+const REPLICAS: usize = 3;
 /// Hosts that are asked in the zone of the host that asks.
-const ASKED_OWN_ZONE: usize = 3;
+const LOOKUPS_OWN_ZONE: usize = 3;
 /// Hosts that are asked in each other zone.
-const ASKED_OTHER_ZONE: usize = 2;
+const LOOKUPS_OTHER_ZONE: usize = 2;
 
 /// Incarnation at which a stream began.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -61,70 +61,86 @@
     Fingerprint::of(&[b"stream", &caller, request_id.as_bytes()])
 }
 
-/// Remembered origin; none if it is uncertain.
+/// What a host knows of the origin of a stream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum OriginKnowledge {
+    /// Nothing.
+    #[serde(rename = "n")]
+    Unknown,
+    /// It began at more than one version, as its ID was used again.
+    #[serde(rename = "c")]
+    Contradictory,
+    /// Where it began.
+    #[serde(rename = "k")]
+    Known(StreamOrigin),
+}
+
 #[derive(Clone, Debug)]
-struct Known {
-    origin: Option<StreamOrigin>,
+struct Remembered {
+    knowledge: OriginKnowledge,
     told_ms: u64,
 }
 
 /// Origins of recent streams.
 #[derive(Clone, Debug, Default)]
 pub struct StreamOrigins {
-    known: HashMap<Fingerprint, Known>,
+    remembered: HashMap<Fingerprint, Remembered>,
     /// Streams by the time at which they were first told.
     order: VecDeque<(u64, Fingerprint)>,
 }
 
 impl StreamOrigins {
-    /// Records where a stream began; without an origin, or if it contradicts an earlier one,
-    /// the stream cannot go on anywhere.
-    pub fn record(&mut self, now_ms: u64, stream: Fingerprint, origin: Option<StreamOrigin>) {
+    /// Records where a stream began.
+    pub fn record(&mut self, now_ms: u64, stream: Fingerprint, origin: StreamOrigin) {
         self.forget_old(now_ms);
-        if let Some(known) = self.known.get_mut(&stream) {
-            let is_confirmed = matches!((&known.origin, &origin),
-                (Some(known), Some(origin)) if known.is_compatible(origin));
+        if let Some(remembered) = self.remembered.get_mut(&stream) {
+            let is_confirmed = matches!(&remembered.knowledge,
+                OriginKnowledge::Known(known) if known.is_compatible(&origin));
             if !is_confirmed {
-                known.origin = None;
+                remembered.knowledge = OriginKnowledge::Contradictory;
             }
-            known.told_ms = now_ms;
+            remembered.told_ms = now_ms;
             return;
         }
         self.order.push_back((now_ms, stream));
-        let told_ms = now_ms;
-        self.known.insert(stream, Known { origin, told_ms });
+        let remembered = Remembered {
+            knowledge: OriginKnowledge::Known(origin),
+            told_ms: now_ms,
+        };
+        self.remembered.insert(stream, remembered);
     }
 
-    /// Origin of a stream. The inner value is none if it is uncertain.
-    pub fn get(&self, now_ms: u64, stream: Fingerprint) -> Option<Option<&StreamOrigin>> {
-        let known = self.known.get(&stream)?;
-        let is_recent = now_ms < known.told_ms + MEMORY_MS;
-        is_recent.then_some(known.origin.as_ref())
+    /// What is known of a stream.
+    pub fn get(&self, now_ms: u64, stream: Fingerprint) -> &OriginKnowledge {
+        let remembered = self.remembered.get(&stream);
+        remembered
+            .filter(|r| now_ms < r.told_ms + MEMORY_MS)
+            .map_or(&OriginKnowledge::Unknown, |r| &r.knowledge)
     }
 
     /// Number of remembered streams.
     pub fn len(&self) -> usize {
-        self.known.len()
+        self.remembered.len()
     }
 
     /// True if no stream is remembered.
     pub fn is_empty(&self) -> bool {
-        self.known.is_empty()
+        self.remembered.is_empty()
     }
 
     fn forget_old(&mut self, now_ms: u64) {
         while let Some((first_ms, stream)) = self.order.front().copied() {
-            let is_crowded = self.known.len() >= MAX_STREAMS;
+            let is_crowded = self.remembered.len() >= MAX_STREAMS;
             if now_ms < first_ms + MEMORY_MS && !is_crowded {
                 return;
             }
             self.order.pop_front();
-            let told_ms = self.known.get(&stream).map_or(0, |k| k.told_ms);
+            let told_ms = self.remembered.get(&stream).map_or(0, |k| k.told_ms);
             if now_ms < told_ms + MEMORY_MS && !is_crowded {
                 // It was told again.
                 self.order.push_back((told_ms, stream));
             } else {
-                self.known.remove(&stream);
+                self.remembered.remove(&stream);
             }
         }
     }
@@ -153,7 +169,7 @@
 
 /// Hosts that a host tells of a stream that it begins: one of its own zone, then one of each
 /// of some other zones, then further ones of its own.
-pub fn told_hosts<'a>(
+pub fn replica_hosts<'a>(
     stream: Fingerprint,
     own: &HostId,
     own_zone: &str,
@@ -166,11 +182,11 @@
     let elsewhere = others.filter_map(|(_, hosts)| hosts.first());
     let ordered = same.iter().take(1).chain(elsewhere);
     let ordered = ordered.chain(same.iter().skip(1));
-    ordered.take(TOLD_HOSTS).copied().collect()
+    ordered.take(REPLICAS).copied().collect()
 }
 
 /// Hosts that may know a stream, for the host that has to take it up.
-pub fn asked_hosts<'a>(
+pub fn lookup_hosts<'a>(
     stream: Fingerprint,
     own: &HostId,
     own_zone: &str,
@@ -179,9 +195,9 @@
     let zones = ranked_zones(stream, own, hosts);
     let count = |zone: &str| {
         if zone == own_zone {
-            ASKED_OWN_ZONE
+            LOOKUPS_OWN_ZONE
         } else {
-            ASKED_OTHER_ZONE
+            LOOKUPS_OTHER_ZONE
         }
     };
     let asked = zones
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -19,7 +19,7 @@
 use super::quarantine::QUARANTINED;
 use super::relay;
 use super::state::Gateway;
-use super::stream_origins::UNKNOWN_SOFTWARE;
+use super::stream_origins::{MAX_GAP_MS, UNKNOWN_SOFTWARE};
 use crate::core::balance::{Requirements, UpstreamFilter};
 use crate::core::catalog::{Catalog, ModelSpec, RequestKind, Route};
 use crate::core::ids::{ServiceId, SoftwareVersion, UpstreamId};
@@ -109,10 +109,12 @@
     }
 
     /// Restriction of its first attempt.
-    fn filter(&self) -> UpstreamFilter {
+    fn filter(&self, now_ms: u64) -> UpstreamFilter {
+        let go_on_by_ms = now_ms + MAX_GAP_MS;
         UpstreamFilter {
+            go_on_by_ms: self.software.as_ref().map(|_| go_on_by_ms),
             software: self.software.clone(),
-            may_go_on: self.kind.is_stream() && self.kind.is_repeatable(),
+            is_resumable: self.kind.is_stream() && self.kind.is_repeatable(),
             ..UpstreamFilter::default()
         }
     }
@@ -253,7 +255,7 @@
             };
             return self.respond_with_failure(&request, &attempts, outcome);
         }
-        attempts.filter = request.filter();
+        attempts.filter = request.filter(self.now_ms());
         if let Some(rejection) = self.check_quarantine(&mut request).await {
             let outcome = Self::outcome_without_upstream(&attempts, rejection);
             return self.respond_with_failure(&request, &attempts, outcome);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -65,6 +65,14 @@
         }
     }
 
+    /// True if the upstream has received no byte of the request.
+    pub fn is_unsent(&self) -> bool {
+        matches!(
+            self,
+            Self::NotConnected | Self::NotSent | Self::NotConfirmed
+        )
+    }
+
     /// Effect on the upstream's health.
     pub fn attempt_outcome(&self) -> AttemptOutcome {
         match self {
@@ -110,8 +118,11 @@
     pub headers: HeaderMap,
     /// Body with the events.
     pub body: PooledBody,
-    /// Incarnation that sends it, if that and its software version are known.
+    /// Listed incarnation of the upstream, if its software version is known; it may have
+    /// restarted without this host knowing.
     pub origin: Option<StreamOrigin>,
+    /// Arrival of the head.
+    pub opened_ms: u64,
 }
 
 impl<P: Platform> Gateway<P> {
@@ -174,7 +185,8 @@
             status: parts.status,
             headers,
             body,
-            origin: origin.filter(|o| self.is_not_contradicted(o)),
+            origin: origin.filter(|o| self.is_listed(o)),
+            opened_ms: self.now_ms(),
         })
     }
 
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -24,7 +24,7 @@
     pub kind: &'static str,
 }
 
-/// Label of a stream that a caller takes up.
+/// Label of a caller's request to resume a stream.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct ResumeLabels {
     /// What tells the software version at which it goes on.
@@ -50,9 +50,9 @@
     /// Streams resumed at another upstream.
     pub streams_resumed: Counter,
     /// Streams that broke off and found no upstream of their software version.
-    pub streams_stranded: Counter,
-    /// Streams that callers take up, by what tells their software version.
-    pub taken_up: Family<ResumeLabels, Counter>,
+    pub streams_not_resumed: Counter,
+    /// Requests of callers to resume a stream, by what tells its software version.
+    pub resume_requests: Family<ResumeLabels, Counter>,
     /// Registered upstreams.
     pub upstreams: Gauge,
     /// Version of the configuration in force.
@@ -97,8 +97,8 @@
             requests_waiting: Gauge::default(),
             retries: Counter::default(),
             streams_resumed: Counter::default(),
-            streams_stranded: Counter::default(),
-            taken_up: Family::default(),
+            streams_not_resumed: Counter::default(),
+            resume_requests: Family::default(),
             upstreams: Gauge::default(),
             config_version: Gauge::default(),
             store_calls: Gauge::default(),
@@ -228,14 +228,14 @@
             self.streams_resumed.clone(),
         );
         registry.register(
-            "streams_stranded",
+            "streams_not_resumed",
             "Streams that broke off without an upstream of their software version",
-            self.streams_stranded.clone(),
+            self.streams_not_resumed.clone(),
         );
         registry.register(
-            "taken_up",
-            "Streams that callers take up, by what tells their software version",
-            self.taken_up.clone(),
+            "resume_requests",
+            "Requests of callers to resume a stream, by what tells its software version",
+            self.resume_requests.clone(),
         );
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 pub mod demand;
 pub mod exchange;
 pub mod front;
+pub mod incarnations;
 pub mod lease;
 pub mod logs;
 pub mod membership;
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -4,7 +4,7 @@
 
 use super::demand::ModelCounts;
 use super::store_relay::StoreChanges;
-use super::stream_origins::ToldOrigin;
+use super::stream_origins::KnownOrigin;
 use crate::core::crash_ledger::LostRequest;
 use crate::core::ids::{AdapterId, HostId, ModelId, ServiceId, UpstreamId};
 use crate::core::load::InFlight;
@@ -12,6 +12,7 @@
 use crate::core::rate_account::{Keeping, Purpose};
 use crate::core::registry::Holdings;
 use crate::core::request_traits::{Fingerprint, Suspect};
+use crate::core::stream_origin::OriginKnowledge;
 
 /// Holdings of one engine.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -269,12 +270,12 @@
         #[serde(rename = "g")]
         is_granted: bool,
     },
-    /// Streams have begun at a host.
+    /// Streams whose origins are certain.
     #[serde(rename = "sb")]
-    StreamsBegan {
-        /// Streams and where they began; none if that is uncertain.
+    Origins {
+        /// Streams and where they began.
         #[serde(rename = "s")]
-        streams: Vec<ToldOrigin>,
+        streams: Vec<KnownOrigin>,
     },
     /// A host has to take up a stream and asks where it began.
     #[serde(rename = "sa")]
@@ -295,9 +296,12 @@
         /// Question that it answers.
         #[serde(rename = "k")]
         ticket: u64,
-        /// Where it began; absent if the sender does not know the stream.
-        #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
-        known: Option<ToldOrigin>,
+        /// Stream.
+        #[serde(rename = "s")]
+        stream: Fingerprint,
+        /// What the sender knows of it.
+        #[serde(rename = "o")]
+        known: OriginKnowledge,
     },
     /// A host has a request for weights that no upstream can serve now.
     #[serde(rename = "w")]
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -215,13 +215,17 @@
             PeerMessage::Leaving { .. } | PeerMessage::Limited { .. } => {
                 gateway.apply_relayed_notice(&message);
             }
-            PeerMessage::StreamsBegan { streams } => gateway.apply_told_origins(streams),
+            PeerMessage::Origins { streams } => gateway.apply_origins(streams),
             PeerMessage::AskOrigin {
                 host,
                 stream,
                 ticket,
             } => gateway.answer_origin(&host, stream, ticket),
-            PeerMessage::Origin { ticket, known } => gateway.apply_origin(ticket, known),
+            PeerMessage::Origin {
+                ticket,
+                stream,
+                known,
+            } => gateway.apply_origin(ticket, stream, known),
             PeerMessage::AskPermit(question) => gateway.answer_permit(&question),
             PeerMessage::Permit {
                 ticket,
@@ -326,7 +330,7 @@
                 () = cancel.cancelled().fuse() => return,
                 () = compio::time::sleep(LOADS_INTERVAL).fuse() => {}
             }
-            self.gateway.tell_origins();
+            self.gateway.publish_origins();
             let now_ms = self.gateway.now_ms();
             let untold = self.gateway.loads.borrow_mut().take_untold();
             if self.gateway.is_large_fleet() {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -45,9 +45,6 @@
 /// Share of a caller's timeout that its request may spend in the queue; the rest
 /// is left for the upstream.
 const QUEUE_TIME_SHARE: f64 = 0.7;
-/// Longest time in the queue of a stream that goes on, in milliseconds; callers give up
-/// a stream after a gap of about two seconds.
-const MAX_GAP_IN_QUEUE_MS: u64 = 1_000;
 /// Longest retry delay as a share of the request's remaining time; the rest
 /// is left for the second try, and callers do not wait longer in any case.
 const MAX_RETRY_AFTER_SHARE: f64 = 1.0 / 3.0;
@@ -272,10 +269,9 @@
             reason,
             wait_ms: self.predicted_wait_ms(request, &queue_key, reason, capacity, ahead),
         };
-        let expires_ms = if goes_on {
-            request.deadline_ms.min(now_ms + MAX_GAP_IN_QUEUE_MS)
-        } else {
-            Self::expiry_ms(request, reason, due_ms, is_starved)
+        let expires_ms = match filter.go_on_by_ms {
+            Some(by_ms) => by_ms.min(request.deadline_ms),
+            None => Self::expiry_ms(request, reason, due_ms, is_starved),
         };
         let (queued, expires_ms) = {
             let admission = self.admission_queue.borrow();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -24,6 +24,7 @@
 use super::place::InFlightAttempt;
 use super::platform::Platform;
 use super::state::Gateway;
+use super::stream_origins::MAX_GAP_MS;
 use crate::core::balance::UpstreamFilter;
 use crate::core::ids::{SoftwareVersion, UpstreamId};
 use crate::core::load::AttemptOutcome;
@@ -40,8 +41,8 @@
 /// Field with the ID of an event.
 const ID_FIELD: &[u8] = b"id:";
 
-/// Upstreams that are asked whether they still have the software version of a stream.
-const MAX_CONFIRMATIONS: u32 = 3;
+/// Upstreams at which a stream is to go on until one receives the request.
+const MAX_RESUME_ATTEMPTS: u32 = 3;
 
 /// It is not certain which software version began a stream.
 #[derive(Clone, Copy, Debug)]
@@ -80,7 +81,9 @@
         attempts,
         sender,
         disconnected,
+        ended: CancellationToken::new(),
         origin: opened.origin,
+        opened_ms: opened.opened_ms,
         began: None,
         last_event_id: None,
         event_batches: 0,
@@ -93,11 +96,11 @@
     response
 }
 
-/// Incarnation that sent the first event.
+/// Incarnation that is listed for the upstream that sent the first event.
 #[derive(Clone, Debug)]
 struct Began {
     origin: StreamOrigin,
-    /// True once the incarnation is known to be the listed one.
+    /// True once it is certain that this incarnation sent it.
     is_certain: Rc<Cell<bool>>,
 }
 
@@ -107,8 +110,11 @@
     attempts: Attempts,
     sender: Sender<Bytes, Truncated>,
     disconnected: CancellationToken,
-    /// Incarnation that sends the present response.
+    /// Cancelled at the end of the response.
+    ended: CancellationToken,
+    /// Listed incarnation of the upstream that sends the present response.
     origin: Option<StreamOrigin>,
+    opened_ms: u64,
     began: Option<Began>,
     last_event_id: Option<String>,
     event_batches: u64,
@@ -130,6 +136,7 @@
                 let since_ms = self.responding_since_ms;
                 self.gateway
                     .on_broken_off(&self.request, &in_flight.sent, since_ms);
+                self.settle_origin().await;
             }
             in_flight.finish(match end {
                 SegmentEnd::Complete => AttemptOutcome::Succeeded,
@@ -144,6 +151,7 @@
                     self.responding_since_ms = None;
                     self.is_sound = false;
                     self.origin = opened.origin;
+                    self.opened_ms = opened.opened_ms;
                     in_flight = next;
                     body = opened.body;
                 }
@@ -151,6 +159,7 @@
             }
         };
         if end == SegmentEnd::Complete {
+            self.ended.cancel();
             self.record_sound();
         }
         if let (SegmentEnd::Complete, Some(weights)) = (end, &self.request.requirements.weights) {
@@ -232,7 +241,7 @@
 
     fn record_events(&mut self, in_flight: &mut InFlightAttempt<P>, events: &[u8], now_ms: u64) {
         if self.event_batches == 0 {
-            self.record_origin();
+            self.certify_origin();
             in_flight.record_first_response();
             self.first_event_ms = now_ms.saturating_sub(self.request.arrived_ms);
             let first_event_s = self.first_event_ms as f64 / 1000.0;
@@ -260,35 +269,50 @@
         }
     }
 
-    /// Records where the stream began, as soon as it is certain which incarnation that is.
-    fn record_origin(&mut self) {
-        if !self.request.kind.is_repeatable() {
-            return;
-        }
+    /// Lets the origin of the stream be recorded as soon as it is certain.
+    fn certify_origin(&mut self) {
         let Some(origin) = self.origin.clone() else {
             return;
         };
-        let is_announced = self.gateway.is_recently_announced(&origin);
-        let is_certain = Rc::new(Cell::new(is_announced));
+        if !self.request.kind.is_repeatable() {
+            return;
+        }
+        let is_certain = Rc::new(Cell::new(false));
         self.began = Some(Began {
             origin: origin.clone(),
             is_certain: Rc::clone(&is_certain),
         });
-        if is_announced {
-            self.gateway.record_origin(&self.request, Some(origin));
-            return;
-        }
         let gateway = Rc::clone(&self.gateway);
-        let request = self.request.clone();
+        let stream = gateway.stream_of(&self.request);
+        let (opened_ms, ended) = (self.opened_ms, self.ended.clone());
         compio::runtime::spawn(async move {
-            if gateway.confirm_incarnation(&origin).await {
+            let certifying = gateway.certify(&origin, opened_ms);
+            let is_certified = futures_util::select_biased! {
+                () = ended.cancelled().fuse() => false,
+                is_certified = certifying.fuse() => is_certified,
+            };
+            if is_certified {
                 is_certain.set(true);
-                gateway.record_origin(&request, Some(origin));
+                gateway.record_origin(stream, origin);
             }
         })
         .detach();
     }
 
+    /// Makes the origin of a stream that broke off certain if its upstream still reports,
+    /// and tells other hosts at once, as its caller may return within a moment.
+    async fn settle_origin(&self) {
+        let Some(began) = self.began.as_ref().filter(|b| !b.is_certain.get()) else {
+            return;
+        };
+        if self.gateway.confirm_by_report(&began.origin).await {
+            began.is_certain.set(true);
+            let stream = self.gateway.stream_of(&self.request);
+            self.gateway.record_origin(stream, began.origin.clone());
+            self.gateway.publish_origins();
+        }
+    }
+
     /// Software version at which the stream may go on; `Ok(None)` if any may continue it,
     /// as no event was sent, and an error if that version is not certain.
     fn software_to_go_on(&self) -> Result<Option<SoftwareVersion>, UncertainOrigin> {
@@ -296,11 +320,6 @@
             return Ok(self.request.software.clone());
         }
         let began = self.began.as_ref().ok_or(UncertainOrigin)?;
-        if !self.gateway.is_not_contradicted(&began.origin) {
-            // Another incarnation is listed by now, which may have sent the events.
-            self.gateway.record_origin(&self.request, None);
-            return Err(UncertainOrigin);
-        }
         if began.is_certain.get() {
             Ok(Some(began.origin.software.clone()))
         } else {
@@ -312,40 +331,37 @@
     async fn resume(&mut self) -> Option<(InFlightAttempt<P>, OpenStream)> {
         let is_exhausted = self.attempts.sent_to.len() as u32 >= self.request.max_attempts;
         let is_barred = self.request.is_trial || self.gateway.hold_back(&self.request).is_some();
-        let software = self.software_to_go_on();
         if !self.request.kind.is_repeatable() || is_exhausted || is_barred {
             return None;
         }
-        let Ok(software) = software else {
-            self.log_stranded("uncertain_origin");
-            return None;
-        };
         let disconnected = self.disconnected.clone();
         futures_util::select_biased! {
             () = disconnected.cancelled().fuse() => None,
-            opened = self.reopen(software).fuse() => opened,
+            opened = self.reopen().fuse() => opened,
         }
     }
 
-    async fn reopen(
-        &mut self,
-        software: Option<SoftwareVersion>,
-    ) -> Option<(InFlightAttempt<P>, OpenStream)> {
+    async fn reopen(&mut self) -> Option<(InFlightAttempt<P>, OpenStream)> {
+        let Ok(software) = self.software_to_go_on() else {
+            self.log_not_resumed("uncertain_origin");
+            return None;
+        };
         if !self.gateway.try_retry(&self.request.requirements.service) {
             return None;
         }
         let mut filter = UpstreamFilter {
             excluded: self.attempts.sent_to.clone(),
+            go_on_by_ms: Some(self.gateway.now_ms() + MAX_GAP_MS),
+            is_resumable: true,
             software,
-            may_go_on: true,
             ..UpstreamFilter::default()
         };
-        for _ in 0..MAX_CONFIRMATIONS {
+        for _ in 0..MAX_RESUME_ATTEMPTS {
             let acquired = self.gateway.acquire_upstream(&self.request, &filter).await;
             let mut in_flight = match acquired {
                 Ok(in_flight) => in_flight,
                 Err(rejection) => {
-                    self.log_stranded(rejection.reason);
+                    self.log_not_resumed(rejection.reason);
                     return None;
                 }
             };
@@ -359,26 +375,26 @@
             );
             let opened = opening.await;
             self.log_resume(&upstream, &filter, &opened);
-            match opened {
+            let failure = match opened {
                 Ok(opened) => {
                     self.attempts.sent_to.push(upstream);
                     self.gateway.metrics.streams_resumed.inc();
                     return Some((in_flight, opened));
                 }
-                Err(AttemptFailure::NotConfirmed) => {
-                    in_flight.finish(AttemptOutcome::Neutral);
-                    filter.excluded.push(upstream);
-                }
-                Err(failure) => {
-                    self.attempts.sent_to.push(upstream);
-                    self.gateway
-                        .on_failed_attempt(&self.request, &in_flight.sent, &failure);
-                    in_flight.finish(failure.attempt_outcome());
-                    return None;
-                }
+                Err(failure) => failure,
+            };
+            let is_unsent = failure.is_unsent();
+            self.gateway
+                .on_failed_attempt(&self.request, &in_flight.sent, &failure);
+            in_flight.finish(failure.attempt_outcome());
+            if !is_unsent {
+                self.attempts.sent_to.push(upstream);
+                self.log_not_resumed(failure.as_str());
+                return None;
             }
+            filter.excluded.push(upstream);
         }
-        self.log_stranded("not_confirmed");
+        self.log_not_resumed("not_sent");
         None
     }
 
@@ -402,11 +418,11 @@
         );
     }
 
-    fn log_stranded(&self, reason: &'static str) {
-        self.gateway.metrics.streams_stranded.inc();
+    fn log_not_resumed(&self, reason: &'static str) {
+        self.gateway.metrics.streams_not_resumed.inc();
         let began = self.began.as_ref().map(|b| &b.origin);
         tracing::info!(
-            event = "stranded",
+            event = "not_resumed",
             request = self.request.request_id,
             reason,
             began_at = began.map_or("", |o| o.upstream.as_str()),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -63,6 +63,8 @@
     pub pool: Pool,
     /// Operators' configuration in force.
     pub catalog: RefCell<Option<Rc<Catalog>>>,
+    /// Time from which that configuration is in force.
+    pub catalog_since_ms: Cell<u64>,
     /// Registered upstreams.
     pub registry: RefCell<Registry>,
     /// Load and health of upstreams.
@@ -87,6 +89,9 @@
     pub crashes: CrashDesk,
     /// Where recent streams began.
     pub origins: OriginDesk,
+    /// Incarnations that engines have reported, each with its start and the time at which
+    /// the report was requested, in milliseconds since the epoch.
+    pub reported_incarnations: RefCell<HashMap<UpstreamId, (u64, u64)>>,
     /// Software versions that were listed.
     pub software: RefCell<SoftwareHistory>,
     /// Questions and accounts of room at engines.
@@ -123,6 +128,7 @@
             platform,
             pool: Pool::default(),
             catalog: RefCell::default(),
+            catalog_since_ms: Cell::new(0),
             registry: RefCell::default(),
             loads: RefCell::default(),
             admission_queue: RefCell::default(),
@@ -135,6 +141,7 @@
             permits: PermitDesk::default(),
             crashes: CrashDesk::default(),
             origins: OriginDesk::default(),
+            reported_incarnations: RefCell::default(),
             software: RefCell::default(),
             room: RoomDesk::default(),
             peer_sender: PeerSender::default(),
@@ -222,6 +229,7 @@
             "configuration in force"
         );
         *self.catalog.borrow_mut() = Some(Rc::new(catalog));
+        self.catalog_since_ms.set(self.now_ms());
         self.metrics.config_version.set(version.cast_signed());
     }
 
@@ -263,6 +271,7 @@
             self.forget_rate(id);
         }
         if let RegistryChange::Removed(id) = change {
+            self.reported_incarnations.borrow_mut().remove(id);
             self.loads.borrow_mut().remove_if_idle(id);
         }
     }
--- a/src/gateway/store_facts.rs
+++ b/src/gateway/store_facts.rs
@@ -208,6 +208,9 @@
             StoreFact::NoUpstream(id) => {
                 let change = {
                     let mut registry = self.registry.borrow_mut();
+                    if let Some(entry) = registry.get(id.as_str()) {
+                        self.software.borrow_mut().record(now_ms, entry);
+                    }
                     registry.remove(id.as_str(), lapse_until_ms, now_ms)
                 };
                 if let Some(change) = change {
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -12,48 +12,64 @@
 use hyper::header::{HOST, HeaderMap};
 
 use super::call::RoutedRequest;
-use super::exchange::{AttemptFailure, OpenStream};
 use super::metrics::ResumeLabels;
 use super::peer_messages::PeerMessage;
-use super::place::InFlightAttempt;
 use super::platform::Platform;
 use super::questions::Questions;
 use super::state::Gateway;
-use crate::core::catalog::Catalog;
-use crate::core::ids::{HostId, ServiceId, SoftwareVersion, UpstreamId};
-use crate::core::registry::Entry;
+use crate::core::catalog::{Catalog, Route};
+use crate::core::ids::{HostId, ServiceId, SoftwareVersion};
 use crate::core::request_traits::Fingerprint;
 use crate::core::stream_origin::{
-    StreamOrigin, StreamOrigins, asked_hosts, stream_key, told_hosts,
+    OriginKnowledge, StreamOrigin, StreamOrigins, lookup_hosts, replica_hosts, stream_key,
 };
 
 /// Time after which other hosts count as unable to answer; several times the round trip
 /// between zones. They are asked twice, since datagrams get lost.
 const ASK_TIMEOUTS: [Duration; 2] = [Duration::from_millis(30), Duration::from_millis(60)];
-/// Time for which an announcement vouches for an upstream's incarnation, in milliseconds;
-/// upstreams announce themselves about once a second.
-const ANNOUNCEMENT_VALID_MS: u64 = 3_000;
 /// Time by which a stream may outlast the timeout of its route, in milliseconds.
 const STREAM_AGE_MARGIN_MS: u64 = 2_000;
 /// Limit of the streams in one datagram; keeps it within a packet of the usual size.
 const MAX_STREAMS_PER_DATAGRAM: usize = 12;
-/// Reason for streams that are not taken up since nothing tells where they began.
+/// Longest time for which a stream waits to go on, in milliseconds; callers give up a stream
+/// after a gap of about two seconds.
+pub const MAX_GAP_MS: u64 = 1_000;
+/// Reason for streams that do not go on since nothing tells where they began.
 pub const UNKNOWN_SOFTWARE: &str = "unknown_software";
 
-/// Where a stream began, as told to other hosts; none if it is uncertain.
-pub type ToldOrigin = (Fingerprint, Option<StreamOrigin>);
+/// Stream with its origin, as sent to other hosts.
+pub type KnownOrigin = (Fingerprint, StreamOrigin);
 
 type SelectHosts =
     for<'a> fn(Fingerprint, &HostId, &str, &[(&'a HostId, &'a str)]) -> Vec<&'a HostId>;
 
-/// Streams that began at this host or of which it was told, and its questions.
+/// Question that other hosts have to answer.
+#[derive(Clone, Copy, Debug)]
+struct Awaited {
+    stream: Fingerprint,
+    /// Hosts that have not answered yet.
+    left: usize,
+}
+
+/// Origins of streams that this host knows, and its questions.
 #[derive(Debug, Default)]
 pub struct OriginDesk {
     origins: RefCell<StreamOrigins>,
-    untold: RefCell<Vec<ToldOrigin>>,
-    questions: Questions<Option<StreamOrigin>>,
-    /// Hosts that have not answered a question yet, by ticket.
-    awaited: RefCell<HashMap<u64, usize>>,
+    unpublished: RefCell<Vec<KnownOrigin>>,
+    questions: Questions<OriginKnowledge>,
+    awaited: RefCell<HashMap<u64, Awaited>>,
+}
+
+/// Forgets a question when the task that asked ends, also early.
+struct AwaitedGuard<'a> {
+    desk: &'a OriginDesk,
+    ticket: Cell<u64>,
+}
+
+impl Drop for AwaitedGuard<'_> {
+    fn drop(&mut self) {
+        self.desk.awaited.borrow_mut().remove(&self.ticket.get());
+    }
 }
 
 /// Service and software version at which a stream goes on.
@@ -80,119 +96,44 @@
     stream_key(caller, request_id)
 }
 
-impl<P: Platform> Gateway<P> {
-    /// Incarnation that is listed for an upstream, unless its software version is unknown.
-    pub fn listed_origin(&self, upstream: &UpstreamId) -> Option<StreamOrigin> {
-        let registry = self.registry.borrow();
-        let entry = registry.get(upstream.as_str())?;
-        Some(StreamOrigin {
-            service: entry.service.clone(),
-            software: entry.software.clone()?,
-            upstream: upstream.clone(),
-            started_ms: entry.started_ms,
-        })
-    }
-
-    /// True unless another incarnation of its upstream is listed by now.
-    pub fn is_not_contradicted(&self, origin: &StreamOrigin) -> bool {
-        let registry = self.registry.borrow();
-        let entry = registry.get(origin.upstream.as_str());
-        entry.is_none_or(|e| e.started_ms == origin.started_ms)
-    }
-
-    /// True if the listed incarnation was announced a moment ago.
-    pub fn is_recently_announced(&self, origin: &StreamOrigin) -> bool {
-        let now_ms = self.now_ms();
-        let is_recent = |e: &Entry| now_ms < e.read_ms + ANNOUNCEMENT_VALID_MS;
-        let registry = self.registry.borrow();
-        let entry = registry.get(origin.upstream.as_str());
-        entry.is_some_and(|e| e.started_ms == origin.started_ms && is_recent(e))
-    }
-
-    /// Asks an engine whether it is the listed incarnation. Only a recent announcement
-    /// vouches for other upstreams, which do not report, and for those that state how many
-    /// requests they take.
-    pub async fn confirm_incarnation(&self, origin: &StreamOrigin) -> bool {
-        let catalog = self.catalog();
-        let spec = catalog
-            .as_ref()
-            .and_then(|c| c.services.get(&origin.service));
-        let is_engine = spec.is_some_and(|s| s.engine.is_some());
-        if !is_engine || self.stated_rate(&origin.upstream).is_some() {
-            return self.is_recently_announced(origin);
-        }
-        let addr = {
-            let registry = self.registry.borrow();
-            registry.get(origin.upstream.as_str()).map(|e| e.addr)
-        };
-        let Some(addr) = addr else {
-            return false;
-        };
-        let sent_ms = self.now_ms();
-        let response = self.platform.fetch_report(addr).await;
-        let is_reported = response
-            .report
-            .is_some_and(|r| r.started_ms == origin.started_ms);
-        let is_same = is_reported && self.is_not_contradicted(origin);
-        if is_same {
-            self.apply_notice(&origin.upstream, sent_ms, response.notice);
-        }
-        is_same
-    }
+fn route_of<'a>(catalog: &'a Catalog, request: &RoutedRequest) -> Option<&'a Route> {
+    let host = request.headers.get(HOST).and_then(|h| h.to_str().ok());
+    let path = request.target.split('?').next().unwrap_or("/");
+    catalog.route(host.unwrap_or_default(), path)
+}
 
-    /// Opens a stream. One that goes on is opened only at an incarnation that is confirmed
-    /// to have the software version that began it.
-    pub async fn open_stream_at(
-        &self,
-        request: &RoutedRequest,
-        in_flight: &mut InFlightAttempt<P>,
-        resume_after: Option<&str>,
-        software: Option<&SoftwareVersion>,
-    ) -> Result<OpenStream, AttemptFailure> {
-        let Some(software) = software else {
-            return self.open_stream(request, in_flight, resume_after).await;
-        };
-        let listed = self.listed_origin(&in_flight.sent.upstream);
-        let Some(expected) = listed.filter(|o| o.software == *software) else {
-            return Err(AttemptFailure::NotConfirmed);
-        };
-        if !self.confirm_incarnation(&expected).await {
-            return Err(AttemptFailure::NotConfirmed);
-        }
-        let opened = self.open_stream(request, in_flight, resume_after).await?;
-        if opened.origin.as_ref() == Some(&expected) {
-            Ok(opened)
-        } else {
-            Err(AttemptFailure::Unknown)
-        }
+impl<P: Platform> Gateway<P> {
+    /// Key of the stream that a request begins or takes up.
+    pub fn stream_of(&self, request: &RoutedRequest) -> Fingerprint {
+        let resumes = request.resumes.as_deref();
+        let began = resumes.filter(|_| request.takes_up_stream());
+        key_of(&request.headers, began.unwrap_or(&request.request_id))
     }
 
     /// Records where a stream began, and tells other hosts within a moment.
-    pub fn record_origin(&self, request: &RoutedRequest, origin: Option<StreamOrigin>) {
-        let began = request.resumes.as_ref().unwrap_or(&request.request_id);
-        let stream = key_of(&request.headers, began);
+    pub fn record_origin(&self, stream: Fingerprint, origin: StreamOrigin) {
         let mut origins = self.origins.origins.borrow_mut();
         origins.record(self.now_ms(), stream, origin.clone());
         drop(origins);
-        self.origins.untold.borrow_mut().push((stream, origin));
+        self.origins.unpublished.borrow_mut().push((stream, origin));
     }
 
-    /// Tells other hosts of the streams that have begun since the last call.
-    pub fn tell_origins(&self) {
-        let untold = self.origins.untold.take();
-        if untold.is_empty() {
+    /// Tells other hosts of the origins recorded since the last call.
+    pub fn publish_origins(&self) {
+        let unpublished = self.origins.unpublished.take();
+        if unpublished.is_empty() {
             return;
         }
-        let mut by_host: HashMap<SocketAddr, Vec<ToldOrigin>> = HashMap::new();
-        for told in untold {
-            for addr in self.responsible_hosts(told.0, told_hosts) {
-                by_host.entry(addr).or_default().push(told.clone());
+        let mut by_host: HashMap<SocketAddr, Vec<KnownOrigin>> = HashMap::new();
+        for known in unpublished {
+            for addr in self.responsible_hosts(known.0, replica_hosts) {
+                by_host.entry(addr).or_default().push(known.clone());
             }
         }
         for (addr, streams) in by_host {
             for streams in streams.chunks(MAX_STREAMS_PER_DATAGRAM) {
                 let streams = streams.to_vec();
-                self.send_peer(addr, &PeerMessage::StreamsBegan { streams });
+                self.send_peer(addr, &PeerMessage::Origins { streams });
             }
         }
     }
@@ -211,8 +152,8 @@
         selected.into_iter().filter_map(addr).collect()
     }
 
-    /// Applies what another host tells of its streams.
-    pub fn apply_told_origins(&self, streams: Vec<ToldOrigin>) {
+    /// Records what another host tells of its streams.
+    pub fn apply_origins(&self, streams: Vec<KnownOrigin>) {
         let now_ms = self.now_ms();
         let mut origins = self.origins.origins.borrow_mut();
         for (stream, origin) in streams {
@@ -220,95 +161,97 @@
         }
     }
 
+    fn known_origin(&self, stream: Fingerprint) -> OriginKnowledge {
+        let origins = self.origins.origins.borrow();
+        origins.get(self.now_ms(), stream).clone()
+    }
+
     /// Answers a host that has to take up a stream.
     pub fn answer_origin(&self, host: &HostId, stream: Fingerprint, ticket: u64) {
-        let now_ms = self.now_ms();
-        let known = {
-            let origins = self.origins.origins.borrow();
-            let origin = origins.get(now_ms, stream);
-            origin.map(|origin| (stream, origin.cloned()))
-        };
+        let known = self.known_origin(stream);
         let addr = {
             let peers = self.peers.borrow();
-            peers.get_recipient(now_ms, host).map(|p| p.addr)
+            peers.get_recipient(self.now_ms(), host).map(|p| p.addr)
         };
         if let Some(addr) = addr {
-            self.send_peer(addr, &PeerMessage::Origin { ticket, known });
+            let answer = PeerMessage::Origin {
+                ticket,
+                stream,
+                known,
+            };
+            self.send_peer(addr, &answer);
         }
     }
 
     /// Passes an answer to the task that asked; an answer of a host that does not know the
     /// stream counts once all hosts have answered so.
-    pub fn apply_origin(&self, ticket: u64, known: Option<ToldOrigin>) {
+    pub fn apply_origin(&self, ticket: u64, stream: Fingerprint, known: OriginKnowledge) {
         let mut awaited = self.origins.awaited.borrow_mut();
-        let Some(left) = awaited.get_mut(&ticket) else {
+        // Tickets start anew with the process, so that an answer may be to another question.
+        let Some(awaited) = awaited.get_mut(&ticket).filter(|a| a.stream == stream) else {
             return;
         };
-        *left = left.saturating_sub(1);
-        let is_last = *left == 0;
-        drop(awaited);
-        if known.is_some() || is_last {
-            let origin = known.and_then(|(_, origin)| origin);
-            self.origins.questions.answer(ticket, origin);
+        awaited.left = awaited.left.saturating_sub(1);
+        if known != OriginKnowledge::Unknown || awaited.left == 0 {
+            self.origins.questions.answer(ticket, known);
         }
     }
 
     /// Service and version at which the stream that a request takes up goes on.
     pub async fn resume_place(&self, request: &RoutedRequest) -> Option<ResumePlace> {
-        let mut origin = None;
-        if let Some(resumes) = request.resumes.as_deref().filter(|id| !id.is_empty()) {
-            let stream = key_of(&request.headers, resumes);
-            origin = self.find_origin(stream).await;
-        }
-        let place = match &origin {
-            Some(origin) => Some(ResumePlace::from(origin)),
-            None => self.only_place(request),
+        let known = match &request.resumes {
+            Some(id) => self.find_origin(key_of(&request.headers, id)).await,
+            None => OriginKnowledge::Unknown,
+        };
+        let (source, place) = match &known {
+            OriginKnowledge::Known(origin) => ("origin", Some(ResumePlace::from(origin))),
+            OriginKnowledge::Contradictory => ("contradictory", None),
+            OriginKnowledge::Unknown => match self.only_place(request) {
+                Some(place) => ("only_version", Some(place)),
+                None => ("unknown", None),
+            },
+        };
+        let began_at = match &known {
+            OriginKnowledge::Known(origin) => origin.upstream.as_str(),
+            OriginKnowledge::Contradictory | OriginKnowledge::Unknown => "",
         };
-        let began_at = origin.as_ref().map_or("", |o| o.upstream.as_str());
-        let software = place.as_ref().map_or("", |p| p.software.as_str());
         tracing::info!(
-            event = "taken_up",
+            event = "resume_request",
             request = request.request_id,
             resumes = request.resumes.as_deref().unwrap_or(""),
             after = request.last_event_id.as_deref().unwrap_or(""),
+            source,
             began_at,
-            software,
+            software = place.as_ref().map_or("", |p| p.software.as_str()),
         );
-        let source = match (&origin, &place) {
-            (Some(_), _) => "origin",
-            (None, Some(_)) => "only_version",
-            (None, None) => "unknown",
-        };
         let labels = ResumeLabels { source };
-        self.metrics.taken_up.get_or_create(&labels).inc();
+        self.metrics.resume_requests.get_or_create(&labels).inc();
         place
     }
 
-    async fn find_origin(&self, stream: Fingerprint) -> Option<StreamOrigin> {
-        let now_ms = self.now_ms();
-        let known = {
-            let origins = self.origins.origins.borrow();
-            origins
-                .get(now_ms, stream)
-                .map(Option::<&StreamOrigin>::cloned)
-        };
-        if let Some(origin) = known {
-            return origin;
+    async fn find_origin(&self, stream: Fingerprint) -> OriginKnowledge {
+        let known = self.known_origin(stream);
+        if known != OriginKnowledge::Unknown {
+            return known;
         }
         let addrs = if self.is_large_fleet() {
-            self.responsible_hosts(stream, asked_hosts)
+            self.responsible_hosts(stream, lookup_hosts)
         } else {
             self.other_hosts(|_| true)
         };
         if addrs.is_empty() {
-            return None;
+            return OriginKnowledge::Unknown;
         }
         for timeout in ASK_TIMEOUTS {
-            let asked = Cell::new(0);
+            let guard = AwaitedGuard {
+                desk: &self.origins,
+                ticket: Cell::new(0),
+            };
             let ask = |ticket| {
-                asked.set(ticket);
+                guard.ticket.set(ticket);
+                let left = addrs.len();
                 let mut awaited = self.origins.awaited.borrow_mut();
-                awaited.insert(ticket, addrs.len());
+                awaited.insert(ticket, Awaited { stream, left });
                 drop(awaited);
                 let host = self.settings().host.clone();
                 let question = PeerMessage::AskOrigin {
@@ -319,29 +262,30 @@
                 self.send_peers(addrs.clone(), &question);
             };
             let answer = self.origins.questions.ask(timeout, ask).await;
-            self.origins.awaited.borrow_mut().remove(&asked.get());
-            if let Some(answer) = answer {
-                return answer;
+            if let Some(known) = answer {
+                return known;
             }
             self.metrics.unanswered_asks.inc();
         }
-        None
+        OriginKnowledge::Unknown
     }
 
-    /// The only version that the request's service has had for as long as a stream can last.
+    /// The only version that the request's service has had for as long as a stream can last,
+    /// if its route has led nowhere else meanwhile.
     fn only_place(&self, request: &RoutedRequest) -> Option<ResumePlace> {
-        let service = &request.requirements.service;
+        let now_ms = self.now_ms();
         let window_ms = request.route_timeout.as_millis() as u64 + STREAM_AGE_MARGIN_MS;
-        let software = self.software.borrow().only_version(
-            self.now_ms(),
-            window_ms,
-            &self.registry.borrow(),
-            service,
-        );
-        software.map(|software| ResumePlace {
-            service: service.clone(),
-            software,
-        })
+        let catalog = self.catalog()?;
+        let is_unchanged = now_ms >= self.catalog_since_ms.get() + window_ms;
+        let [backend] = route_of(&catalog, request)?.backends.as_slice() else {
+            return None;
+        };
+        let service = backend.service.clone();
+        let registry = self.registry.borrow();
+        let software = self.software.borrow();
+        let only = software.only_version(now_ms, window_ms, &registry, &service);
+        let software = only.filter(|_| is_unchanged)?;
+        Some(ResumePlace { service, software })
     }
 
     /// Binds a request that takes up a stream to the service and the version that began it;
@@ -352,9 +296,7 @@
         request: &mut RoutedRequest,
         place: ResumePlace,
     ) -> bool {
-        let host = request.headers.get(HOST).and_then(|h| h.to_str().ok());
-        let path = request.target.split('?').next().unwrap_or("/");
-        let route = catalog.route(host.unwrap_or_default(), path);
+        let route = route_of(catalog, request);
         let is_routed =
             route.is_some_and(|r| r.backends.iter().any(|b| b.service == place.service));
         if is_routed && request.requirements.service != place.service {
