Search an event's bytes for its end only once

Cause: each part of a stream was searched for event delimiters together with all bytes of the unfinished event before it. An event without end in parts of one byte kept the loop of a host busy for half a minute before it was cut off at 256 KB. Change: the search begins at the last byte received before.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -296,11 +296,13 @@
     if partial.is_empty() && data.ends_with(EVENT_DELIMITER) {
         return Some(data);
     }
+    // A delimiter may have begun in the bytes that were received before.
+    let searched = partial.len().saturating_sub(EVENT_DELIMITER.len() - 1);
     partial.extend_from_slice(&data);
-    let end = partial
+    let end = partial[searched..]
         .windows(EVENT_DELIMITER.len())
         .rposition(|w| w == EVENT_DELIMITER)
-        .map_or(0, |at| at + EVENT_DELIMITER.len());
+        .map_or(0, |at| searched + at + EVENT_DELIMITER.len());
     if partial.len() - end > MAX_EVENT_BYTES {
         return None;
     }
