Limit the bytes up to the end of a response head

Cause: the HTTP library skips interim responses without a limit, and accepts heads of 400 KB, which a host held for each such response until its request timed out. Change: a connection that expects a head reads at most 64 KB up to its end, with the interim responses before it; its read buffer has the same limit. A stand-in on raw sockets sends heads and bodies without end. Result: with an upstream that sends interim responses without end, `heads_without_end_are_cut_off` and `heads_of_streams_without_end_are_cut_off` failed before (176 MB and 173 MB read in 1.5 s) and pass. `heads_larger_than_the_limit_are_cut_off_at_once` failed before (300 KB held for 1.5 s in each of up to 100 requests, status 504) and passes (502 at once).

--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -7,6 +7,7 @@
 pub mod caller;
 pub mod chat;
 pub mod engine;
+pub mod head_limit;
 pub mod kv;
 pub mod kv_wire;
 pub mod pool;
--- a/src/edge/pool.rs
+++ b/src/edge/pool.rs
@@ -15,6 +15,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use compio::io::util::Splittable;
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
 use http_body_util::Full;
@@ -24,6 +25,8 @@
 use hyper::{Request, Response};
 use socket2::{SockRef, TcpKeepalive};
 
+use super::head_limit::{HeadLimit, HeadLimitedReader};
+
 /// Timeout of a connection attempt.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum number of idle connections per address.
@@ -42,6 +45,9 @@
 /// Unacknowledged keepalive probes after which the kernel closes a connection.
 const KEEPALIVE_PROBES: u32 = 3;
 
+/// Maximum size of a response head, and of the read buffer of a connection.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 /// Body of a request to an upstream or the platform.
 pub type RequestBody = Full<Bytes>;
 
@@ -56,10 +62,17 @@
     MaybeSent,
 }
 
+/// Sending side of a connection.
+#[derive(Debug)]
+struct ConnectionSender {
+    requests: SendRequest<RequestBody>,
+    head_limit: Rc<HeadLimit>,
+}
+
 /// Connection without a request in progress.
 #[derive(Debug)]
 struct IdleConnection {
-    sender: SendRequest<RequestBody>,
+    sender: ConnectionSender,
     usable_until: Instant,
 }
 
@@ -95,7 +108,10 @@
             if !is_still_allowed() {
                 return Err(SendError::NotSent);
             }
-            match sender.try_send_request(request).await {
+            sender.head_limit.start();
+            let sent = sender.requests.try_send_request(request).await;
+            sender.head_limit.stop();
+            match sent {
                 Ok(response) => return Ok(self.wrap_response(addr, sender, response)),
                 Err(mut error) => match error.take_message() {
                     Some(message) if is_reused => request = message,
@@ -106,12 +122,12 @@
         }
     }
 
-    async fn checkout(&self, addr: SocketAddr) -> Option<SendRequest<RequestBody>> {
+    async fn checkout(&self, addr: SocketAddr) -> Option<ConnectionSender> {
         loop {
             let idle = self.idle.borrow_mut().get_mut(&addr)?.pop()?;
             let mut sender = idle.sender;
-            let is_usable = Instant::now() < idle.usable_until && !sender.is_closed();
-            if is_usable && sender.ready().await.is_ok() {
+            let is_usable = Instant::now() < idle.usable_until && !sender.requests.is_closed();
+            if is_usable && sender.requests.ready().await.is_ok() {
                 return Some(sender);
             }
         }
@@ -121,7 +137,7 @@
     pub fn close_expired(&self) {
         let now = Instant::now();
         self.idle.borrow_mut().retain(|_, idle| {
-            idle.retain(|i| now < i.usable_until && !i.sender.is_closed());
+            idle.retain(|i| now < i.usable_until && !i.sender.requests.is_closed());
             !idle.is_empty()
         });
     }
@@ -134,7 +150,7 @@
     fn wrap_response(
         &self,
         addr: SocketAddr,
-        sender: SendRequest<RequestBody>,
+        sender: ConnectionSender,
         response: Response<Incoming>,
     ) -> Response<PooledBody> {
         let idle_timeout = idle_timeout(response.headers());
@@ -153,7 +169,7 @@
         })
     }
 
-    fn check_in(&self, addr: SocketAddr, sender: SendRequest<RequestBody>, idle_timeout: Duration) {
+    fn check_in(&self, addr: SocketAddr, sender: ConnectionSender, idle_timeout: Duration) {
         let mut idle_connections = self.idle.borrow_mut();
         let connections = idle_connections.entry(addr).or_default();
         if connections.len() < MAX_IDLE_PER_ADDR {
@@ -220,21 +236,30 @@
     Some(stream)
 }
 
-async fn connect(addr: SocketAddr) -> Option<SendRequest<RequestBody>> {
+async fn connect(addr: SocketAddr) -> Option<ConnectionSender> {
     let stream = connect_tcp(addr).await?;
     // A close resets the connection, so that bytes of a request that was given up in a
     // partition do not arrive when it heals.
     SockRef::from(&stream)
         .set_linger(Some(Duration::ZERO))
         .ok()?;
-    let io = HyperStream::new_plain(stream);
-    let (sender, connection) = http1::handshake(io).await.ok()?;
+    let head_limit = Rc::new(HeadLimit::new(MAX_HEAD_BYTES));
+    let (reader, writer) = stream.split();
+    let reader = HeadLimitedReader::new(reader, Rc::clone(&head_limit));
+    let io = HyperStream::new_plain((reader, writer));
+    let handshake = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(io);
+    let (requests, connection) = handshake.await.ok()?;
     compio::runtime::spawn(async move {
         // `SendRequest` returns its own error when the connection fails.
         let _ = connection.await;
     })
     .detach();
-    Some(sender)
+    Some(ConnectionSender {
+        requests,
+        head_limit,
+    })
 }
 
 /// Response body that returns its connection to the pool at its end.
@@ -242,7 +267,7 @@
 pub struct PooledBody {
     body: Incoming,
     addr: SocketAddr,
-    sender: Option<SendRequest<RequestBody>>,
+    sender: Option<ConnectionSender>,
     idle_timeout: Duration,
     pool: Pool,
 }
--- a/tests/gateway_event_framing.rs
+++ b/tests/gateway_event_framing.rs
@@ -35,7 +35,10 @@
 
     let events = split_byte_by_byte(data);
 
-    assert_eq!(events.as_deref(), Some(&b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"[..]));
+    assert_eq!(
+        events.as_deref(),
+        Some(&b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"[..])
+    );
 }
 
 #[test]
