Count a stream whose bytes complete no event as a fault of its upstream

Cause: a stream that the request's deadline ended said nothing about the health of its upstream, also if the upstream had sent bytes that never formed an event. Change: at the deadline, an event that has been incomplete for as long as an unresponsive upstream is silent counts as a fault; a quiet stream does not.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -18,6 +18,7 @@
 pub mod engine_order;
 pub mod engine_room;
 pub mod engine_work;
+pub mod event_progress;
 pub mod fleet;
 pub mod ids;
 pub mod ledger;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -23,6 +23,7 @@
 use super::platform::Platform;
 use super::state::Gateway;
 use crate::core::balance::UpstreamFilter;
+use crate::core::event_progress::EventProgress;
 use crate::core::load::AttemptOutcome;
 use crate::edge::body::{ServerResponse, StreamedBody, Truncated};
 use crate::edge::pool::PooledBody;
@@ -47,6 +48,8 @@
     Interrupted,
     /// The request's deadline passed.
     TimedOut,
+    /// The request's deadline passed during an event that was never completed.
+    Stalled,
 }
 
 /// Starts a task that forwards a stream; returns the response that carries it.
@@ -109,7 +112,7 @@
             }
             in_flight.finish(match end {
                 SegmentEnd::Complete => AttemptOutcome::Succeeded,
-                SegmentEnd::Interrupted => AttemptOutcome::Failed,
+                SegmentEnd::Interrupted | SegmentEnd::Stalled => AttemptOutcome::Failed,
                 SegmentEnd::CallerDisconnected | SegmentEnd::TimedOut => AttemptOutcome::Neutral,
             });
             if end != SegmentEnd::Interrupted {
@@ -138,6 +141,7 @@
             SegmentEnd::CallerDisconnected => ("caller_gone", "caller_gone"),
             SegmentEnd::Interrupted => ("broken", "upstream_failed"),
             SegmentEnd::TimedOut => ("broken", "timed_out"),
+            SegmentEnd::Stalled => ("broken", "stalled_event"),
         };
         tracing::info!(
             event = "stream",
@@ -156,7 +160,7 @@
             status,
             Some(&upstream),
         );
-        if end == SegmentEnd::Interrupted || end == SegmentEnd::TimedOut {
+        if end != SegmentEnd::Complete && end != SegmentEnd::CallerDisconnected {
             self.sender.abort(Truncated);
         }
     }
@@ -167,6 +171,7 @@
         body: &mut PooledBody,
     ) -> SegmentEnd {
         let mut partial = BytesMut::new();
+        let mut progress = EventProgress::default();
         let mut last_ms = self.gateway.now_ms();
         loop {
             let time_left = self.request.time_left(self.gateway.now_ms());
@@ -175,6 +180,7 @@
                 frame = compio::time::timeout(time_left, body.frame()).fuse() => frame,
             };
             let data = match frame {
+                Err(_) if progress.is_stalled(self.gateway.now_ms()) => return SegmentEnd::Stalled,
                 Err(_) => return SegmentEnd::TimedOut,
                 Ok(None) if partial.is_empty() => return SegmentEnd::Complete,
                 Ok(None | Some(Err(_))) => return SegmentEnd::Interrupted,
@@ -188,6 +194,7 @@
             let Some(events) = split_complete_events(&mut partial, data) else {
                 return SegmentEnd::Interrupted;
             };
+            progress.on_data(now_ms, !events.is_empty(), !partial.is_empty());
             if events.is_empty() {
                 continue;
             }
