Refuse a body whose stated length exceeds the limit without reading it

Cause: a response that states a length over the limit was read up to the limit first, or until the request timed out if the bytes did not come. Change: the stated length is compared with the limit before the body is read. Result: `body_with_a_length_over_the_limit_is_not_read` failed before (504 after 1.5 s) and passes (502 at once). New tests that passed before: extra bytes after a response reach no caller, a stream that ends with its connection, and other requests amid many streams without end.

--- a/src/edge/body.rs
+++ b/src/edge/body.rs
@@ -90,6 +90,9 @@
     B: Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Err(ReadError::TooLarge);
+    }
     let collecting = Limited::new(body, max_bytes).collect();
     match compio::time::timeout(timeout, collecting).await {
         Err(_) => Err(ReadError::Timeout),
