Bound the body of a refusal, and count one without an end as a fault

Cause: the body of a refusal was collected for up to 500 ms without a limit of its size, and said nothing about the upstream's health. Change: it is read up to 16 KB; one that exceeds this or the time is a fault of its upstream. Bodies that are cut off are logged (`cut_off`) and counted (`responses_cut_off`).

--- a/src/core/load.rs
+++ b/src/core/load.rs
@@ -489,6 +489,11 @@
         }
     }
 
+    /// Counts a fault of an upstream apart from the end of a request.
+    pub fn on_fault(&mut self, now_ms: u64, id: &UpstreamId) {
+        self.entry(id).record_failure(now_ms);
+    }
+
     /// Stores the load of all other hosts at an upstream.
     pub fn set_remote(&mut self, now_ms: u64, id: &UpstreamId, remote: InFlight) {
         let load = self.entry(id);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -3,10 +3,11 @@
 //! A response is valid only if it is complete and is this upstream's response to
 //! this request. A connection whose response was not read to its end is closed.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::header::HeaderMap;
 use hyper::{Request, Response, StatusCode};
 
@@ -110,7 +111,7 @@
 impl<P: Platform> Gateway<P> {
     /// Sends a request and reads the complete response.
     pub async fn exchange(
-        &self,
+        self: &Rc<Self>,
         request: &RoutedRequest,
         in_flight: &mut InFlightAttempt<P>,
         timeout: Duration,
@@ -132,13 +133,17 @@
                 body,
             }),
             Err(ReadError::Timeout) => Err(AttemptFailure::TimedOut),
-            Err(ReadError::Incomplete | ReadError::TooLarge) => Err(AttemptFailure::Unknown),
+            Err(ReadError::TooLarge) => {
+                self.record_cut_off(&in_flight.sent.upstream, "body");
+                Err(AttemptFailure::Unknown)
+            }
+            Err(ReadError::Incomplete) => Err(AttemptFailure::Unknown),
         }
     }
 
     /// Sends a request for a stream and waits for the head of the response.
     pub async fn open_stream(
-        &self,
+        self: &Rc<Self>,
         request: &RoutedRequest,
         in_flight: &mut InFlightAttempt<P>,
         resume_after: Option<&str>,
@@ -170,7 +175,7 @@
     }
 
     async fn send(
-        &self,
+        self: &Rc<Self>,
         request: &RoutedRequest,
         in_flight: &InFlightAttempt<P>,
         timeout: Duration,
@@ -241,15 +246,7 @@
         match kind {
             ResponseKind::Valid => Ok(response),
             ResponseKind::NotRun { is_misdirected } => {
-                // The pool reuses the connection only if the short body is read to its
-                // end.
-                compio::runtime::spawn(async move {
-                    let body = response.into_body().collect();
-                    // If the read fails or times out, the connection is closed, which
-                    // needs no handling.
-                    let _ = compio::time::timeout(Duration::from_millis(500), body).await;
-                })
-                .detach();
+                self.finish_refusal(upstream, response.into_body());
                 Err(AttemptFailure::NotRun { is_misdirected })
             }
             ResponseKind::Invalid => Err(AttemptFailure::Unknown),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -68,6 +68,8 @@
     pub permits_denied: Counter,
     /// Upstreams that state how many requests a second they take.
     pub upstreams_limited: Gauge,
+    /// Responses of upstreams that were cut off at a limit of size or time.
+    pub responses_cut_off: Counter,
     /// Era of the store.
     pub store_era: Gauge,
     /// Log lines dropped because the reader was too slow.
@@ -99,15 +101,25 @@
             upstream_closures: Counter::default(),
             permits_denied: Counter::default(),
             upstreams_limited: Gauge::default(),
+            responses_cut_off: Counter::default(),
             store_era: Gauge::default(),
             dropped_log_lines: Gauge::default(),
         };
         metrics.register();
+        metrics.register_cut_offs();
         metrics
     }
 }
 
 impl GatewayMetrics {
+    fn register_cut_offs(&mut self) {
+        self.registry.register(
+            "responses_cut_off",
+            "Responses of upstreams that were cut off at a limit of size or time",
+            self.responses_cut_off.clone(),
+        );
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register(
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 pub mod announce;
 pub mod call;
 pub mod crashes;
+mod cut_off;
 pub mod demand;
 pub mod exchange;
 pub mod front;
