Bound the memory of responses that are being read

Cause: each response that is read before it is forwarded could hold a megabyte, without a limit for all together; a hundred upstreams whose bodies did not end held 90 MB of a host with 100 MB. Change: each may hold 64 KB; what exceeds that comes from a budget of an eighth of the process memory. A response without memory is cut off (`cut_off`, `no_memory`) and is no fault of its upstream; its request may have run.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -36,6 +36,7 @@
 pub mod registry;
 pub mod rendezvous;
 pub mod request_traits;
+pub mod response_memory;
 pub mod retry;
 pub mod routing;
 pub mod slots;
--- a/src/edge/body.rs
+++ b/src/edge/body.rs
@@ -82,6 +82,8 @@
     Timeout,
     /// The connection failed before the end of the body.
     Incomplete,
+    /// The memory for all bodies together is exhausted.
+    NoMemory,
 }
 
 /// Reads a complete body with a size and a time limit.
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -11,4 +11,5 @@
 pub mod kv;
 pub mod kv_wire;
 pub mod pool;
+pub mod response_reader;
 pub mod server;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -313,6 +313,7 @@
                     .await
             }
             AttemptFailure::Unknown
+            | AttemptFailure::NoMemory
             | AttemptFailure::TimedOut
             | AttemptFailure::FailureResponse(_) => {
                 let is_timeout = matches!(failure, AttemptFailure::TimedOut);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -16,7 +16,7 @@
 use super::platform::{ForwardingHeaders, Platform, ResponseKind};
 use super::state::Gateway;
 use crate::core::load::AttemptOutcome;
-use crate::edge::body::{self, ReadError, ServerResponse};
+use crate::edge::body::{ReadError, ServerResponse};
 use crate::edge::pool::{PooledBody, SendError};
 
 /// Largest response that is read completely before it is forwarded, in bytes.
@@ -37,6 +37,8 @@
     },
     /// The request may have run; its response is lost or invalid.
     Unknown,
+    /// The request may have run; this host had no memory for its response.
+    NoMemory,
     /// No response in time; the request may have run.
     TimedOut,
     /// The upstream sent a failure response.
@@ -56,6 +58,7 @@
                 is_misdirected: false,
             } => "refused",
             Self::Unknown => "unknown",
+            Self::NoMemory => "no_memory",
             Self::TimedOut => "timed_out",
             Self::FailureResponse(_) => "answered",
         }
@@ -64,7 +67,7 @@
     /// Effect on the upstream's health.
     pub fn attempt_outcome(&self) -> AttemptOutcome {
         match self {
-            Self::NotRun { .. } => AttemptOutcome::Neutral,
+            Self::NotRun { .. } | Self::NoMemory => AttemptOutcome::Neutral,
             Self::NotConnected => AttemptOutcome::Unreachable,
             Self::NotSent | Self::Unknown | Self::TimedOut | Self::FailureResponse(_) => {
                 AttemptOutcome::Failed
@@ -126,7 +129,10 @@
         let spent = Duration::from_millis(self.now_ms() - started_ms);
         let time_left = timeout.saturating_sub(spent);
         let (parts, incoming) = response.into_parts();
-        match body::read(incoming, MAX_BUFFERED_BYTES, time_left).await {
+        let reading = self
+            .response_reader
+            .read(incoming, MAX_BUFFERED_BYTES, time_left);
+        match reading.await {
             Ok(body) => Ok(BufferedResponse {
                 status: parts.status.as_u16(),
                 headers: self.platform.response_headers(&parts.headers),
@@ -137,6 +143,10 @@
                 self.record_cut_off(&in_flight.sent.upstream, "body");
                 Err(AttemptFailure::Unknown)
             }
+            Err(ReadError::NoMemory) => {
+                self.record_cut_off(&in_flight.sent.upstream, "memory");
+                Err(AttemptFailure::NoMemory)
+            }
             Err(ReadError::Incomplete) => Err(AttemptFailure::Unknown),
         }
     }
@@ -158,7 +168,10 @@
         let headers = self.platform.response_headers(&parts.headers);
         if !parts.status.is_success() {
             let time_left = request.time_left(self.now_ms());
-            let read = body::read(body, MAX_BUFFERED_BYTES, time_left).await;
+            let reading = self
+                .response_reader
+                .read(body, MAX_BUFFERED_BYTES, time_left);
+            let read = reading.await;
             return Err(read.map_or(AttemptFailure::Unknown, |body| {
                 AttemptFailure::FailureResponse(BufferedResponse {
                     status: parts.status.as_u16(),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -28,6 +28,7 @@
 use crate::core::store_relay::{Follower, Position};
 use crate::core::upstream_rate::KnownRates;
 use crate::edge::pool::Pool;
+use crate::edge::response_reader::ResponseReader;
 use crate::kernel::Service;
 use crate::services::clock::Clock;
 
@@ -36,6 +37,8 @@
 const RETRY_SAFETY_FACTOR: f64 = 0.7;
 /// Number of hosts assumed before any is known.
 const ASSUMED_HOST_COUNT: usize = 8;
+/// Divisor of the process memory that gives the budget for unfinished responses.
+const RESPONSE_MEMORY_DIVISOR: usize = 8;
 
 /// Host that sends orders to engines.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -59,6 +62,8 @@
     pub clock: Clock,
     /// Connection pool for upstreams.
     pub pool: Pool,
+    /// Reader of upstreams' responses.
+    pub response_reader: ResponseReader,
     /// Operators' configuration in force.
     pub catalog: RefCell<Option<Rc<Catalog>>>,
     /// Registered upstreams.
@@ -111,11 +116,13 @@
     /// State at the start of a process.
     pub fn new(settings: GatewaySettings, platform: P, logs: LogBuffer) -> Self {
         let clock = Clock::default();
+        let memory_bytes = (settings.memory_mb * 1024.0 * 1024.0) as usize;
         let seed = crate::core::rendezvous::hash(settings.host.as_str()) ^ clock.started_ms();
         Self {
             settings: RefCell::new(Rc::new(settings)),
             platform,
             pool: Pool::default(),
+            response_reader: ResponseReader::new(memory_bytes / RESPONSE_MEMORY_DIVISOR),
             catalog: RefCell::default(),
             registry: RefCell::default(),
             loads: RefCell::default(),
--- a/src/services/callers.rs
+++ b/src/services/callers.rs
@@ -433,7 +433,7 @@
                     let message = "the upstream's answer is larger than the limit";
                     return Err(Refusal::unknown(Reason::UpstreamFailed, message));
                 }
-                Err(ReadError::Incomplete | ReadError::Timeout) => {
+                Err(ReadError::Incomplete | ReadError::NoMemory | ReadError::Timeout) => {
                     upstream_response.in_flight.record_failure();
                 }
             }
