--- a/src/edge/body.rs
+++ b/src/edge/body.rs
@@ -82,6 +82,8 @@
     Timeout,
     /// The connection failed before the end of the body.
     Incomplete,
+    /// The memory for all bodies together is exhausted.
+    NoMemory,
 }
 
 /// Reads a complete body with a size and a time limit.
@@ -90,6 +92,9 @@
     B: Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Err(ReadError::TooLarge);
+    }
     let collecting = Limited::new(body, max_bytes).collect();
     match compio::time::timeout(timeout, collecting).await {
         Err(_) => Err(ReadError::Timeout),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -3,10 +3,11 @@
 //! A response is valid only if it is complete and is this upstream's response to
 //! this request. A connection whose response was not read to its end is closed.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::header::HeaderMap;
 use hyper::{Request, Response, StatusCode};
 
@@ -16,7 +17,7 @@
 use super::state::Gateway;
 use crate::core::load::AttemptOutcome;
 use crate::core::stream_origin::StreamOrigin;
-use crate::edge::body::{self, ReadError, ServerResponse};
+use crate::edge::body::{ReadError, ServerResponse};
 use crate::edge::pool::{PooledBody, SendError};
 
 /// Largest response that is read completely before it is forwarded, in bytes.
@@ -40,6 +41,8 @@
     },
     /// The request may have run; its response is lost or invalid.
     Unknown,
+    /// The request may have run; this host had no memory for its response.
+    NoMemory,
     /// No response in time; the request may have run.
     TimedOut,
     /// The upstream sent a failure response.
@@ -60,6 +63,7 @@
                 is_misdirected: false,
             } => "refused",
             Self::Unknown => "unknown",
+            Self::NoMemory => "no_memory",
             Self::TimedOut => "timed_out",
             Self::FailureResponse(_) => "answered",
         }
@@ -76,7 +80,7 @@
     /// Effect on the upstream's health.
     pub fn attempt_outcome(&self) -> AttemptOutcome {
         match self {
-            Self::NotRun { .. } | Self::NotConfirmed => AttemptOutcome::Neutral,
+            Self::NotRun { .. } | Self::NotConfirmed | Self::NoMemory => AttemptOutcome::Neutral,
             Self::NotConnected => AttemptOutcome::Unreachable,
             Self::NotSent | Self::Unknown | Self::TimedOut | Self::FailureResponse(_) => {
                 AttemptOutcome::Failed
@@ -128,7 +132,7 @@
 impl<P: Platform> Gateway<P> {
     /// Sends a request and reads the complete response.
     pub async fn exchange(
-        &self,
+        self: &Rc<Self>,
         request: &RoutedRequest,
         in_flight: &mut InFlightAttempt<P>,
         timeout: Duration,
@@ -143,20 +147,31 @@
         let spent = Duration::from_millis(self.now_ms() - started_ms);
         let time_left = timeout.saturating_sub(spent);
         let (parts, incoming) = response.into_parts();
-        match body::read(incoming, MAX_BUFFERED_BYTES, time_left).await {
+        let reading = self
+            .response_reader
+            .read(incoming, MAX_BUFFERED_BYTES, time_left);
+        match reading.await {
             Ok(body) => Ok(BufferedResponse {
                 status: parts.status.as_u16(),
                 headers: self.platform.response_headers(&parts.headers),
                 body,
             }),
             Err(ReadError::Timeout) => Err(AttemptFailure::TimedOut),
-            Err(ReadError::Incomplete | ReadError::TooLarge) => Err(AttemptFailure::Unknown),
+            Err(ReadError::TooLarge) => {
+                self.record_cut_off(&in_flight.sent.upstream, "body");
+                Err(AttemptFailure::Unknown)
+            }
+            Err(ReadError::NoMemory) => {
+                self.record_cut_off(&in_flight.sent.upstream, "memory");
+                Err(AttemptFailure::NoMemory)
+            }
+            Err(ReadError::Incomplete) => Err(AttemptFailure::Unknown),
         }
     }
 
     /// Sends a request for a stream and waits for the head of the response.
     pub async fn open_stream(
-        &self,
+        self: &Rc<Self>,
         request: &RoutedRequest,
         in_flight: &mut InFlightAttempt<P>,
         resume_after: Option<&str>,
@@ -172,7 +187,10 @@
         let headers = self.platform.response_headers(&parts.headers);
         if !parts.status.is_success() {
             let time_left = request.time_left(self.now_ms());
-            let read = body::read(body, MAX_BUFFERED_BYTES, time_left).await;
+            let reading = self
+                .response_reader
+                .read(body, MAX_BUFFERED_BYTES, time_left);
+            let read = reading.await;
             return Err(read.map_or(AttemptFailure::Unknown, |body| {
                 AttemptFailure::FailureResponse(BufferedResponse {
                     status: parts.status.as_u16(),
@@ -191,7 +209,7 @@
     }
 
     async fn send(
-        &self,
+        self: &Rc<Self>,
         request: &RoutedRequest,
         in_flight: &InFlightAttempt<P>,
         timeout: Duration,
@@ -262,15 +280,7 @@
         match kind {
             ResponseKind::Valid => Ok(response),
             ResponseKind::NotRun { is_misdirected } => {
-                // The pool reuses the connection only if the short body is read to its
-                // end.
-                compio::runtime::spawn(async move {
-                    let body = response.into_body().collect();
-                    // If the read fails or times out, the connection is closed, which
-                    // needs no handling.
-                    let _ = compio::time::timeout(Duration::from_millis(500), body).await;
-                })
-                .detach();
+                self.finish_refusal(upstream, response.into_body());
                 Err(AttemptFailure::NotRun { is_misdirected })
             }
             ResponseKind::Invalid => Err(AttemptFailure::Unknown),
--- a/src/gateway/incarnations.rs
+++ b/src/gateway/incarnations.rs
@@ -6,6 +6,7 @@
 //! requested afterwards does, and so does an announcement: an incarnation that was listed
 //! before and still runs has been there all the while.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use super::call::RoutedRequest;
@@ -134,7 +135,7 @@
     /// Opens a stream. One that goes on is opened only at an incarnation that is confirmed
     /// to have the software version that began it.
     pub async fn open_stream_at(
-        &self,
+        self: &Rc<Self>,
         request: &RoutedRequest,
         in_flight: &mut InFlightAttempt<P>,
         resume_after: Option<&str>,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -26,6 +26,7 @@
 use super::state::Gateway;
 use super::stream_origins::MAX_GAP_MS;
 use crate::core::balance::UpstreamFilter;
+use crate::core::event_progress::EventProgress;
 use crate::core::ids::{SoftwareVersion, UpstreamId};
 use crate::core::load::AttemptOutcome;
 use crate::core::stream_origin::StreamOrigin;
@@ -59,6 +60,8 @@
     Interrupted,
     /// The request's deadline passed.
     TimedOut,
+    /// The request's deadline passed during an event that was never completed.
+    Stalled,
 }
 
 /// Starts a task that forwards a stream; returns the response that carries it.
@@ -140,7 +143,7 @@
             }
             in_flight.finish(match end {
                 SegmentEnd::Complete => AttemptOutcome::Succeeded,
-                SegmentEnd::Interrupted => AttemptOutcome::Failed,
+                SegmentEnd::Interrupted | SegmentEnd::Stalled => AttemptOutcome::Failed,
                 SegmentEnd::CallerDisconnected | SegmentEnd::TimedOut => AttemptOutcome::Neutral,
             });
             if end != SegmentEnd::Interrupted {
@@ -172,6 +175,7 @@
             SegmentEnd::CallerDisconnected => ("caller_gone", "caller_gone"),
             SegmentEnd::Interrupted => ("broken", "upstream_failed"),
             SegmentEnd::TimedOut => ("broken", "timed_out"),
+            SegmentEnd::Stalled => ("broken", "stalled_event"),
         };
         tracing::info!(
             event = "stream",
@@ -190,7 +194,7 @@
             status,
             Some(&upstream),
         );
-        if end == SegmentEnd::Interrupted || end == SegmentEnd::TimedOut {
+        if end != SegmentEnd::Complete && end != SegmentEnd::CallerDisconnected {
             self.sender.abort(Truncated);
         }
     }
@@ -201,6 +205,7 @@
         body: &mut PooledBody,
     ) -> SegmentEnd {
         let mut partial = BytesMut::new();
+        let mut progress = EventProgress::default();
         let mut last_ms = self.gateway.now_ms();
         loop {
             let time_left = self.request.time_left(self.gateway.now_ms());
@@ -209,6 +214,7 @@
                 frame = compio::time::timeout(time_left, body.frame()).fuse() => frame,
             };
             let data = match frame {
+                Err(_) if progress.is_stalled(self.gateway.now_ms()) => return SegmentEnd::Stalled,
                 Err(_) => return SegmentEnd::TimedOut,
                 Ok(None) if partial.is_empty() => return SegmentEnd::Complete,
                 Ok(None | Some(Err(_))) => return SegmentEnd::Interrupted,
@@ -222,6 +228,7 @@
             let Some(events) = split_complete_events(&mut partial, data) else {
                 return SegmentEnd::Interrupted;
             };
+            progress.on_data(now_ms, !events.is_empty(), !partial.is_empty());
             if events.is_empty() {
                 continue;
             }
@@ -437,11 +444,13 @@
     if partial.is_empty() && data.ends_with(EVENT_DELIMITER) {
         return Some(data);
     }
+    // A delimiter may have begun in the bytes that were received before.
+    let searched = partial.len().saturating_sub(EVENT_DELIMITER.len() - 1);
     partial.extend_from_slice(&data);
-    let end = partial
+    let end = partial[searched..]
         .windows(EVENT_DELIMITER.len())
         .rposition(|w| w == EVENT_DELIMITER)
-        .map_or(0, |at| at + EVENT_DELIMITER.len());
+        .map_or(0, |at| searched + at + EVENT_DELIMITER.len());
     if partial.len() - end > MAX_EVENT_BYTES {
         return None;
     }
