Recognise that a host reaches no upstream, and log it

The logs named the upstream of each failed attempt, but not whether the host reached any other one at the time, so that a lost link of the host could not be told from failing upstreams. Attempts without a response at two upstreams now lead to connections to two others (two at most in half a second); if none is accepted, the host logs a line `reach` and sets the metric `cut_off`. Nothing is decided by it yet.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -32,6 +32,7 @@
 pub mod quarantine;
 pub mod rate;
 pub mod rate_account;
+pub mod reach;
 pub mod registry;
 pub mod rendezvous;
 pub mod request_traits;
--- /dev/null
+++ b/src/core/reach.rs
@@ -0,0 +1,103 @@
+//! Whether a host reaches upstreams at all.
+//!
+//! Fault: a host loses its links to all upstreams for seconds, while callers, the store
+//! and the other hosts still reach it. Seen one by one, its upstreams just fail, and each
+//! of them is tried again and again.
+//!
+//! Attempts that fail at several upstreams are a suspicion, which connections to a few
+//! other upstreams confirm or refute. Only connections count: those that exist may live on
+//! while new ones fail, and the other way round. While no upstream is reached, connections
+//! are tried at a low rate, and the first one that is established ends the state.
+
+use std::collections::HashMap;
+
+use super::ids::UpstreamId;
+use super::routing::Rng;
+
+/// Upstreams at which attempts have to fail.
+const MIN_FAILED_UPSTREAMS: usize = 2;
+/// Time for which a failed attempt counts, in milliseconds.
+const FAILURE_AGE_MS: u64 = 4_000;
+/// Upstreams that are tried to confirm a suspicion, and each time while none is reached.
+pub const PROBE_COUNT: usize = 2;
+/// Time between two probes, in milliseconds.
+pub const PROBE_INTERVAL_MS: u64 = 500;
+
+/// Change of the state.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReachChange {
+    /// No upstream is reached any more.
+    Lost {
+        /// Upstreams at which attempts have failed.
+        failed: usize,
+    },
+    /// An upstream is reached again.
+    Regained {
+        /// Time without a reachable upstream, in milliseconds.
+        lost_for_ms: u64,
+    },
+}
+
+/// Evidence of one host.
+#[derive(Clone, Debug, Default)]
+pub struct Reach {
+    /// Time of the last failure at each upstream since a connection was established.
+    failures: HashMap<UpstreamId, u64>,
+    lost_since_ms: Option<u64>,
+    last_probe_ms: u64,
+}
+
+impl Reach {
+    /// True while no upstream is reached.
+    pub fn is_lost(&self) -> bool {
+        self.lost_since_ms.is_some()
+    }
+
+    /// Records that an attempt at an upstream received no response.
+    pub fn on_failure(&mut self, now_ms: u64, upstream: &UpstreamId) {
+        self.failures.insert(upstream.clone(), now_ms);
+    }
+
+    /// Records that a connection to an upstream was established.
+    pub fn on_connected(&mut self, now_ms: u64) -> Option<ReachChange> {
+        self.failures.clear();
+        let since_ms = self.lost_since_ms.take()?;
+        Some(ReachChange::Regained {
+            lost_for_ms: now_ms.saturating_sub(since_ms),
+        })
+    }
+
+    /// True if connections to other upstreams are to be tried now.
+    pub fn take_due_probe(&mut self, now_ms: u64, listed: usize) -> bool {
+        self.failures
+            .retain(|_, at_ms| now_ms < *at_ms + FAILURE_AGE_MS);
+        let is_suspected = listed > 0 && self.failures.len() >= MIN_FAILED_UPSTREAMS.min(listed);
+        let is_due =
+            (self.is_lost() || is_suspected) && now_ms >= self.last_probe_ms + PROBE_INTERVAL_MS;
+        if is_due {
+            self.last_probe_ms = now_ms;
+        }
+        is_due
+    }
+
+    /// Records that none of the tried upstreams accepted a connection.
+    pub fn on_probe_failed(&mut self, now_ms: u64) -> Option<ReachChange> {
+        if self.is_lost() || self.failures.is_empty() {
+            return None;
+        }
+        self.lost_since_ms = Some(now_ms);
+        Some(ReachChange::Lost {
+            failed: self.failures.len(),
+        })
+    }
+}
+
+/// Draws some of the listed upstreams.
+pub fn sample<T>(mut listed: Vec<T>, count: usize, rng: &mut Rng) -> Vec<T> {
+    for index in 0..count.min(listed.len()) {
+        let other = index + rng.below(listed.len() - index);
+        listed.swap(index, other);
+    }
+    listed.truncate(count);
+    listed
+}
--- a/src/edge/pool.rs
+++ b/src/edge/pool.rs
@@ -5,7 +5,7 @@
 //! to the pool only after its response was read to the end. Dropping a response
 //! early closes its connection, which cancels the request at the server.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -67,6 +67,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
+    connections: Rc<Cell<u64>>,
 }
 
 impl Pool {
@@ -90,7 +91,7 @@
         loop {
             let (mut sender, is_reused) = match self.checkout(addr).await {
                 Some(sender) => (sender, true),
-                None => (connect(addr).await.ok_or(SendError::NotConnected)?, false),
+                None => (self.connect(addr).await?, false),
             };
             if !is_still_allowed() {
                 return Err(SendError::NotSent);
@@ -106,6 +107,17 @@
         }
     }
 
+    async fn connect(&self, addr: SocketAddr) -> Result<SendRequest<RequestBody>, SendError> {
+        let sender = connect(addr).await.ok_or(SendError::NotConnected)?;
+        self.connections.set(self.connections.get() + 1);
+        Ok(sender)
+    }
+
+    /// Number of connections established so far.
+    pub fn connection_count(&self) -> u64 {
+        self.connections.get()
+    }
+
     async fn checkout(&self, addr: SocketAddr) -> Option<SendRequest<RequestBody>> {
         loop {
             let idle = self.idle.borrow_mut().get_mut(&addr)?.pop()?;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -246,6 +246,7 @@
                 }
             };
             self.log_failed_attempt(&request, &upstream, &failure);
+            self.record_unreached(&upstream, &failure);
             self.on_failed_attempt(&request, &in_flight.sent, &failure);
             in_flight.finish(failure.attempt_outcome());
             match self
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -56,6 +56,8 @@
     pub upstreams_leaving: Counter,
     /// Upstreams that ended without having stated that they leave.
     pub upstreams_ended: Counter,
+    /// 1 while this host reaches no upstream.
+    pub is_cut_off: Gauge,
     /// Suspects whose requests are not sent.
     pub quarantined: Gauge,
     /// Questions for room at an engine without an answer in time.
@@ -93,6 +95,7 @@
             peer_datagrams: Counter::default(),
             upstreams_leaving: Counter::default(),
             upstreams_ended: Counter::default(),
+            is_cut_off: Gauge::default(),
             quarantined: Gauge::default(),
             unanswered_asks: Counter::default(),
             turn_time_s: Histogram::new(buckets()),
@@ -103,6 +106,7 @@
             dropped_log_lines: Gauge::default(),
         };
         metrics.register();
+        metrics.register_reach();
         metrics
     }
 }
@@ -211,6 +215,14 @@
         );
     }
 
+    fn register_reach(&mut self) {
+        self.registry.register(
+            "cut_off",
+            "1 while this host reaches no upstream",
+            self.is_cut_off.clone(),
+        );
+    }
+
     /// Metrics in the Prometheus text format.
     pub fn encode(&self) -> String {
         let mut text = String::new();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 pub mod platform;
 pub mod quarantine;
 pub mod questions;
+pub mod reach;
 pub mod relay;
 pub mod room;
 pub mod run;
--- /dev/null
+++ b/src/gateway/reach.rs
@@ -0,0 +1,144 @@
+//! Recognises that this host has lost its links to all upstreams, and that one of them is
+//! reached again.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use futures_util::future::join_all;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+use super::exchange::AttemptFailure;
+use super::platform::Platform;
+use super::state::Gateway;
+use crate::core::ids::UpstreamId;
+use crate::core::reach::{PROBE_COUNT, PROBE_INTERVAL_MS, Reach, ReachChange, sample};
+use crate::edge::pool::{self, PortState};
+use crate::kernel::Service;
+
+/// What this host knows of its links to upstreams.
+#[derive(Debug, Default)]
+pub struct ReachDesk {
+    state: RefCell<Reach>,
+    /// Connections to upstreams that were established up to the last check.
+    known_connections: Cell<u64>,
+    suspicion: Notify,
+}
+
+impl<P: Platform> Gateway<P> {
+    /// True while this host reaches no upstream.
+    pub fn is_cut_off(&self) -> bool {
+        self.reach.state.borrow().is_lost()
+    }
+
+    /// Records an attempt that received no response.
+    pub fn record_unreached(&self, upstream: &UpstreamId, failure: &AttemptFailure) {
+        let is_silent = matches!(
+            failure,
+            AttemptFailure::NotConnected | AttemptFailure::TimedOut | AttemptFailure::Unknown
+        );
+        if is_silent {
+            self.check_connections();
+            let now_ms = self.now_ms();
+            self.reach.state.borrow_mut().on_failure(now_ms, upstream);
+            self.reach.suspicion.notify_one();
+        }
+    }
+
+    /// Takes the connections into account that were established since the last check.
+    fn check_connections(&self) {
+        let connections = self.pool.connection_count();
+        if self.reach.known_connections.replace(connections) != connections {
+            self.on_upstream_reached();
+        }
+    }
+
+    fn on_upstream_reached(&self) {
+        let change = self.reach.state.borrow_mut().on_connected(self.now_ms());
+        self.apply_reach_change(change);
+    }
+
+    /// Records the upstreams that have sent nothing for too long.
+    fn record_silent_upstreams(&self) {
+        let now_ms = self.now_ms();
+        let loads = self.loads.borrow();
+        let mut state = self.reach.state.borrow_mut();
+        for (upstream, _) in loads.local() {
+            let load = loads.get(upstream.as_str());
+            if load.is_some_and(|l| l.is_unresponsive(now_ms)) {
+                state.on_failure(now_ms, upstream);
+            }
+        }
+    }
+
+    async fn check_reach(&self) {
+        self.check_connections();
+        self.record_silent_upstreams();
+        let listed: Vec<_> = {
+            let registry = self.registry.borrow();
+            registry.entries().map(|e| e.addr).collect()
+        };
+        let now_ms = self.now_ms();
+        let is_due = {
+            let mut state = self.reach.state.borrow_mut();
+            state.take_due_probe(now_ms, listed.len())
+        };
+        if !is_due {
+            return;
+        }
+        let tried = sample(listed, PROBE_COUNT, &mut self.rng.borrow_mut());
+        let ports = join_all(tried.into_iter().map(pool::probe)).await;
+        if ports.contains(&PortState::Accepts) {
+            self.on_upstream_reached();
+            return;
+        }
+        self.check_connections();
+        let change = self.reach.state.borrow_mut().on_probe_failed(self.now_ms());
+        self.apply_reach_change(change);
+    }
+
+    fn apply_reach_change(&self, change: Option<ReachChange>) {
+        match change {
+            None => {}
+            Some(ReachChange::Lost { failed }) => {
+                tracing::warn!(event = "reach", is_cut_off = true, failed);
+                self.metrics.is_cut_off.set(1);
+            }
+            Some(ReachChange::Regained { lost_for_ms }) => {
+                tracing::info!(event = "reach", is_cut_off = false, lost_for_ms);
+                self.metrics.is_cut_off.set(0);
+            }
+        }
+    }
+}
+
+/// Service that probes upstreams while there is a suspicion.
+#[derive(Debug)]
+pub struct ReachService<P: Platform> {
+    gateway: Rc<Gateway<P>>,
+}
+
+impl<P: Platform> ReachService<P> {
+    /// Creates the service on the shared state.
+    pub fn new(gateway: Rc<Gateway<P>>) -> Self {
+        Self { gateway }
+    }
+}
+
+impl<P: Platform> Service for ReachService<P> {
+    const NAME: &'static str = "gateway-reach";
+
+    async fn run(self: Rc<Self>, cancel: CancellationToken) {
+        loop {
+            let interval = Duration::from_millis(PROBE_INTERVAL_MS);
+            futures_util::select_biased! {
+                () = cancel.cancelled().fuse() => return,
+                () = self.gateway.reach.suspicion.notified().fuse() => {}
+                () = compio::time::sleep(interval).fuse() => {}
+            }
+            self.gateway.check_reach().await;
+        }
+    }
+}
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -25,6 +25,7 @@
 use super::placer::QueueDispatcher;
 use super::platform::Platform;
 use super::quarantine::QuarantineService;
+use super::reach::ReachService;
 use super::settings::{self, GatewaySettings};
 use super::state::Gateway;
 use super::sync::StoreSync;
@@ -253,6 +254,7 @@
     let acting = kernel.register(ActingHostService::new(Rc::clone(gateway), membership));
     kernel.register(PeerService::new(Rc::clone(gateway), acting, peers));
     kernel.register(QuarantineService::new(Rc::clone(gateway)));
+    kernel.register(ReachService::new(Rc::clone(gateway)));
     kernel.register(QueueDispatcher::new(Rc::clone(gateway)));
     kernel.register(ProbeServer::new(Rc::clone(gateway), probes));
     kernel.start::<StoreSync<P>>()?;
@@ -260,6 +262,7 @@
     kernel.start::<ActingHostService<P>>()?;
     kernel.start::<PeerService<P, Rc<ActingHostService<P>>>>()?;
     kernel.start::<QuarantineService<P>>()?;
+    kernel.start::<ReachService<P>>()?;
     kernel.start::<QueueDispatcher<P>>()?;
     kernel.start::<ProbeServer<P>>()?;
     Ok(kernel.register(CallerServer::new(Rc::clone(gateway), callers)))
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -15,6 +15,7 @@
 use super::permits::PermitDesk;
 use super::place::AdmissionQueue;
 use super::platform::Platform;
+use super::reach::ReachDesk;
 use super::room::RoomDesk;
 use super::settings::GatewaySettings;
 use crate::core::catalog::Catalog;
@@ -83,6 +84,8 @@
     pub permits: PermitDesk,
     /// Requests that broke off when their upstreams ended.
     pub crashes: CrashDesk,
+    /// Links to upstreams.
+    pub reach: ReachDesk,
     /// Questions and accounts of room at engines.
     pub room: RoomDesk,
     /// Sends messages to other hosts.
@@ -128,6 +131,7 @@
             known_rates: RefCell::default(),
             permits: PermitDesk::default(),
             crashes: CrashDesk::default(),
+            reach: ReachDesk::default(),
             room: RoomDesk::default(),
             peer_sender: PeerSender::default(),
             rng: RefCell::new(Rng::new(seed)),
