Have another host serve requests while this one reaches no upstream

Each upstream counted as failed by itself, and a request had no way but through the host that had taken it.

A host that reaches no upstream now sends requests to another host, over HTTP at the port for traffic between hosts. That one serves them as those of its own callers, and is the only one that counts them; it never sends them on. It states if it has not accepted a request, which is then sent to another host (three at most); a request that may have reached a host without a response is repeated only as its route allows. Hosts and zones that reach no upstream either are learned by asking. An upstream whose port refuses connections is not reported as ended as long as no other one is reached, and what upstreams failed in the meantime is forgotten when one is reached again.

--- a/src/core/load.rs
+++ b/src/core/load.rs
@@ -489,6 +489,16 @@
         }
     }
 
+    /// Forgets that upstreams have failed.
+    pub fn forget_failures(&mut self) {
+        for load in self.loads.values_mut() {
+            load.failure_share = 0.0;
+            load.consecutive_failures = 0;
+            load.ejections = 0;
+            load.ejected_until_ms = 0;
+        }
+    }
+
     /// Stores the load of all other hosts at an upstream.
     pub fn set_remote(&mut self, now_ms: u64, id: &UpstreamId, remote: InFlight) {
         let load = self.entry(id);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -28,6 +28,7 @@
 pub mod pacing;
 pub mod peer_list;
 pub mod peer_loads;
+pub mod peer_selection;
 pub mod placement;
 pub mod quarantine;
 pub mod rate;
--- a/src/core/reach.rs
+++ b/src/core/reach.rs
@@ -45,6 +45,8 @@
     failures: HashMap<UpstreamId, u64>,
     lost_since_ms: Option<u64>,
     last_probe_ms: u64,
+    /// True if an upstream has served another host meanwhile.
+    is_reached_elsewhere: bool,
 }
 
 impl Reach {
@@ -53,6 +55,21 @@
         self.lost_since_ms.is_some()
     }
 
+    /// True while no upstream is reached from here, but one is from another host.
+    pub fn is_outdone(&self) -> bool {
+        self.is_lost() && self.is_reached_elsewhere
+    }
+
+    /// True if the failures may have one cause: nothing was reached between them.
+    pub fn is_suspected(&self) -> bool {
+        self.is_lost() || self.failures.len() >= MIN_FAILED_UPSTREAMS
+    }
+
+    /// Records that an upstream has served another host.
+    pub fn on_reached_elsewhere(&mut self) {
+        self.is_reached_elsewhere = self.is_lost();
+    }
+
     /// Records that an attempt at an upstream received no response.
     pub fn on_failure(&mut self, now_ms: u64, upstream: &UpstreamId) {
         self.failures.insert(upstream.clone(), now_ms);
@@ -61,6 +78,7 @@
     /// Records that a connection to an upstream was established.
     pub fn on_connected(&mut self, now_ms: u64) -> Option<ReachChange> {
         self.failures.clear();
+        self.is_reached_elsewhere = false;
         let since_ms = self.lost_since_ms.take()?;
         Some(ReachChange::Regained {
             lost_for_ms: now_ms.saturating_sub(since_ms),
--- a/src/edge/pool.rs
+++ b/src/edge/pool.rs
@@ -143,6 +143,11 @@
         self.idle.borrow_mut().remove(&addr);
     }
 
+    /// Closes all idle connections.
+    pub fn close_all_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     fn wrap_response(
         &self,
         addr: SocketAddr,
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -9,11 +9,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use hyper::header::{HOST, HeaderMap};
 use hyper::{Method, StatusCode};
 
 use super::exchange::{AttemptFailure, BufferedResponse};
+use super::front::Arrival;
 use super::metrics::OutcomeLabels;
+use super::peer_server::Received;
 use super::place::{InFlightAttempt, Rejection};
 use super::platform::{Platform, RequestHead};
 use super::quarantine::QUARANTINED;
@@ -23,6 +26,7 @@
 use crate::core::catalog::{Catalog, ModelSpec, RequestKind, Route};
 use crate::core::ids::UpstreamId;
 use crate::core::load::AttemptOutcome;
+use crate::core::peer_selection::NotAccepted;
 use crate::core::request_traits::{RequestContent, RequestTraits};
 use crate::edge::body::{self, ServerResponse};
 use crate::edge::body_reader::BodyReservation;
@@ -93,6 +97,8 @@
     pub config_version: u64,
     /// True if it is in quarantine and is sent once to try it.
     pub is_trial: bool,
+    /// Present if another host has received it from the caller.
+    pub received: Option<Rc<Received>>,
 }
 
 impl RoutedRequest {
@@ -113,14 +119,16 @@
     /// Number of attempts that an upstream refused to run.
     refusals: u32,
     /// True if an upstream may have run the request.
-    may_have_run: bool,
+    pub(super) may_have_run: bool,
+    /// True if other hosts were asked to serve the request.
+    pub(super) has_asked_peers: bool,
     /// Failure response of an upstream, forwarded if no retry follows.
     failure_response: Option<BufferedResponse>,
 }
 
 /// Outcome of a request for which no attempt succeeded.
 #[derive(Clone, Debug)]
-enum FailureOutcome {
+pub(super) enum FailureOutcome {
     /// No upstream has run the request.
     NotRun {
         reason: &'static str,
@@ -150,8 +158,9 @@
         head: RequestHead,
         parts: hyper::http::request::Parts,
         (body, body_reservation): (Bytes, BodyReservation),
-        arrived_ms: u64,
+        arrival: Arrival,
     ) -> Option<RoutedRequest> {
+        let arrived_ms = arrival.at_ms;
         let draw = self.rng.borrow_mut().next_u64();
         let service = route.backend(draw)?;
         let service_spec = catalog.services.get(service);
@@ -187,7 +196,10 @@
             traits,
             model_spec,
             priority: route.priority,
-            max_attempts: route.max_attempts.max(1),
+            max_attempts: arrival
+                .attempts_left
+                .map_or(route.max_attempts, |left| left.min(route.max_attempts))
+                .max(1),
             objective: route.objective,
             caller_timeout: route.caller_timeout,
             arrived_ms,
@@ -200,12 +212,18 @@
             body_reservation: Rc::new(body_reservation),
             config_version: catalog.version,
             is_trial: false,
+            received: arrival.received,
         })
     }
 
     /// Sends a request to upstreams until one responds or no retry is allowed.
     pub async fn serve(self: &Rc<Self>, mut request: RoutedRequest) -> ServerResponse {
         let mut attempts = Attempts::default();
+        if self.is_cut_off()
+            && let Some(response) = self.serve_through_peer(&mut request, &mut attempts).await
+        {
+            return response;
+        }
         if let Some(rejection) = self.check_quarantine(&mut request).await {
             let outcome = Self::outcome_without_upstream(&attempts, rejection);
             return self.respond_with_failure(&request, &attempts, outcome);
@@ -218,7 +236,16 @@
             demand.record_request(now_ms, &request.requirements.service, weights, size);
         }
         let outcome = loop {
-            let mut in_flight = match self.acquire_upstream(&request, &attempts.filter).await {
+            if self.is_cut_off()
+                && let Some(response) = self.serve_through_peer(&mut request, &mut attempts).await
+            {
+                return response;
+            }
+            let acquired = futures_util::select_biased! {
+                acquired = self.acquire_upstream(&request, &attempts.filter).fuse() => acquired,
+                () = self.until_cut_off().fuse() => continue,
+            };
+            let mut in_flight = match acquired {
                 Ok(in_flight) => in_flight,
                 Err(rejection) => break Self::outcome_without_upstream(&attempts, rejection),
             };
@@ -246,7 +273,6 @@
                 }
             };
             self.log_failed_attempt(&request, &upstream, &failure);
-            self.record_unreached(&upstream, &failure);
             self.on_failed_attempt(&request, &in_flight.sent, &failure);
             in_flight.finish(failure.attempt_outcome());
             match self
@@ -257,7 +283,30 @@
                 RetryDecision::Stop(outcome) => break outcome,
             }
         };
-        self.respond_with_failure(&request, &attempts, outcome)
+        self.respond_without_upstream(request, attempts, outcome)
+            .await
+    }
+
+    /// Responds to a request that no upstream has answered. If upstreams were not reached,
+    /// it is left to another host, or back to the one that has sent it here.
+    async fn respond_without_upstream(
+        self: &Rc<Self>,
+        mut request: RoutedRequest,
+        mut attempts: Attempts,
+        outcome: FailureOutcome,
+    ) -> ServerResponse {
+        let is_unreached = matches!(outcome, FailureOutcome::NotRun { .. })
+            && (attempts.unsent > 0 || self.is_cut_off());
+        if is_unreached
+            && let Some(response) = self.serve_through_peer(&mut request, &mut attempts).await
+        {
+            return response;
+        }
+        let mut response = self.respond_with_failure(&request, &attempts, outcome);
+        if is_unreached && request.received.is_some() {
+            response.extensions_mut().insert(NotAccepted::CutOff);
+        }
+        response
     }
 
     fn outcome_without_upstream(attempts: &Attempts, rejection: Rejection) -> FailureOutcome {
@@ -274,7 +323,7 @@
     }
 
     /// True if the request may be sent again although it may have run.
-    fn may_repeat(&self, request: &RoutedRequest, attempts: &Attempts) -> bool {
+    pub(super) fn may_repeat(&self, request: &RoutedRequest, attempts: &Attempts) -> bool {
         let sent = attempts.sent_to.len() as u32 + 1;
         request.kind.is_repeatable()
             && !request.is_trial
@@ -371,7 +420,7 @@
         RetryDecision::Retry
     }
 
-    fn final_outcome(attempts: &mut Attempts, reason: &'static str) -> FailureOutcome {
+    pub(super) fn final_outcome(attempts: &mut Attempts, reason: &'static str) -> FailureOutcome {
         match attempts.failure_response.take() {
             Some(response) => FailureOutcome::UpstreamFailure(response),
             None if attempts.may_have_run => FailureOutcome::Unknown(reason),
@@ -439,7 +488,7 @@
         response.into_response()
     }
 
-    fn respond_with_failure(
+    pub(super) fn respond_with_failure(
         &self,
         request: &RoutedRequest,
         attempts: &Attempts,
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -2,8 +2,8 @@
 //! reports it to the acting host.
 //!
 //! A response that breaks off has many causes. The upstream counts as ended only if its
-//! port refuses connections right afterwards, although the store lists it and it has not
-//! stated that it leaves.
+//! port refuses connections right afterwards, although the store lists it, it has not
+//! stated that it leaves, and this host reaches another upstream.
 //!
 //! Reports are sent more than once, since datagrams get lost, and all recent ones again to
 //! a new acting host. Hosts tell it as well which of the suspects they have seen served
@@ -11,6 +11,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -34,6 +35,10 @@
 
 /// Time over which the requests that break off at one upstream are collected.
 const COLLECT_TIME: Duration = Duration::from_millis(50);
+/// Interval at which a host that may have lost its links tries other upstreams.
+const CUT_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after which a report on an upstream is given up if no other one is reached.
+const MAX_CUT_WAIT: Duration = Duration::from_secs(30);
 /// Age of a response at which its request did not crash the upstream.
 pub const SOUND_AFTER_MS: u64 = 1_500;
 /// Fingerprints of one kind named in one log line.
@@ -146,8 +151,14 @@
         sent: &SentRequest,
         failure: &AttemptFailure,
     ) {
-        if matches!(failure, AttemptFailure::Unknown) {
-            self.on_broken_off(request, sent, None);
+        match failure {
+            AttemptFailure::Unknown => self.on_broken_off(request, sent, None),
+            AttemptFailure::NotConnected | AttemptFailure::TimedOut => {
+                self.record_unreached(&sent.upstream);
+            }
+            AttemptFailure::NotSent
+            | AttemptFailure::NotRun { .. }
+            | AttemptFailure::FailureResponse(_) => {}
         }
     }
 
@@ -159,6 +170,7 @@
         sent: &SentRequest,
         responding_since_ms: Option<u64>,
     ) {
+        self.record_unreached(&sent.upstream);
         let now_ms = self.now_ms();
         let is_suspect = responding_since_ms.is_none_or(|at| now_ms < at + SOUND_AFTER_MS);
         let mut broken_off = self.crashes.broken_off.borrow_mut();
@@ -200,6 +212,9 @@
         if pool::probe(addr).await != PortState::Refuses {
             return;
         }
+        if self.is_cut_suspected() && !self.has_ended_beyond_cut(upstream, addr, started_ms).await {
+            return;
+        }
         self.metrics.upstreams_ended.inc();
         tracing::info!(
             event = "upstream",
@@ -228,6 +243,30 @@
         self.crashes.wake.notify_one();
     }
 
+    /// Waits until this host reaches another upstream, since the ports of all seem closed
+    /// to a host that has lost its links; true if the upstream has ended by then.
+    async fn has_ended_beyond_cut(
+        &self,
+        upstream: &UpstreamId,
+        addr: SocketAddr,
+        started_ms: u64,
+    ) -> bool {
+        let mut waited = Duration::ZERO;
+        while !self.reaches_others(upstream).await {
+            if waited >= MAX_CUT_WAIT {
+                return false;
+            }
+            compio::time::sleep(CUT_POLL_INTERVAL).await;
+            waited += CUT_POLL_INTERVAL;
+        }
+        let is_listed = {
+            let registry = self.registry.borrow();
+            let entry = registry.get(upstream.as_str());
+            entry.is_some_and(|e| e.started_ms == started_ms)
+        };
+        !is_listed || pool::probe(addr).await == PortState::Refuses
+    }
+
     /// Sends the reports that the acting host may lack; returns the time until some are to
     /// be sent again.
     pub(super) fn send_crash_reports(&self) -> Option<Duration> {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -19,7 +19,7 @@
 use crate::edge::pool::{PooledBody, SendError};
 
 /// Largest response that is read completely before it is forwarded, in bytes.
-const MAX_BUFFERED_BYTES: usize = 1024 * 1024;
+pub(super) const MAX_BUFFERED_BYTES: usize = 1024 * 1024;
 
 /// Why an attempt failed.
 #[derive(Clone, Debug)]
@@ -77,8 +77,8 @@
 pub struct BufferedResponse {
     /// Status.
     pub status: u16,
-    headers: HeaderMap,
-    body: Bytes,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
 }
 
 impl BufferedResponse {
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -16,6 +16,8 @@
 use tokio_util::sync::CancellationToken;
 
 use super::metrics::OutcomeLabels;
+use super::peer_protocol;
+use super::peer_server::Received;
 use super::platform::{Platform, RequestHead};
 use super::state::Gateway;
 use crate::core::catalog::Catalog;
@@ -42,6 +44,17 @@
 /// the rest is available for callers' connections.
 const RESERVED_DESCRIPTORS: usize = 600;
 
+/// How a request has reached this host.
+#[derive(Debug)]
+pub struct Arrival {
+    /// Time at which it arrived from the caller, in milliseconds since the epoch.
+    pub at_ms: u64,
+    /// Number of upstreams that it may be sent to, if fewer than its route allows.
+    pub attempts_left: Option<u32>,
+    /// Present if another host has received it from the caller.
+    pub received: Option<Rc<Received>>,
+}
+
 /// HTTP server for callers.
 #[derive(Debug)]
 pub struct CallerServer<P: Platform> {
@@ -61,9 +74,13 @@
         }
     }
 
-    async fn respond(&self, request: Request<Incoming>) -> ServerResponse {
+    /// Responds to a request of a caller.
+    pub(super) async fn respond(
+        &self,
+        request: Request<Incoming>,
+        arrival: Arrival,
+    ) -> ServerResponse {
         let gateway = &self.gateway;
-        let arrived_ms = gateway.now_ms();
         let (parts, incoming) = request.into_parts();
         let head = match gateway.platform.parse_request_head(&parts) {
             Ok(head) => head,
@@ -99,7 +116,7 @@
             }
         };
         let request_id = head.request_id.clone();
-        match gateway.prepare_request(&catalog, route, head, parts, body, arrived_ms) {
+        match gateway.prepare_request(&catalog, route, head, parts, body, arrival) {
             Some(request) => gateway.serve(request).await,
             None => {
                 let retry_after_ms = Some(UNAVAILABLE_RETRY_AFTER_MS);
@@ -168,8 +185,14 @@
         }
     }
 
-    async fn handle(&self, request: Request<Incoming>) -> ServerResponse {
-        let mut response = self.0.respond(request).await;
+    async fn handle(&self, mut request: Request<Incoming>) -> ServerResponse {
+        peer_protocol::strip(request.headers_mut());
+        let arrival = Arrival {
+            at_ms: self.0.gateway.now_ms(),
+            attempts_left: None,
+            received: None,
+        };
+        let mut response = self.0.respond(request, arrival).await;
         if self.0.gateway.stopping.is_cancelled() {
             let headers = response.headers_mut();
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -17,6 +17,13 @@
     pub reason: &'static str,
 }
 
+/// Label of a request to another host.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct PeerReplyLabels {
+    /// Reply.
+    pub reply: &'static str,
+}
+
 /// Label of an order.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct OrderLabels {
@@ -56,6 +63,10 @@
     pub upstreams_leaving: Counter,
     /// Upstreams that ended without having stated that they leave.
     pub upstreams_ended: Counter,
+    /// Requests sent to other hosts, by reply.
+    pub peer_requests: Family<PeerReplyLabels, Counter>,
+    /// Requests accepted from other hosts.
+    pub peer_requests_received: Counter,
     /// 1 while this host reaches no upstream.
     pub is_cut_off: Gauge,
     /// Suspects whose requests are not sent.
@@ -95,6 +106,8 @@
             peer_datagrams: Counter::default(),
             upstreams_leaving: Counter::default(),
             upstreams_ended: Counter::default(),
+            peer_requests: Family::default(),
+            peer_requests_received: Counter::default(),
             is_cut_off: Gauge::default(),
             quarantined: Gauge::default(),
             unanswered_asks: Counter::default(),
@@ -221,6 +234,16 @@
             "1 while this host reaches no upstream",
             self.is_cut_off.clone(),
         );
+        self.registry.register(
+            "peer_requests",
+            "Requests of callers sent to other hosts, by reply",
+            self.peer_requests.clone(),
+        );
+        self.registry.register(
+            "peer_requests_received",
+            "Requests of callers accepted from other hosts",
+            self.peer_requests_received.clone(),
+        );
     }
 
     /// Metrics in the Prometheus text format.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,8 @@
 //!   and `store_relay`, which passes changes on between hosts; `membership` registers this host and
 //!   elects the acting host with leases of `lease`, `store_era` detects that the store was restored from an
 //!   older copy, and `peers` exchanges load and demand between hosts.
+//! - `reach` recognises that this host reaches no upstream; `peer_requests` then sends
+//!   callers' requests to another host, which receives them in `peer_server`.
 //! - `acting` plans the placement of models, `adapter_requests` that of adapters,
 //!   `announce` publishes the result, and `orders`, `order_models` and
 //!   `order_adapters` carry it out.
@@ -30,6 +32,9 @@
 pub mod order_models;
 pub mod orders;
 pub mod peer_messages;
+pub mod peer_protocol;
+pub mod peer_requests;
+pub mod peer_server;
 pub mod peers;
 pub mod permits;
 pub mod place;
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -2,6 +2,7 @@
 //! reached again.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,7 +11,6 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
-use super::exchange::AttemptFailure;
 use super::platform::Platform;
 use super::state::Gateway;
 use crate::core::ids::UpstreamId;
@@ -25,6 +25,8 @@
     /// Connections to upstreams that were established up to the last check.
     known_connections: Cell<u64>,
     suspicion: Notify,
+    /// Notifies the requests that wait for an upstream.
+    cut_off: Notify,
 }
 
 impl<P: Platform> Gateway<P> {
@@ -33,18 +35,43 @@
         self.reach.state.borrow().is_lost()
     }
 
+    /// True while other hosts reach upstreams and this one does not.
+    pub fn is_outdone(&self) -> bool {
+        self.reach.state.borrow().is_outdone()
+    }
+
+    pub(super) fn on_reached_elsewhere(&self) {
+        self.reach.state.borrow_mut().on_reached_elsewhere();
+    }
+
+    /// True if the upstreams that fail may have lost this host rather than ended.
+    pub(super) fn is_cut_suspected(&self) -> bool {
+        self.check_connections();
+        self.reach.state.borrow().is_suspected()
+    }
+
+    /// Waits until this host loses its links to upstreams.
+    pub(super) async fn until_cut_off(&self) {
+        self.reach.cut_off.notified().await;
+    }
+
+    /// True if an upstream other than one that has just failed accepts connections, or no
+    /// other one is listed.
+    pub(super) async fn reaches_others(&self, failed: &UpstreamId) -> bool {
+        let others: Vec<_> = {
+            let registry = self.registry.borrow();
+            let others = registry.entries().filter(|e| e.id != *failed);
+            others.map(|e| e.addr).collect()
+        };
+        others.is_empty() || self.probe_some(others).await
+    }
+
     /// Records an attempt that received no response.
-    pub fn record_unreached(&self, upstream: &UpstreamId, failure: &AttemptFailure) {
-        let is_silent = matches!(
-            failure,
-            AttemptFailure::NotConnected | AttemptFailure::TimedOut | AttemptFailure::Unknown
-        );
-        if is_silent {
-            self.check_connections();
-            let now_ms = self.now_ms();
-            self.reach.state.borrow_mut().on_failure(now_ms, upstream);
-            self.reach.suspicion.notify_one();
-        }
+    pub(super) fn record_unreached(&self, upstream: &UpstreamId) {
+        self.check_connections();
+        let now_ms = self.now_ms();
+        self.reach.state.borrow_mut().on_failure(now_ms, upstream);
+        self.reach.suspicion.notify_one();
     }
 
     /// Takes the connections into account that were established since the last check.
@@ -73,6 +100,17 @@
         }
     }
 
+    /// Tries to connect to some upstreams; true if one of them accepts.
+    async fn probe_some(&self, addrs: Vec<SocketAddr>) -> bool {
+        let tried = sample(addrs, PROBE_COUNT, &mut self.rng.borrow_mut());
+        let ports = join_all(tried.into_iter().map(pool::probe)).await;
+        let is_reached = ports.contains(&PortState::Accepts);
+        if is_reached {
+            self.on_upstream_reached();
+        }
+        is_reached
+    }
+
     async fn check_reach(&self) {
         self.check_connections();
         self.record_silent_upstreams();
@@ -88,10 +126,7 @@
         if !is_due {
             return;
         }
-        let tried = sample(listed, PROBE_COUNT, &mut self.rng.borrow_mut());
-        let ports = join_all(tried.into_iter().map(pool::probe)).await;
-        if ports.contains(&PortState::Accepts) {
-            self.on_upstream_reached();
+        if self.probe_some(listed).await {
             return;
         }
         self.check_connections();
@@ -105,10 +140,15 @@
             Some(ReachChange::Lost { failed }) => {
                 tracing::warn!(event = "reach", is_cut_off = true, failed);
                 self.metrics.is_cut_off.set(1);
+                self.pool.close_all_idle();
+                self.reach.cut_off.notify_waiters();
             }
             Some(ReachChange::Regained { lost_for_ms }) => {
                 tracing::info!(event = "reach", is_cut_off = false, lost_for_ms);
                 self.metrics.is_cut_off.set(0);
+                // They were failures of this host's links.
+                self.loads.borrow_mut().forget_failures();
+                self.admission_queue.borrow().wake();
             }
         }
     }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -21,6 +21,7 @@
 use super::front::{CallerServer, ProbeServer};
 use super::logs::LogBuffer;
 use super::membership::Membership;
+use super::peer_server::PeerServer;
 use super::peers::PeerService;
 use super::placer::QueueDispatcher;
 use super::platform::Platform;
@@ -190,6 +191,7 @@
         let peers = UdpSocket::bind(peer_addr)
             .await
             .change_context(DaemonError::Listen("peer_port", peer_addr))?;
+        let peer_requests = listen("peer_port", peer_addr).await?;
         let caller_addr = callers.local_addr().change_context(DaemonError::Start)?;
         tracing::info!(
             event = "start",
@@ -205,8 +207,18 @@
         let membership = kernel.find::<Membership<P>>();
         let membership = membership.change_context(DaemonError::Start)?;
         let server_cancel = CancellationToken::new();
-        let server_task =
-            compio::runtime::spawn(Service::run(caller_server, server_cancel.clone()));
+        let peer_server = kernel.register(PeerServer::new(
+            Rc::clone(&gateway),
+            Rc::clone(&caller_server),
+            peer_requests,
+        ));
+        let server_task = compio::runtime::spawn({
+            let cancel = server_cancel.clone();
+            async move {
+                let callers = Service::run(caller_server, cancel.clone());
+                futures_util::join!(callers, Service::run(peer_server, cancel));
+            }
+        });
         Ok(Self {
             gateway,
             membership,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,6 +11,7 @@
 use super::demand::DemandCounters;
 use super::logs::LogBuffer;
 use super::metrics::GatewayMetrics;
+use super::peer_requests::PeerDesk;
 use super::peers::PeerSender;
 use super::permits::PermitDesk;
 use super::place::AdmissionQueue;
@@ -84,6 +85,8 @@
     pub permits: PermitDesk,
     /// Requests that broke off when their upstreams ended.
     pub crashes: CrashDesk,
+    /// Requests that other hosts serve for this one.
+    pub peer_requests: PeerDesk,
     /// Links to upstreams.
     pub reach: ReachDesk,
     /// Questions and accounts of room at engines.
@@ -131,6 +134,7 @@
             known_rates: RefCell::default(),
             permits: PermitDesk::default(),
             crashes: CrashDesk::default(),
+            peer_requests: PeerDesk::default(),
             reach: ReachDesk::default(),
             room: RoomDesk::default(),
             peer_sender: PeerSender::default(),
