Give up the acting role if only other hosts reach upstreams

A host that reaches no upstream, and has had a request served by another host, now steps down and does not stand for election; while no host is known to reach one, the role stays. Test: the other host acts within the time of the test.

--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -185,6 +185,8 @@
             if acting.host != own {
                 self.step_down("another_acts");
                 *self.last_other_acting.borrow_mut() = Some(acting.host);
+            } else if gateway.is_outdone() {
+                self.step_down("reaches_no_upstream");
             }
             if self.term.get().is_none() && self.acting_lease.held().is_some() {
                 // The response to the election was lost, or the host has stepped
@@ -194,8 +196,10 @@
             }
             return Ok(());
         }
-        let is_candidate =
-            gateway.is_ready() && gateway.is_store_up.get() && self.entry_lease.held().is_some();
+        let is_candidate = gateway.is_ready()
+            && gateway.is_store_up.get()
+            && !gateway.is_outdone()
+            && self.entry_lease.held().is_some();
         if self.term.get().is_some() || !is_candidate {
             return Ok(());
         }
