Look for other upstreams after a single failed attempt

A host with a request in two seconds would need several of them to fail before it knew that it reaches no upstream. One failed attempt now leads to connections to four others, at most each half second. Requests go to other hosts before that only if attempts have failed at two upstreams, so that an outage of all upstreams causes few requests between hosts. Connections of other hosts no longer take descriptors that callers' connections count on.

--- a/src/core/reach.rs
+++ b/src/core/reach.rs
@@ -4,8 +4,8 @@
 //! and the other hosts still reach it. Seen one by one, its upstreams just fail, and each
 //! of them is tried again and again.
 //!
-//! Attempts that fail at several upstreams are a suspicion, which connections to a few
-//! other upstreams confirm or refute. Only connections count: those that exist may live on
+//! An attempt without a response leads to connections to a few other upstreams; if they fail
+//! too, no upstream is reached. Only connections count: those that exist may live on
 //! while new ones fail, and the other way round. While no upstream is reached, connections
 //! are tried at a low rate, and the first one that is established ends the state.
 
@@ -14,12 +14,14 @@
 use super::ids::UpstreamId;
 use super::routing::Rng;
 
-/// Upstreams at which attempts have to fail.
+/// Upstreams whose failures may have one cause.
 const MIN_FAILED_UPSTREAMS: usize = 2;
 /// Time for which a failed attempt counts, in milliseconds.
 const FAILURE_AGE_MS: u64 = 4_000;
-/// Upstreams that are tried to confirm a suspicion, and each time while none is reached.
-pub const PROBE_COUNT: usize = 2;
+/// Upstreams that are tried after a failure.
+const SUSPICION_PROBES: usize = 4;
+/// Upstreams that are tried each time while none is reached.
+const LOST_PROBES: usize = 2;
 /// Time between two probes, in milliseconds.
 pub const PROBE_INTERVAL_MS: u64 = 500;
 
@@ -75,6 +77,11 @@
         self.failures.insert(upstream.clone(), now_ms);
     }
 
+    /// True if an attempt at an upstream has failed since a connection was established.
+    pub fn has_failed(&self, upstream: &UpstreamId) -> bool {
+        self.failures.contains_key(upstream)
+    }
+
     /// Records that a connection to an upstream was established.
     pub fn on_connected(&mut self, now_ms: u64) -> Option<ReachChange> {
         self.failures.clear();
@@ -85,13 +92,21 @@
         })
     }
 
+    /// Number of upstreams to try.
+    pub fn probe_count(&self) -> usize {
+        if self.is_lost() {
+            LOST_PROBES
+        } else {
+            SUSPICION_PROBES
+        }
+    }
+
     /// True if connections to other upstreams are to be tried now.
     pub fn take_due_probe(&mut self, now_ms: u64, listed: usize) -> bool {
         self.failures
             .retain(|_, at_ms| now_ms < *at_ms + FAILURE_AGE_MS);
-        let is_suspected = listed > 0 && self.failures.len() >= MIN_FAILED_UPSTREAMS.min(listed);
-        let is_due =
-            (self.is_lost() || is_suspected) && now_ms >= self.last_probe_ms + PROBE_INTERVAL_MS;
+        let has_evidence = self.is_lost() || !self.failures.is_empty();
+        let is_due = listed > 0 && has_evidence && now_ms >= self.last_probe_ms + PROBE_INTERVAL_MS;
         if is_due {
             self.last_probe_ms = now_ms;
         }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -296,7 +296,8 @@
         outcome: FailureOutcome,
     ) -> ServerResponse {
         let is_unreached = matches!(outcome, FailureOutcome::NotRun { .. })
-            && (attempts.unsent > 0 || self.is_cut_off());
+            && attempts.unsent > 0
+            && self.is_cut_suspected();
         if is_unreached
             && let Some(response) = self.serve_through_peer(&mut request, &mut attempts).await
         {
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -17,7 +17,7 @@
 
 use super::metrics::OutcomeLabels;
 use super::peer_protocol;
-use super::peer_server::Received;
+use super::peer_server::{MAX_PEER_CONNECTIONS, Received};
 use super::platform::{Platform, RequestHead};
 use super::state::Gateway;
 use crate::core::catalog::Catalog;
@@ -209,7 +209,8 @@
             return;
         };
         let descriptors = self.gateway.settings().max_descriptors as usize;
-        let max_connections = descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(64);
+        let reserved = RESERVED_DESCRIPTORS + MAX_PEER_CONNECTIONS;
+        let max_connections = descriptors.saturating_sub(reserved).max(64);
         let handler = Rc::new(CallerHandler(Rc::clone(&self)));
         serve(listener, max_connections, handler, cancel).await;
     }
--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -24,7 +24,7 @@
 
 /// Connections of all other hosts; more than the requests that are accepted, so that
 /// refusals can be sent.
-const MAX_CONNECTIONS: usize = 2 * MAX_RECEIVED as usize;
+pub const MAX_PEER_CONNECTIONS: usize = 2 * MAX_RECEIVED as usize;
 /// Time for which a connection may be idle; its client closes it earlier.
 const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 /// Size of the headers that hosts add to those of a caller.
@@ -141,6 +141,6 @@
             return;
         };
         let handler = Rc::new(PeerHandler(Rc::clone(&self)));
-        serve(listener, MAX_CONNECTIONS, handler, cancel).await;
+        serve(listener, MAX_PEER_CONNECTIONS, handler, cancel).await;
     }
 }
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -14,7 +14,7 @@
 use super::platform::Platform;
 use super::state::Gateway;
 use crate::core::ids::UpstreamId;
-use crate::core::reach::{PROBE_COUNT, PROBE_INTERVAL_MS, Reach, ReachChange, sample};
+use crate::core::reach::{PROBE_INTERVAL_MS, Reach, ReachChange, sample};
 use crate::edge::pool::{self, PortState};
 use crate::kernel::Service;
 
@@ -102,7 +102,8 @@
 
     /// Tries to connect to some upstreams; true if one of them accepts.
     async fn probe_some(&self, addrs: Vec<SocketAddr>) -> bool {
-        let tried = sample(addrs, PROBE_COUNT, &mut self.rng.borrow_mut());
+        let count = self.reach.state.borrow().probe_count();
+        let tried = sample(addrs, count, &mut self.rng.borrow_mut());
         let ports = join_all(tried.into_iter().map(pool::probe)).await;
         let is_reached = ports.contains(&PortState::Accepts);
         if is_reached {
@@ -111,13 +112,25 @@
         is_reached
     }
 
+    /// Upstreams at which no attempt has failed, or all if there is none.
+    fn addrs_to_probe(&self) -> Vec<SocketAddr> {
+        let (registry, state) = (self.registry.borrow(), self.reach.state.borrow());
+        let others: Vec<_> = registry
+            .entries()
+            .filter(|e| !state.has_failed(&e.id))
+            .map(|e| e.addr)
+            .collect();
+        if others.is_empty() {
+            registry.entries().map(|e| e.addr).collect()
+        } else {
+            others
+        }
+    }
+
     async fn check_reach(&self) {
         self.check_connections();
         self.record_silent_upstreams();
-        let listed: Vec<_> = {
-            let registry = self.registry.borrow();
-            registry.entries().map(|e| e.addr).collect()
-        };
+        let listed = self.addrs_to_probe();
         let now_ms = self.now_ms();
         let is_due = {
             let mut state = self.reach.state.borrow_mut();
