--- a/src/edge/pool.rs
+++ b/src/edge/pool.rs
@@ -5,7 +5,7 @@
 //! to the pool only after its response was read to the end. Dropping a response
 //! early closes its connection, which cancels the request at the server.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -80,6 +80,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
+    connections: Rc<Cell<u64>>,
 }
 
 impl Pool {
@@ -103,7 +104,7 @@
         loop {
             let (mut sender, is_reused) = match self.checkout(addr).await {
                 Some(sender) => (sender, true),
-                None => (connect(addr).await.ok_or(SendError::NotConnected)?, false),
+                None => (self.connect(addr).await?, false),
             };
             if !is_still_allowed() {
                 return Err(SendError::NotSent);
@@ -122,6 +123,17 @@
         }
     }
 
+    async fn connect(&self, addr: SocketAddr) -> Result<ConnectionSender, SendError> {
+        let sender = connect(addr).await.ok_or(SendError::NotConnected)?;
+        self.connections.set(self.connections.get() + 1);
+        Ok(sender)
+    }
+
+    /// Number of connections established so far.
+    pub fn connection_count(&self) -> u64 {
+        self.connections.get()
+    }
+
     async fn checkout(&self, addr: SocketAddr) -> Option<ConnectionSender> {
         loop {
             let idle = self.idle.borrow_mut().get_mut(&addr)?.pop()?;
@@ -147,6 +159,11 @@
         self.idle.borrow_mut().remove(&addr);
     }
 
+    /// Closes all idle connections.
+    pub fn close_all_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     fn wrap_response(
         &self,
         addr: SocketAddr,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -17,6 +17,13 @@
     pub reason: &'static str,
 }
 
+/// Label of a request to another host.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct PeerReplyLabels {
+    /// Reply.
+    pub reply: &'static str,
+}
+
 /// Label of an order.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct OrderLabels {
@@ -67,6 +74,12 @@
     pub upstreams_leaving: Counter,
     /// Upstreams that ended without having stated that they leave.
     pub upstreams_ended: Counter,
+    /// Requests sent to other hosts, by reply.
+    pub peer_requests: Family<PeerReplyLabels, Counter>,
+    /// Requests accepted from other hosts.
+    pub peer_requests_received: Counter,
+    /// 1 while this host reaches no upstream.
+    pub is_cut_off: Gauge,
     /// Suspects whose requests are not sent.
     pub quarantined: Gauge,
     /// Questions for room at an engine without an answer in time.
@@ -108,6 +121,9 @@
             peer_datagrams: Counter::default(),
             upstreams_leaving: Counter::default(),
             upstreams_ended: Counter::default(),
+            peer_requests: Family::default(),
+            peer_requests_received: Counter::default(),
+            is_cut_off: Gauge::default(),
             quarantined: Gauge::default(),
             unanswered_asks: Counter::default(),
             turn_time_s: Histogram::new(buckets()),
@@ -121,6 +137,7 @@
         metrics.register();
         metrics.register_streams();
         metrics.register_cut_offs();
+        metrics.register_reach();
         metrics
     }
 }
@@ -251,6 +268,24 @@
         );
     }
 
+    fn register_reach(&mut self) {
+        self.registry.register(
+            "cut_off",
+            "1 while this host reaches no upstream",
+            self.is_cut_off.clone(),
+        );
+        self.registry.register(
+            "peer_requests",
+            "Requests of callers sent to other hosts, by reply",
+            self.peer_requests.clone(),
+        );
+        self.registry.register(
+            "peer_requests_received",
+            "Requests of callers accepted from other hosts",
+            self.peer_requests_received.clone(),
+        );
+    }
+
     /// Metrics in the Prometheus text format.
     pub fn encode(&self) -> String {
         let mut text = String::new();
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -21,10 +21,12 @@
 use super::front::{CallerServer, ProbeServer};
 use super::logs::LogBuffer;
 use super::membership::Membership;
+use super::peer_server::PeerServer;
 use super::peers::PeerService;
 use super::placer::QueueDispatcher;
 use super::platform::Platform;
 use super::quarantine::QuarantineService;
+use super::reach::ReachService;
 use super::settings::{self, GatewaySettings};
 use super::state::Gateway;
 use super::sync::StoreSync;
@@ -189,6 +191,7 @@
         let peers = UdpSocket::bind(peer_addr)
             .await
             .change_context(DaemonError::Listen("peer_port", peer_addr))?;
+        let peer_requests = listen("peer_port", peer_addr).await?;
         let caller_addr = callers.local_addr().change_context(DaemonError::Start)?;
         tracing::info!(
             event = "start",
@@ -204,8 +207,18 @@
         let membership = kernel.find::<Membership<P>>();
         let membership = membership.change_context(DaemonError::Start)?;
         let server_cancel = CancellationToken::new();
-        let server_task =
-            compio::runtime::spawn(Service::run(caller_server, server_cancel.clone()));
+        let peer_server = kernel.register(PeerServer::new(
+            Rc::clone(&gateway),
+            Rc::clone(&caller_server),
+            peer_requests,
+        ));
+        let server_task = compio::runtime::spawn({
+            let cancel = server_cancel.clone();
+            async move {
+                let callers = Service::run(caller_server, cancel.clone());
+                futures_util::join!(callers, Service::run(peer_server, cancel));
+            }
+        });
         Ok(Self {
             gateway,
             membership,
@@ -253,6 +266,7 @@
     let acting = kernel.register(ActingHostService::new(Rc::clone(gateway), membership));
     kernel.register(PeerService::new(Rc::clone(gateway), acting, peers));
     kernel.register(QuarantineService::new(Rc::clone(gateway)));
+    kernel.register(ReachService::new(Rc::clone(gateway)));
     kernel.register(QueueDispatcher::new(Rc::clone(gateway)));
     kernel.register(ProbeServer::new(Rc::clone(gateway), probes));
     kernel.start::<StoreSync<P>>()?;
@@ -260,6 +274,7 @@
     kernel.start::<ActingHostService<P>>()?;
     kernel.start::<PeerService<P, Rc<ActingHostService<P>>>>()?;
     kernel.start::<QuarantineService<P>>()?;
+    kernel.start::<ReachService<P>>()?;
     kernel.start::<QueueDispatcher<P>>()?;
     kernel.start::<ProbeServer<P>>()?;
     Ok(kernel.register(CallerServer::new(Rc::clone(gateway), callers)))
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,10 +11,12 @@
 use super::demand::DemandCounters;
 use super::logs::LogBuffer;
 use super::metrics::GatewayMetrics;
+use super::peer_requests::PeerDesk;
 use super::peers::PeerSender;
 use super::permits::PermitDesk;
 use super::place::AdmissionQueue;
 use super::platform::Platform;
+use super::reach::ReachDesk;
 use super::room::RoomDesk;
 use super::settings::GatewaySettings;
 use super::stream_origins::OriginDesk;
@@ -99,6 +101,10 @@
     pub reported_incarnations: RefCell<HashMap<UpstreamId, (u64, u64)>>,
     /// Software versions that were listed.
     pub software: RefCell<SoftwareHistory>,
+    /// Requests that other hosts serve for this one.
+    pub peer_requests: PeerDesk,
+    /// Links to upstreams.
+    pub reach: ReachDesk,
     /// Questions and accounts of room at engines.
     pub room: RoomDesk,
     /// Sends messages to other hosts.
@@ -150,6 +156,8 @@
             origins: OriginDesk::default(),
             reported_incarnations: RefCell::default(),
             software: RefCell::default(),
+            peer_requests: PeerDesk::default(),
+            reach: ReachDesk::default(),
             room: RoomDesk::default(),
             peer_sender: PeerSender::default(),
             rng: RefCell::new(Rng::new(seed)),
