Count replies to orders and reports without an end as faults

Cause: the acting host cut off such responses, but did not count them against the engine, so that the engine stayed in use. Change: a response of the control interface that exceeds its limit of size or time after it began counts as a fault of its upstream, is logged (`cut_off`) and counted. No test checks the health count for replies to orders.

--- a/src/gateway/cut_off.rs
+++ b/src/gateway/cut_off.rs
@@ -23,14 +23,20 @@
         compio::runtime::spawn(async move {
             let read = body::read(body, MAX_REFUSAL_BYTES, REFUSAL_TIMEOUT).await;
             if matches!(read, Err(ReadError::TooLarge | ReadError::Timeout)) {
-                let now_ms = gateway.now_ms();
-                gateway.loads.borrow_mut().on_fault(now_ms, &upstream);
-                gateway.record_cut_off(&upstream, "refusal");
+                gateway.on_endless_response(&upstream, "refusal");
             }
         })
         .detach();
     }
 
+    /// Counts a response that was cut off, and that is not counted as an attempt, as a
+    /// fault of the upstream.
+    pub(super) fn on_endless_response(&self, upstream: &UpstreamId, part: &'static str) {
+        let now_ms = self.now_ms();
+        self.loads.borrow_mut().on_fault(now_ms, upstream);
+        self.record_cut_off(upstream, part);
+    }
+
     /// Counts and logs a response that was cut off.
     pub(super) fn record_cut_off(&self, upstream: &UpstreamId, part: &'static str) {
         self.metrics.responses_cut_off.inc();
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -203,9 +203,16 @@
             };
             let platform = &self.gateway.platform;
             let sent_ms = self.gateway.now_ms();
-            let OrderResponse { reply, notice } = platform
+            let OrderResponse {
+                reply,
+                notice,
+                is_cut_off,
+            } = platform
                 .send_order(addr, upstream, order, &preconditions)
                 .await;
+            if is_cut_off {
+                self.gateway.on_endless_response(upstream, "order");
+            }
             if reply != OrderReply::WrongInstance {
                 self.gateway.apply_notice(upstream, sent_ms, notice);
             }
@@ -358,6 +365,9 @@
         }
         let sent_ms = self.gateway.now_ms();
         let response = self.gateway.platform.fetch_report(addr).await;
+        if response.is_cut_off {
+            self.gateway.on_endless_response(upstream, "report");
+        }
         let listed_ms = {
             let registry = self.gateway.registry.borrow();
             registry.get(upstream.as_str()).map(|e| e.started_ms)
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -171,6 +171,8 @@
     pub reply: OrderReply,
     /// Notice in the headers, if there was a response.
     pub notice: UpstreamNotice,
+    /// True if the response began and exceeded its limit of size or time.
+    pub is_cut_off: bool,
 }
 
 /// Response to a request for a report.
@@ -180,6 +182,8 @@
     pub report: Option<EngineReport>,
     /// Notice in the headers, if there was a response.
     pub notice: UpstreamNotice,
+    /// True if the response began and exceeded its limit of size or time.
+    pub is_cut_off: bool,
 }
 
 /// Client of the engines' control interface.
