Search a watched line for its end only once

Cause: each part of a line of a watch was searched together with all bytes of the line before it; a line without end in small parts kept the loop busy long past the limit. Change: the search begins at the last byte received before. Result: `watch_with_a_line_without_end_is_cut_off` failed before (not cut off within 10 s) and passes (the test binary takes 1.6 s).

--- a/src/edge/kv.rs
+++ b/src/edge/kv.rs
@@ -181,6 +181,7 @@
         Ok(Watch {
             body,
             buffer: Vec::new(),
+            searched_bytes: 0,
         })
     }
 
@@ -269,16 +270,22 @@
 pub struct Watch {
     body: PooledBody,
     buffer: Vec<u8>,
+    /// Bytes at the start of the buffer that contain no end of a line.
+    searched_bytes: usize,
 }
 
 impl Watch {
     /// Waits for the next changes; the watch ends with the first error.
     pub async fn next(&mut self) -> Result<Vec<Change>, KvError> {
         loop {
-            if let Some(end) = self.buffer.iter().position(|&b| b == b'\n') {
+            let unsearched = &self.buffer[self.searched_bytes..];
+            if let Some(at) = unsearched.iter().position(|&b| b == b'\n') {
+                let end = self.searched_bytes + at;
+                self.searched_bytes = 0;
                 let line: Vec<u8> = self.buffer.drain(..=end).collect();
                 return parse_watch_line(&line);
             }
+            self.searched_bytes = self.buffer.len();
             if self.buffer.len() > MAX_WATCH_LINE_BYTES {
                 return Err(KvError::Unknown);
             }
