Reset requests that are held up before the kernel ends their connections

Callers received 502 for requests that were sent into a partition, and the upstreams ran them seconds after they had left: the kernel ended the connections by TCP_USER_TIMEOUT, which sends no reset, and the bytes were retransmitted after the partition had healed (sent at 11.8 s, healed at 15 s, received at 18.0 s).

Cause: the kernel counts its timeout while a connection is idle, so that a request on a kept connection had less than 3 s, in which nothing of ours ended it. The connection was also shut down before its reset.

A request on a kept connection now checks its path by a new connection to the same address after 0.5 s, or after 0.1 s if the upstream is to receive no more requests. If the path does not answer, it is reset after 2 s, or at once if the upstream leaves. The kernel's 3 s are counted from the request, for requests, orders, reports and calls to the store alike, and again from the head of the response, so that a dead upstream of a stream is noticed as before.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -26,6 +26,7 @@
 pub mod membership;
 pub mod outcome;
 pub mod pacing;
+pub mod path_watch;
 pub mod peer_list;
 pub mod peer_loads;
 pub mod placement;
--- a/src/edge/engine.rs
+++ b/src/edge/engine.rs
@@ -151,7 +151,9 @@
             Ok(Err(SendError::NotConnected | SendError::NotSent)) => OrderOutcome::NotSent,
             Ok(Ok(response)) if response.status().is_success() => OrderOutcome::Accepted,
             Ok(Ok(response)) if response.status().is_client_error() => OrderOutcome::Refused,
-            Err(_) | Ok(Err(SendError::MaybeSent) | Ok(_)) => OrderOutcome::Unknown,
+            Err(_) | Ok(Err(SendError::MaybeSent | SendError::HeldUp) | Ok(_)) => {
+                OrderOutcome::Unknown
+            }
         }
     }
 }
--- a/src/edge/kv.rs
+++ b/src/edge/kv.rs
@@ -214,7 +214,7 @@
             .await
             .map_err(|e| match e {
                 SendError::NotConnected | SendError::NotSent => KvError::NotSent,
-                SendError::MaybeSent => KvError::Unknown,
+                SendError::MaybeSent | SendError::HeldUp => KvError::Unknown,
             })?;
         match response.status().as_u16() {
             200 => Ok(response.into_body()),
--- a/src/edge/pool.rs
+++ b/src/edge/pool.rs
@@ -9,21 +9,23 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use compio::net::TcpStream;
-use cyper_core::HyperStream;
+use futures_util::FutureExt;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONNECTION, HeaderMap};
 use hyper::{Request, Response};
 use socket2::{SockRef, TcpKeepalive};
 
+use super::connection::Connection;
+use super::path_check::until_held_up;
+
 /// Timeout of a connection attempt.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum number of idle connections per address.
@@ -41,6 +43,11 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unacknowledged keepalive probes after which the kernel closes a connection.
 const KEEPALIVE_PROBES: u32 = 3;
+/// Time for which it is remembered that an address has sent something; longer than a
+/// request whose path is watched waits.
+const HEARD_MEMORY: Duration = Duration::from_secs(10);
+/// Time after which the kernel closes a connection whose peer acknowledges nothing.
+pub const USER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Body of a request to an upstream or the platform.
 pub type RequestBody = Full<Bytes>;
@@ -54,12 +61,16 @@
     NotSent,
     /// Part or all of the request may have been sent.
     MaybeSent,
+    /// The request may have been sent; its path did not answer, and its connection was
+    /// reset.
+    HeldUp,
 }
 
 /// Connection without a request in progress.
 #[derive(Debug)]
 struct IdleConnection {
-    sender: SendRequest<RequestBody>,
+    connection: Connection,
+    idle_since: Instant,
     usable_until: Instant,
 }
 
@@ -67,6 +78,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
+    /// Time at which an address last sent something.
+    heard: Rc<RefCell<HashMap<SocketAddr, Instant>>>,
 }
 
 impl Pool {
@@ -76,27 +89,56 @@
         addr: SocketAddr,
         request: Request<RequestBody>,
     ) -> Result<Response<PooledBody>, SendError> {
-        self.send_if(addr, request, || true).await
+        self.send_watched(addr, request, || true, false).await
     }
 
     /// Sends a request if `is_still_allowed` holds after the connection is
-    /// established, which can take up to [`CONNECT_TIMEOUT`].
+    /// established, which can take up to [`CONNECT_TIMEOUT`]. Resets the connection if
+    /// the request is held up on its way.
     pub async fn send_if(
+        &self,
+        addr: SocketAddr,
+        request: Request<RequestBody>,
+        is_still_allowed: impl Fn() -> bool,
+    ) -> Result<Response<PooledBody>, SendError> {
+        self.send_watched(addr, request, is_still_allowed, true)
+            .await
+    }
+
+    async fn send_watched(
         &self,
         addr: SocketAddr,
         mut request: Request<RequestBody>,
         is_still_allowed: impl Fn() -> bool,
+        is_watched: bool,
     ) -> Result<Response<PooledBody>, SendError> {
         loop {
-            let (mut sender, is_reused) = match self.checkout(addr).await {
-                Some(sender) => (sender, true),
-                None => (connect(addr).await.ok_or(SendError::NotConnected)?, false),
+            let (mut connection, is_reused) = match self.checkout(addr).await {
+                Some(connection) => (connection, true),
+                None => {
+                    let opened = Connection::open(addr).await;
+                    (opened.ok_or(SendError::NotConnected)?, false)
+                }
             };
             if !is_still_allowed() {
                 return Err(SendError::NotSent);
             }
-            match sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.wrap_response(addr, sender, response)),
+            let held_up = async {
+                if !is_watched || !is_reused {
+                    std::future::pending::<()>().await;
+                }
+                until_held_up(self, addr, &is_still_allowed).await;
+            };
+            let mut held_up = pin!(held_up.fuse());
+            let sent = futures_util::select_biased! {
+                sent = connection.sender.try_send_request(request).fuse() => sent,
+                () = held_up => return Err(SendError::HeldUp),
+            };
+            match sent {
+                Ok(response) => {
+                    connection.on_received();
+                    return Ok(self.wrap_response(addr, connection, response));
+                }
                 Err(mut error) => match error.take_message() {
                     Some(message) if is_reused => request = message,
                     Some(_) => return Err(SendError::NotSent),
@@ -106,24 +148,38 @@
         }
     }
 
-    async fn checkout(&self, addr: SocketAddr) -> Option<SendRequest<RequestBody>> {
+    async fn checkout(&self, addr: SocketAddr) -> Option<Connection> {
         loop {
             let idle = self.idle.borrow_mut().get_mut(&addr)?.pop()?;
-            let mut sender = idle.sender;
-            let is_usable = Instant::now() < idle.usable_until && !sender.is_closed();
-            if is_usable && sender.ready().await.is_ok() {
-                return Some(sender);
+            let mut connection = idle.connection;
+            let is_usable = Instant::now() < idle.usable_until && !connection.sender.is_closed();
+            if is_usable && connection.sender.ready().await.is_ok() {
+                connection.prepare(idle.idle_since);
+                return Some(connection);
             }
         }
     }
 
+    /// Records that an address has sent something.
+    pub fn record_heard(&self, addr: SocketAddr) {
+        self.heard.borrow_mut().insert(addr, Instant::now());
+    }
+
+    /// True if an address has sent something since a time.
+    pub fn has_heard_from(&self, addr: SocketAddr, since: Instant) -> bool {
+        let heard = self.heard.borrow();
+        heard.get(&addr).is_some_and(|at| *at > since)
+    }
+
     /// Closes the idle connections that have expired.
     pub fn close_expired(&self) {
         let now = Instant::now();
         self.idle.borrow_mut().retain(|_, idle| {
-            idle.retain(|i| now < i.usable_until && !i.sender.is_closed());
+            idle.retain(|i| now < i.usable_until && !i.connection.sender.is_closed());
             !idle.is_empty()
         });
+        let mut heard = self.heard.borrow_mut();
+        heard.retain(|_, at| now < *at + HEARD_MEMORY);
     }
 
     /// Closes all idle connections to an address.
@@ -134,15 +190,16 @@
     fn wrap_response(
         &self,
         addr: SocketAddr,
-        sender: SendRequest<RequestBody>,
+        connection: Connection,
         response: Response<Incoming>,
     ) -> Response<PooledBody> {
+        self.record_heard(addr);
         let idle_timeout = idle_timeout(response.headers());
         response.map(|body| {
             let mut pooled = PooledBody {
                 body,
                 addr,
-                sender: Some(sender),
+                connection: Some(connection),
                 idle_timeout,
                 pool: self.clone(),
             };
@@ -153,13 +210,15 @@
         })
     }
 
-    fn check_in(&self, addr: SocketAddr, sender: SendRequest<RequestBody>, idle_timeout: Duration) {
+    fn check_in(&self, addr: SocketAddr, connection: Connection, idle_timeout: Duration) {
         let mut idle_connections = self.idle.borrow_mut();
         let connections = idle_connections.entry(addr).or_default();
         if connections.len() < MAX_IDLE_PER_ADDR {
+            let idle_since = Instant::now();
             connections.push(IdleConnection {
-                sender,
-                usable_until: Instant::now() + idle_timeout,
+                connection,
+                idle_since,
+                usable_until: idle_since + idle_timeout,
             });
         }
     }
@@ -215,42 +274,24 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive).ok()?;
-    let user_timeout = KEEPALIVE_INTERVAL * KEEPALIVE_PROBES;
-    socket.set_tcp_user_timeout(Some(user_timeout)).ok()?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT)).ok()?;
     Some(stream)
 }
 
-async fn connect(addr: SocketAddr) -> Option<SendRequest<RequestBody>> {
-    let stream = connect_tcp(addr).await?;
-    // A close resets the connection, so that bytes of a request that was given up in a
-    // partition do not arrive when it heals.
-    SockRef::from(&stream)
-        .set_linger(Some(Duration::ZERO))
-        .ok()?;
-    let io = HyperStream::new_plain(stream);
-    let (sender, connection) = http1::handshake(io).await.ok()?;
-    compio::runtime::spawn(async move {
-        // `SendRequest` returns its own error when the connection fails.
-        let _ = connection.await;
-    })
-    .detach();
-    Some(sender)
-}
-
 /// Response body that returns its connection to the pool at its end.
 #[derive(Debug)]
 pub struct PooledBody {
     body: Incoming,
     addr: SocketAddr,
-    sender: Option<SendRequest<RequestBody>>,
+    connection: Option<Connection>,
     idle_timeout: Duration,
     pool: Pool,
 }
 
 impl PooledBody {
     fn release(&mut self) {
-        if let Some(sender) = self.sender.take() {
-            self.pool.check_in(self.addr, sender, self.idle_timeout);
+        if let Some(connection) = self.connection.take() {
+            self.pool.check_in(self.addr, connection, self.idle_timeout);
         }
     }
 }
@@ -266,8 +307,11 @@
         let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
         let is_failed = matches!(frame, Some(Err(_)));
         if is_failed {
-            self.sender = None;
-        } else if frame.is_none() || self.body.is_end_stream() {
+            self.connection = None;
+        } else {
+            self.pool.record_heard(self.addr);
+        }
+        if !is_failed && (frame.is_none() || self.body.is_end_stream()) {
             self.release();
         }
         Poll::Ready(frame)
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -212,10 +212,13 @@
             .pool
             .send_if(addr, forwarded, is_accepting_requests)
             .await;
+        if matches!(result, Err(SendError::HeldUp)) {
+            self.record_held_up(request, upstream, sent_ms);
+        }
         let response = result.map_err(|e| match e {
             SendError::NotConnected => AttemptFailure::NotConnected,
             SendError::NotSent => AttemptFailure::NotSent,
-            SendError::MaybeSent => AttemptFailure::Unknown,
+            SendError::MaybeSent | SendError::HeldUp => AttemptFailure::Unknown,
         });
         if response.is_err() {
             // Other idle connections to this address have probably failed as well.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -66,6 +66,8 @@
     pub upstream_closures: Counter,
     /// Requests that were not sent to an upstream because of the rate that it states.
     pub permits_denied: Counter,
+    /// Requests whose connection was reset since their path did not answer.
+    pub requests_held_up: Counter,
     /// Upstreams that state how many requests a second they take.
     pub upstreams_limited: Gauge,
     /// Era of the store.
@@ -98,11 +100,13 @@
             turn_time_s: Histogram::new(buckets()),
             upstream_closures: Counter::default(),
             permits_denied: Counter::default(),
+            requests_held_up: Counter::default(),
             upstreams_limited: Gauge::default(),
             store_era: Gauge::default(),
             dropped_log_lines: Gauge::default(),
         };
         metrics.register();
+        metrics.register_paths();
         metrics
     }
 }
@@ -211,6 +215,14 @@
         );
     }
 
+    fn register_paths(&mut self) {
+        self.registry.register(
+            "requests_held_up",
+            "Requests whose connection was reset since their path did not answer",
+            self.requests_held_up.clone(),
+        );
+    }
+
     /// Metrics in the Prometheus text format.
     pub fn encode(&self) -> String {
         let mut text = String::new();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //!   whether an engine has room, `exchange` sends one to
 //!   an upstream, and `relay` forwards an event stream. `notices` applies what an
 //!   upstream states about itself in its responses.
+//! - `held_up` records requests whose path to an upstream does not answer.
 //! - `sync` mirrors the platform's store with `store_facts`, which decodes its keys,
 //!   and `store_relay`, which passes changes on between hosts; `membership` registers this host and
 //!   elects the acting host with leases of `lease`, `store_era` detects that the store was restored from an
@@ -21,6 +22,7 @@
 pub mod demand;
 pub mod exchange;
 pub mod front;
+mod held_up;
 pub mod lease;
 pub mod logs;
 pub mod membership;
--- a/src/services/dispatch.rs
+++ b/src/services/dispatch.rs
@@ -285,7 +285,7 @@
         let request = request.ok_or(not_sent)?;
         let expires_at = first_byte_deadline(call, attempts);
         match compio::time::timeout_at(expires_at, self.host.pool.send(addr, request)).await {
-            Err(_) | Ok(Err(SendError::MaybeSent)) => Err(AttemptFailure {
+            Err(_) | Ok(Err(SendError::MaybeSent | SendError::HeldUp)) => Err(AttemptFailure {
                 progress: AttemptProgress::Sent,
                 is_upstream_fault: true,
             }),
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -233,7 +233,9 @@
             match compio::time::timeout(timeout, self.pool.send(addr, request)).await {
                 Ok(Ok(response)) => return Ok(response),
                 Ok(Err(SendError::NotConnected | SendError::NotSent)) => {}
-                Ok(Err(SendError::MaybeSent)) | Err(_) => return Err(RequestOutcome::Interrupted),
+                Ok(Err(SendError::MaybeSent | SendError::HeldUp)) | Err(_) => {
+                    return Err(RequestOutcome::Interrupted);
+                }
             }
         }
         Err(RequestOutcome::NoHost)
