Give kept connections a longer kernel timeout before they are idle

Upstreams ran requests 3 s after they had left: the platform's kernel counted TCP_USER_TIMEOUT from the start of the partition, so that a timeout set when a request was sent on a kept connection came too late. All requests at one upstream ended in the same millisecond, 1 to 2 s after they were sent.

A connection now gets its idle time and 3 s when it is kept, and 3 s again while a response of unknown length is received, so that a dead upstream of a stream is noticed as before.

--- a/src/edge/connection.rs
+++ b/src/edge/connection.rs
@@ -1,24 +1,21 @@
 //! One HTTP client connection, and the kernel's timeout for bytes that its peer does not
 //! acknowledge.
 //!
-//! The kernel counts the timeout from the last byte received, also while the connection
-//! is idle, and ends the connection without a reset. A request on a connection that was
-//! idle gets the whole timeout, so that the host can reset it first.
+//! The kernel counts the timeout also while the connection is idle, and ends the connection
+//! without a reset. A connection that is kept idle has a longer timeout, so that the host
+//! can reset a request that is sent at the end of that time before the kernel gives up.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
 use hyper::client::conn::http1::{self, SendRequest};
 use socket2::SockRef;
 
-use super::pool::{RequestBody, USER_TIMEOUT, connect_tcp};
-
-/// Granularity of timeouts; spares most requests a system call.
-const TIMEOUT_STEP: Duration = Duration::from_millis(500);
+use super::pool::{RequestBody, USER_TIMEOUT, connect_tcp, set_timeouts};
 
 /// HTTP connection to an upstream or the platform.
 #[derive(Debug)]
@@ -56,16 +53,15 @@
         })
     }
 
-    /// Gives the next request the whole of the kernel's timeout, after the connection was
-    /// idle since a time.
-    pub fn prepare(&self, idle_since: Instant) {
-        let idle = idle_since.elapsed().as_millis() as u64;
-        let steps = idle.div_ceil(TIMEOUT_STEP.as_millis() as u64);
-        self.set_user_timeout(USER_TIMEOUT + TIMEOUT_STEP * steps as u32);
+    /// Lets the kernel end the connection only after a time without a request and the
+    /// whole timeout for the next one.
+    pub fn allow_idle(&self, idle_timeout: Duration) {
+        self.set_user_timeout(idle_timeout + USER_TIMEOUT);
     }
 
-    /// Counts the kernel's timeout from now on, as something was received.
-    pub fn on_received(&self) {
+    /// Lets the kernel end the connection within the timeout, since its peer has the
+    /// request and sends its response.
+    pub fn expect_response_body(&self) {
         self.set_user_timeout(USER_TIMEOUT);
     }
 
@@ -75,7 +71,7 @@
         }
         if let Some(socket) = self.socket.borrow().as_ref() {
             // Fails only once the connection has ended.
-            let _ = SockRef::from(socket).set_tcp_user_timeout(Some(timeout));
+            let _ = set_timeouts(&SockRef::from(socket), timeout);
         }
     }
 }
--- a/src/edge/pool.rs
+++ b/src/edge/pool.rs
@@ -41,8 +41,6 @@
 /// Idle time before the first TCP keepalive probe, and interval between probes; a
 /// peer that lost power is detected after a few seconds.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Unacknowledged keepalive probes after which the kernel closes a connection.
-const KEEPALIVE_PROBES: u32 = 3;
 /// Time for which it is remembered that an address has sent something; longer than a
 /// request whose path is watched waits.
 const HEARD_MEMORY: Duration = Duration::from_secs(10);
@@ -70,7 +68,6 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
-    idle_since: Instant,
     usable_until: Instant,
 }
 
@@ -136,7 +133,9 @@
             };
             match sent {
                 Ok(response) => {
-                    connection.on_received();
+                    if response.body().size_hint().exact().is_none() {
+                        connection.expect_response_body();
+                    }
                     return Ok(self.wrap_response(addr, connection, response));
                 }
                 Err(mut error) => match error.take_message() {
@@ -154,7 +153,6 @@
             let mut connection = idle.connection;
             let is_usable = Instant::now() < idle.usable_until && !connection.sender.is_closed();
             if is_usable && connection.sender.ready().await.is_ok() {
-                connection.prepare(idle.idle_since);
                 return Some(connection);
             }
         }
@@ -214,11 +212,10 @@
         let mut idle_connections = self.idle.borrow_mut();
         let connections = idle_connections.entry(addr).or_default();
         if connections.len() < MAX_IDLE_PER_ADDR {
-            let idle_since = Instant::now();
+            connection.allow_idle(idle_timeout);
             connections.push(IdleConnection {
                 connection,
-                idle_since,
-                usable_until: idle_since + idle_timeout,
+                usable_until: Instant::now() + idle_timeout,
             });
         }
     }
@@ -269,13 +266,21 @@
     let stream = connecting.await.ok()?.ok()?;
     stream.set_nodelay(true).ok()?;
     let socket = SockRef::from(&stream);
+    set_timeouts(&socket, USER_TIMEOUT).ok()?;
+    Some(stream)
+}
+
+/// Lets the kernel end a connection whose peer acknowledges nothing for a time.
+pub fn set_timeouts(socket: &SockRef<'_>, user_timeout: Duration) -> io::Result<()> {
+    let probes = user_timeout
+        .as_millis()
+        .div_ceil(KEEPALIVE_INTERVAL.as_millis());
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_PROBES);
-    socket.set_tcp_keepalive(&keepalive).ok()?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT)).ok()?;
-    Some(stream)
+        .with_retries(probes as u32);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(user_timeout))
 }
 
 /// Response body that returns its connection to the pool at its end.
