Ask other hosts whether missing upstreams have left

A host that had lost the store sent requests for up to 2.3 s to upstreams that had left during its own cut, since it could not tell a cut from an outage; and where upstreams that have left must receive nothing after a second, it dropped after 0.75 s all that lapsed in an outage.

A host that reaches the store again asks the others for how long they have it. An upstream of a zone in which a host had the store throughout is out of use at once; one whose zone lost the store stays until it has had time to register again, but not past the time from which the host must keep its limits. Without an answer the limit is that of before.

Tests: departures (with the former rule in place of missing_until_ms, upstream_missing_after_an_own_cut_is_out_of_use_at_once and upstream_that_lapsed_in_an_outage_of_the_store_stays_until_it_is_listed_again fail), cut_off (upstream_that_left_during_an_own_cut_receives_nothing_once_ another_host_confirms_it fails if answers are ignored).

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,6 +14,7 @@
 mod copy_planner;
 pub mod crash_ledger;
 pub mod demand_rate;
+pub mod departures;
 pub mod engine_ledger;
 pub mod engine_order;
 pub mod engine_room;
--- a/src/core/registry.rs
+++ b/src/core/registry.rs
@@ -28,7 +28,7 @@
 /// Time before the limit for requests to upstreams that have left at which the grace
 /// period ends, in milliseconds; requests are on their way, and plans that expire
 /// entries are up to this far apart.
-const DRAIN_MARGIN_MS: u64 = 250;
+pub const DRAIN_MARGIN_MS: u64 = 250;
 
 /// Time from the end of an outage within which missing entries may only have lapsed,
 /// where upstreams that have left may receive requests for `drain_within_ms`.
@@ -125,6 +125,14 @@
     noticed_ms: u64,
 }
 
+/// Entry that may only have lapsed during an outage of the store.
+#[derive(Clone, Copy, Debug)]
+struct Lapse {
+    until_ms: u64,
+    /// Time at which this host learned that it was deleted after the outage, if it was.
+    deleted_ms: Option<u64>,
+}
+
 /// All listed upstreams.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
@@ -134,7 +142,7 @@
     leaving: BTreeMap<UpstreamId, Leaving>,
     entries: BTreeMap<UpstreamId, Entry>,
     observations: BTreeMap<UpstreamId, (ObservationNumber, u64)>,
-    lapsed_until_ms: BTreeMap<UpstreamId, u64>,
+    lapsed: BTreeMap<UpstreamId, Lapse>,
 }
 
 impl Registry {
@@ -146,8 +154,8 @@
     /// True if an entry takes requests: it is listed and not about to leave, and has not
     /// lapsed for longer than its grace period, whether it has been removed yet or not.
     pub fn takes_requests(&self, entry: &Entry, now_ms: u64) -> bool {
-        let until_ms = self.lapsed_until_ms.get(&entry.id);
-        !entry.is_draining && until_ms.is_none_or(|at| now_ms < *at)
+        let lapse = self.lapsed.get(&entry.id);
+        !entry.is_draining && lapse.is_none_or(|l| now_ms < l.until_ms)
     }
 
     /// All entries, by name.
@@ -214,7 +222,7 @@
         if self.predates_removal(&entry) {
             return None;
         }
-        self.lapsed_until_ms.remove(&entry.id);
+        self.lapsed.remove(&entry.id);
         entry.read_ms = now_ms;
         if let Some(leaving) = self.leaving.get(&entry.id) {
             entry.is_draining |= leaving.started_ms >= entry.started_ms;
@@ -283,11 +291,25 @@
         id: &str,
         lapse_until_ms: Option<u64>,
         now_ms: u64,
+    ) -> Option<RegistryChange> {
+        self.lapse_or_remove(id, lapse_until_ms, Some(now_ms), now_ms)
+    }
+
+    fn lapse_or_remove(
+        &mut self,
+        id: &str,
+        lapse_until_ms: Option<u64>,
+        deleted_ms: Option<u64>,
+        now_ms: u64,
     ) -> Option<RegistryChange> {
         let (id, _) = self.entries.get_key_value(id)?;
         let id = id.clone();
         if let Some(until_ms) = lapse_until_ms.filter(|until_ms| now_ms < *until_ms) {
-            self.lapsed_until_ms.entry(id.clone()).or_insert(until_ms);
+            let lapse = Lapse {
+                until_ms,
+                deleted_ms,
+            };
+            self.lapsed.entry(id.clone()).or_insert(lapse);
             return Some(RegistryChange::Lapsed(id));
         }
         let entry = self.drop_entry(&id)?;
@@ -303,7 +325,7 @@
 
     fn drop_entry(&mut self, id: &UpstreamId) -> Option<Entry> {
         self.observations.remove(id);
-        self.lapsed_until_ms.remove(id);
+        self.lapsed.remove(id);
         self.entries.remove(id)
     }
 
@@ -337,23 +359,33 @@
         changes.extend(
             missing
                 .iter()
-                .filter(|id| !self.lapsed_until_ms.contains_key(*id))
+                .filter(|id| !self.lapsed.contains_key(*id))
                 .map(UpstreamId::as_str)
                 .collect::<Vec<_>>()
                 .into_iter()
-                .filter_map(|id| self.remove(id, lapse_until_ms, now_ms)),
+                .filter_map(|id| self.lapse_or_remove(id, lapse_until_ms, None, now_ms)),
         );
         changes
     }
 
+    /// Sets the ends of the grace periods of lapsed entries, given the time at which each
+    /// was deleted if that was after the outage.
+    pub fn limit_lapsed(&mut self, until_ms: impl Fn(&Entry, Option<u64>) -> u64) {
+        for (id, lapse) in &mut self.lapsed {
+            if let Some(entry) = self.entries.get(id) {
+                lapse.until_ms = until_ms(entry, lapse.deleted_ms);
+            }
+        }
+    }
+
     /// Removes lapsed entries whose grace period has ended. They were only not listed,
     /// so that any later announcement counts.
     pub fn expire_lapsed(&mut self, now_ms: u64) -> Vec<RegistryChange> {
         self.forget_departed(now_ms);
         let expired: Vec<UpstreamId> = self
-            .lapsed_until_ms
+            .lapsed
             .iter()
-            .filter(|(_, until_ms)| now_ms >= **until_ms)
+            .filter(|(_, lapse)| now_ms >= lapse.until_ms)
             .map(|(id, _)| id.clone())
             .collect();
         expired
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -66,6 +66,8 @@
     pub upstream_closures: Counter,
     /// Requests that were not sent to an upstream because of the rate that it states.
     pub permits_denied: Counter,
+    /// Upstreams that had left while this host had lost the store, as others confirmed.
+    pub departures_confirmed: Counter,
     /// Requests whose connection was reset since their path did not answer.
     pub requests_held_up: Counter,
     /// Upstreams that state how many requests a second they take.
@@ -100,6 +102,7 @@
             turn_time_s: Histogram::new(buckets()),
             upstream_closures: Counter::default(),
             permits_denied: Counter::default(),
+            departures_confirmed: Counter::default(),
             requests_held_up: Counter::default(),
             upstreams_limited: Gauge::default(),
             store_era: Gauge::default(),
@@ -216,6 +219,11 @@
     }
 
     fn register_paths(&mut self) {
+        self.registry.register(
+            "departures_confirmed",
+            "Upstreams that had left while this host had lost the store, as others confirmed",
+            self.departures_confirmed.clone(),
+        );
         self.registry.register(
             "requests_held_up",
             "Requests whose connection was reset since their path did not answer",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //!   whether an engine has room, `exchange` sends one to
 //!   an upstream, and `relay` forwards an event stream. `notices` applies what an
 //!   upstream states about itself in its responses.
+//! - `departures` learns whether upstreams that are missing after an outage have left.
 //! - `held_up` records requests whose path to an upstream does not answer.
 //! - `sync` mirrors the platform's store with `store_facts`, which decodes its keys,
 //!   and `store_relay`, which passes changes on between hosts; `membership` registers this host and
@@ -20,6 +21,7 @@
 pub mod call;
 pub mod crashes;
 pub mod demand;
+pub mod departures;
 pub mod exchange;
 pub mod front;
 mod held_up;
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -5,7 +5,7 @@
 use super::demand::ModelCounts;
 use super::store_relay::StoreChanges;
 use crate::core::crash_ledger::LostRequest;
-use crate::core::ids::{AdapterId, HostId, ModelId, ServiceId, UpstreamId};
+use crate::core::ids::{AdapterId, HostId, ModelId, ServiceId, UpstreamId, ZoneId};
 use crate::core::load::InFlight;
 use crate::core::quarantine::Quarantine;
 use crate::core::rate_account::{Keeping, Purpose};
@@ -58,6 +58,26 @@
     pub ticket: u64,
 }
 
+/// For how long a host has the store.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StatedContact {
+    /// Sender.
+    #[serde(rename = "h")]
+    pub host: HostId,
+    /// Its availability zone.
+    #[serde(rename = "z")]
+    pub zone: ZoneId,
+    /// Time since the first response without a longer gap, in milliseconds.
+    #[serde(rename = "s")]
+    pub since_ago_ms: u64,
+    /// Time since the last response, in milliseconds.
+    #[serde(rename = "l")]
+    pub last_ago_ms: u64,
+    /// Identifies the question.
+    #[serde(rename = "k")]
+    pub ticket: u64,
+}
+
 /// Message from one host to another.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PeerMessage {
@@ -110,6 +130,19 @@
         #[serde(rename = "e")]
         engines: Vec<EngineHoldings>,
     },
+    /// A host that had lost the store asks another one whether it had it.
+    #[serde(rename = "sc")]
+    AskStoreContact {
+        /// Sender.
+        #[serde(rename = "h")]
+        host: HostId,
+        /// Identifies the question.
+        #[serde(rename = "k")]
+        ticket: u64,
+    },
+    /// Answer to such a question.
+    #[serde(rename = "sd")]
+    StoreContact(StatedContact),
     /// An engine starts to load a model.
     #[serde(rename = "l")]
     Loading {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -215,6 +215,10 @@
             PeerMessage::Leaving { .. } | PeerMessage::Limited { .. } => {
                 gateway.apply_relayed_notice(&message);
             }
+            PeerMessage::AskStoreContact { host, ticket } => {
+                gateway.answer_store_contact(&host, ticket);
+            }
+            PeerMessage::StoreContact(stated) => gateway.apply_store_contact(stated),
             PeerMessage::AskPermit(question) => gateway.answer_permit(&question),
             PeerMessage::Permit {
                 ticket,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -56,6 +56,11 @@
     #[serde_as(as = "DurationMilliSeconds<f64>")]
     #[serde(rename = "drain_within_ms")]
     pub drain_within: Duration,
+    /// Time after a disruption within which the limits on upstreams that have left do
+    /// not apply.
+    #[serde_as(as = "DurationMilliSeconds<f64>")]
+    #[serde(rename = "contact_within_ms", default)]
+    pub contact_within: Duration,
     /// Time within which a new configuration must be in force.
     #[serde_as(as = "DurationMilliSeconds<f64>")]
     #[serde(rename = "config_within_ms")]
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,6 +9,7 @@
 
 use super::crashes::CrashDesk;
 use super::demand::DemandCounters;
+use super::departures::DepartureDesk;
 use super::logs::LogBuffer;
 use super::metrics::GatewayMetrics;
 use super::peers::PeerSender;
@@ -99,8 +100,8 @@
     pub position: Cell<Position>,
     /// What watching hosts have passed on.
     pub follower: Cell<Follower>,
-    /// End of the last outage of the store.
-    pub outage_ended_ms: Cell<u64>,
+    /// What is known of the last outage of the store.
+    pub departures: DepartureDesk,
     /// True once a snapshot of the store was read.
     pub is_synced: Cell<bool>,
     /// Cancelled when the process receives a stop signal.
@@ -136,7 +137,7 @@
             is_store_up: Cell::new(false),
             position: Cell::default(),
             follower: Cell::default(),
-            outage_ended_ms: Cell::new(0),
+            departures: DepartureDesk::default(),
             is_synced: Cell::new(false),
             stopping: CancellationToken::new(),
             clock,
--- a/src/gateway/store_facts.rs
+++ b/src/gateway/store_facts.rs
@@ -184,9 +184,9 @@
         self.is_synced.set(true);
     }
 
-    /// Applies a change of one key. Until `lapse_until_ms`, an upstream that is not listed
-    /// may only have lapsed.
-    pub fn apply_fact(&self, revised: RevisedFact, era: Era, lapse_until_ms: Option<u64>) {
+    /// Applies a change of one key. Until `relayed_until_ms`, if the change was passed on,
+    /// an upstream that is not listed may only have lapsed.
+    pub fn apply_fact(&self, revised: RevisedFact, era: Era, relayed_until_ms: Option<u64>) {
         let now_ms = self.now_ms();
         let revision = revised.revision;
         match revised.fact {
@@ -198,6 +198,7 @@
                 }
             }
             StoreFact::NoUpstream(id) => {
+                let lapse_until_ms = self.deleted_until_ms(id.as_str()).max(relayed_until_ms);
                 let change = {
                     let mut registry = self.registry.borrow_mut();
                     registry.remove(id.as_str(), lapse_until_ms, now_ms)
--- a/src/gateway/store_relay.rs
+++ b/src/gateway/store_relay.rs
@@ -229,10 +229,10 @@
             }
             Fit::Continues => {
                 let relayed_ms = now_ms + changes.lapse_left_ms;
-                let lapse_until_ms = self.lapse_until_ms().max(Some(relayed_ms));
+                let relayed_until_ms = (now_ms < relayed_ms).then_some(relayed_ms);
                 for (revision, fact) in changes.facts {
                     if revision > position.revision {
-                        self.apply_relayed_fact(revision, fact, until.era, lapse_until_ms);
+                        self.apply_relayed_fact(revision, fact, until.era, relayed_until_ms);
                     }
                 }
                 self.confirm_position(until);
@@ -246,7 +246,7 @@
         revision: u64,
         fact: RelayedFact,
         era: Era,
-        lapse_until_ms: Option<u64>,
+        relayed_until_ms: Option<u64>,
     ) {
         let fact = match fact {
             RelayedFact::Upstream(entry) => StoreFact::Upstream(Box::new(self.entry_from(entry))),
@@ -257,7 +257,7 @@
             RelayedFact::NoActing => StoreFact::NoActing,
             RelayedFact::Catalog | RelayedFact::Quarantine | RelayedFact::Crashes => return,
         };
-        self.apply_fact(RevisedFact { revision, fact }, era, lapse_until_ms);
+        self.apply_fact(RevisedFact { revision, fact }, era, relayed_until_ms);
     }
 
     /// Entry of an upstream; the copies of weights are those known of the same
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -18,7 +18,6 @@
 use super::platform::{FleetStore, Platform, WatchResponse};
 use super::state::Gateway;
 use super::store_facts::RevisedFact;
-use crate::core::registry::lapse_grace_ms;
 use crate::core::store_era::Era;
 use crate::core::store_relay::{Position, RelayTimes};
 use crate::edge::kv::KvError;
@@ -90,15 +89,14 @@
         let gateway = &self.gateway;
         let store = gateway.platform.store();
         let snapshot = store.list(P::WATCH_PREFIX).await?;
+        gateway.on_store_response();
         // Before the first listing there are no entries that could have lapsed.
         if gateway.record_store_state(true, "read") && gateway.is_synced.get() {
-            gateway.outage_ended_ms.set(gateway.now_ms());
+            gateway.on_store_returned();
         }
         let era = store.era();
         if self.era.replace(Some(era)).is_some_and(|last| last != era) {
-            // The copy lacks the upstreams that registered after it was made; they
-            // register again as they do after an outage.
-            gateway.outage_ended_ms.set(gateway.now_ms());
+            gateway.on_store_restored();
         }
         gateway.apply_snapshot(&snapshot.kvs, era, gateway.lapse_until_ms());
         gateway.confirm_position(Position {
@@ -145,6 +143,7 @@
         if store.era() != era {
             return Ok(false);
         }
+        gateway.on_store_response();
         let WatchResponse::Changes {
             changes,
             revision: confirmed,
@@ -166,7 +165,7 @@
         }
         let is_idle = facts.is_empty();
         for fact in facts {
-            gateway.apply_fact(fact, era, gateway.lapse_until_ms());
+            gateway.apply_fact(fact, era, None);
         }
         gateway.confirm_position(until);
         gateway.admission_queue.borrow().wake();
@@ -178,14 +177,6 @@
 }
 
 impl<P: Platform> Gateway<P> {
-    /// Time until which missing entries may have lapsed during an outage of the store
-    /// that has just ended, or are missing in the copy from which it was restored.
-    pub fn lapse_until_ms(&self) -> Option<u64> {
-        let drain_within_ms = self.settings().drain_within.as_millis() as u64;
-        let until_ms = self.outage_ended_ms.get() + lapse_grace_ms(drain_within_ms);
-        (self.now_ms() < until_ms).then_some(until_ms)
-    }
-
     /// Shortest time within which changes of the store must apply.
     pub fn change_bound(&self) -> Duration {
         let settings = self.settings();
@@ -204,6 +195,7 @@
     async fn run(self: Rc<Self>, cancel: CancellationToken) {
         let mut pause = MIN_RETRY_DELAY;
         loop {
+            let started_ms = self.gateway.now_ms();
             let result = futures_util::select_biased! {
                 () = cancel.cancelled().fuse() => return,
                 result = self.mirror().fuse() => result,
@@ -212,6 +204,7 @@
                 Ok(()) => MIN_RETRY_DELAY,
                 Err(error) => {
                     let was_up = self.gateway.is_store_up.get();
+                    self.gateway.on_store_unreached(started_ms);
                     self.gateway.record_store_state(false, error.as_str());
                     if was_up {
                         MIN_RETRY_DELAY
