--- /dev/null
+++ b/src/edge/connection.rs
@@ -0,0 +1,91 @@
+//! One HTTP client connection, and the kernel's timeout for bytes that its peer does not
+//! acknowledge.
+//!
+//! The kernel counts the timeout also while the connection is idle, and ends the connection
+//! without a reset. A connection that is kept idle has a longer timeout, so that the host
+//! can reset a request that is sent at the end of that time before the kernel gives up.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::io::util::Splittable;
+use compio::net::TcpStream;
+use cyper_core::HyperStream;
+use hyper::client::conn::http1::{self, SendRequest};
+use socket2::SockRef;
+
+use super::head_limit::{HeadLimit, HeadLimitedReader};
+use super::pool::{RequestBody, USER_TIMEOUT, connect_tcp, set_timeouts};
+
+/// Maximum size of a response head, and of the read buffer of a connection.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// HTTP connection to an upstream or the platform.
+#[derive(Debug)]
+pub struct Connection {
+    /// Sends requests.
+    pub sender: SendRequest<RequestBody>,
+    /// Limits the response head that is expected.
+    pub head_limit: Rc<HeadLimit>,
+    /// Empty once the connection has ended.
+    socket: Rc<RefCell<Option<TcpStream>>>,
+    user_timeout: Cell<Duration>,
+}
+
+impl Connection {
+    /// Opens a connection that is reset when it is closed.
+    pub async fn open(addr: SocketAddr) -> Option<Self> {
+        let stream = connect_tcp(addr).await?;
+        // Bytes of a request that was given up in a partition do not arrive when it heals.
+        SockRef::from(&stream)
+            .set_linger(Some(Duration::ZERO))
+            .ok()?;
+        let socket = Rc::new(RefCell::new(Some(stream.clone())));
+        let head_limit = Rc::new(HeadLimit::new(MAX_HEAD_BYTES));
+        let (reader, writer) = stream.split();
+        let reader = HeadLimitedReader::new(reader, Rc::clone(&head_limit));
+        let io = HyperStream::new_plain((reader, writer));
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(io);
+        let (sender, connection) = handshake.await.ok()?;
+        let ended = Rc::clone(&socket);
+        compio::runtime::spawn(async move {
+            // `SendRequest` returns its own error when the connection fails. A shutdown
+            // would send what is still unsent before the reset.
+            let _ = connection.without_shutdown().await;
+            ended.take();
+        })
+        .detach();
+        Some(Self {
+            sender,
+            head_limit,
+            socket,
+            user_timeout: Cell::new(USER_TIMEOUT),
+        })
+    }
+
+    /// Lets the kernel end the connection only after a time without a request and the
+    /// whole timeout for the next one.
+    pub fn allow_idle(&self, idle_timeout: Duration) {
+        self.set_user_timeout(idle_timeout + USER_TIMEOUT);
+    }
+
+    /// Lets the kernel end the connection within the timeout, since its peer has the
+    /// request and sends its response.
+    pub fn expect_response_body(&self) {
+        self.set_user_timeout(USER_TIMEOUT);
+    }
+
+    fn set_user_timeout(&self, timeout: Duration) {
+        if self.user_timeout.replace(timeout) == timeout {
+            return;
+        }
+        if let Some(socket) = self.socket.borrow().as_ref() {
+            // Fails only once the connection has ended.
+            let _ = set_timeouts(&SockRef::from(socket), timeout);
+        }
+    }
+}
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -90,6 +90,10 @@
     pub upstream_closures: Counter,
     /// Requests that were not sent to an upstream because of the rate that it states.
     pub permits_denied: Counter,
+    /// Upstreams that had left while this host had lost the store, as others confirmed.
+    pub departures_confirmed: Counter,
+    /// Requests whose connection was reset since their path did not answer.
+    pub requests_held_up: Counter,
     /// Upstreams that state how many requests a second they take.
     pub upstreams_limited: Gauge,
     /// Responses of upstreams that were cut off at a limit of size or time.
@@ -129,6 +133,8 @@
             turn_time_s: Histogram::new(buckets()),
             upstream_closures: Counter::default(),
             permits_denied: Counter::default(),
+            departures_confirmed: Counter::default(),
+            requests_held_up: Counter::default(),
             upstreams_limited: Gauge::default(),
             responses_cut_off: Counter::default(),
             store_era: Gauge::default(),
@@ -138,6 +144,7 @@
         metrics.register_streams();
         metrics.register_cut_offs();
         metrics.register_reach();
+        metrics.register_paths();
         metrics
     }
 }
@@ -286,6 +293,19 @@
         );
     }
 
+    fn register_paths(&mut self) {
+        self.registry.register(
+            "departures_confirmed",
+            "Upstreams that had left while this host had lost the store, as others confirmed",
+            self.departures_confirmed.clone(),
+        );
+        self.registry.register(
+            "requests_held_up",
+            "Requests whose connection was reset since their path did not answer",
+            self.requests_held_up.clone(),
+        );
+    }
+
     /// Metrics in the Prometheus text format.
     pub fn encode(&self) -> String {
         let mut text = String::new();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,8 @@
 //!   whether an engine has room, `exchange` sends one to
 //!   an upstream, and `relay` forwards an event stream. `notices` applies what an
 //!   upstream states about itself in its responses.
+//! - `departures` learns whether upstreams that are missing after an outage have left.
+//! - `held_up` records requests whose path to an upstream does not answer.
 //! - `sync` mirrors the platform's store with `store_facts`, which decodes its keys,
 //!   and `store_relay`, which passes changes on between hosts; `membership` registers this host and
 //!   elects the acting host with leases of `lease`, `store_era` detects that the store was restored from an
@@ -22,8 +24,10 @@
 pub mod crashes;
 mod cut_off;
 pub mod demand;
+pub mod departures;
 pub mod exchange;
 pub mod front;
+mod held_up;
 pub mod incarnations;
 pub mod lease;
 pub mod logs;
--- a/src/gateway/peer_requests.rs
+++ b/src/gateway/peer_requests.rs
@@ -194,7 +194,9 @@
         let sending = self.peer_requests.pool.send(peer.addr, message);
         let response = match compio::time::timeout(timeout, sending).await {
             Err(_) => return PeerReply::Lost { is_timeout: true },
-            Ok(Err(SendError::MaybeSent)) => return PeerReply::Lost { is_timeout: false },
+            Ok(Err(SendError::MaybeSent | SendError::HeldUp)) => {
+                return PeerReply::Lost { is_timeout: false };
+            }
             Ok(Err(SendError::NotConnected | SendError::NotSent)) => {
                 return PeerReply::NotAccepted(NotAccepted::Unreachable);
             }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -226,6 +226,10 @@
                 stream,
                 known,
             } => gateway.apply_origin(ticket, stream, known),
+            PeerMessage::AskStoreContact { host, ticket } => {
+                gateway.answer_store_contact(&host, ticket);
+            }
+            PeerMessage::StoreContact(stated) => gateway.apply_store_contact(stated),
             PeerMessage::AskPermit(question) => gateway.answer_permit(&question),
             PeerMessage::Permit {
                 ticket,
