Take a place before a request is sent to a brittle upstream

Cause: nothing read the statement of an upstream that it falls over beyond N rejections within a second, and each host filled the upstream's waiting room by its own view. Once fewer may wait, all hosts together are turned away more often than N times within milliseconds.

Change: one host of the fleet keeps the account of each brittle upstream. A request takes a place there before it is sent and returns it at its end; requests that may still be turned away and recent rejections of all hosts stay below one allowance. Places beyond the slots are added one by one and withdrawn together after a rejection. Without an answer of the keeper a stand-in grants from half the allowance; without both, nothing is sent. Hosts pass the statement on and repeat it, and an upstream that returns inherits it from its service.

--- a/src/core/upstream_notice.rs
+++ b/src/core/upstream_notice.rs
@@ -6,6 +6,7 @@
 //! wants none; an upstream in need states how many requests a second it takes from
 //! all hosts together.
 
+use super::brittle_notice::StatedBrittleness;
 use super::routing::Rng;
 
 /// Longest time for which an upstream can close itself to this host, in
@@ -25,6 +26,8 @@
     pub closed_for: Closure,
     /// Requests that it takes from all hosts together, for as long as it states this.
     pub rate: StatedRate,
+    /// Rejections that it survives, for as long as it states this.
+    pub brittleness: StatedBrittleness,
 }
 
 /// Rate of requests that an upstream takes from all hosts together.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -205,7 +205,11 @@
             let registry = self.registry.borrow();
             let entry = registry.get(upstream.as_str());
             let is_in_service = entry.is_some_and(|e| registry.takes_requests(e, self.now_ms()));
-            is_in_service && !self.is_closed(upstream)
+            let is_accepting = is_in_service && !self.is_closed(upstream);
+            if let Some(place) = in_flight.place.as_ref().filter(|_| is_accepting) {
+                place.on_sent();
+            }
+            is_accepting
         };
         let sent_ms = self.now_ms();
         let result = self
@@ -241,6 +245,9 @@
         match kind {
             ResponseKind::Valid => Ok(response),
             ResponseKind::NotRun { is_misdirected } => {
+                if !is_misdirected {
+                    self.on_rejected_for_room(in_flight);
+                }
                 // The pool reuses the connection only if the short body is read to its
                 // end.
                 compio::runtime::spawn(async move {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -68,6 +68,16 @@
     pub permits_denied: Counter,
     /// Upstreams that state how many requests a second they take.
     pub upstreams_limited: Gauge,
+    /// Upstreams that state how many rejections they survive.
+    pub upstreams_brittle: Gauge,
+    /// Requests that were not sent to a brittle upstream for want of a place.
+    pub places_denied: Counter,
+    /// Times that places at a brittle upstream were withdrawn after a rejection.
+    pub places_withdrawn: Counter,
+    /// Requests that brittle upstreams turned away.
+    pub brittle_rejections: Counter,
+    /// Statements of brittleness that have no meaning.
+    pub invalid_brittleness: Counter,
     /// Era of the store.
     pub store_era: Gauge,
     /// Log lines dropped because the reader was too slow.
@@ -99,15 +109,50 @@
             upstream_closures: Counter::default(),
             permits_denied: Counter::default(),
             upstreams_limited: Gauge::default(),
+            upstreams_brittle: Gauge::default(),
+            places_denied: Counter::default(),
+            places_withdrawn: Counter::default(),
+            brittle_rejections: Counter::default(),
+            invalid_brittleness: Counter::default(),
             store_era: Gauge::default(),
             dropped_log_lines: Gauge::default(),
         };
         metrics.register();
+        metrics.register_brittle();
         metrics
     }
 }
 
 impl GatewayMetrics {
+    fn register_brittle(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "upstreams_brittle",
+            "Upstreams that state how many rejections they survive",
+            self.upstreams_brittle.clone(),
+        );
+        registry.register(
+            "places_denied",
+            "Requests not sent to a brittle upstream for want of a place",
+            self.places_denied.clone(),
+        );
+        registry.register(
+            "places_withdrawn",
+            "Times that places at a brittle upstream were withdrawn after a rejection",
+            self.places_withdrawn.clone(),
+        );
+        registry.register(
+            "brittle_rejections",
+            "Requests that brittle upstreams turned away",
+            self.brittle_rejections.clone(),
+        );
+        registry.register(
+            "invalid_brittleness",
+            "Statements of brittleness that have no meaning",
+            self.invalid_brittleness.clone(),
+        );
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register(
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 pub mod acting;
 pub mod adapter_requests;
 pub mod announce;
+pub mod brittle;
 pub mod call;
 pub mod crashes;
 pub mod demand;
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -13,6 +13,7 @@
     /// at `sent_ms`.
     pub fn apply_notice(&self, upstream: &UpstreamId, sent_ms: u64, notice: UpstreamNotice) {
         self.apply_rate(upstream, sent_ms, notice.rate);
+        self.apply_brittleness(upstream, sent_ms, notice.brittleness);
         if notice.is_leaving {
             let registry = self.registry.borrow();
             let started_ms = registry.get(upstream.as_str()).map(|e| e.started_ms);
@@ -165,7 +166,7 @@
 
     /// Sends a message to all other hosts. In a large fleet the acting host passes it
     /// on.
-    fn publish(&self, message: &PeerMessage) {
+    pub(super) fn publish(&self, message: &PeerMessage) {
         let addrs = if !self.is_large_fleet() || self.is_acting_host() {
             self.other_hosts(|_| true)
         } else {
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -4,9 +4,12 @@
 
 use super::demand::ModelCounts;
 use super::store_relay::StoreChanges;
+use crate::core::brittle_notice::BrittleStatement;
 use crate::core::crash_ledger::LostRequest;
 use crate::core::ids::{AdapterId, HostId, ModelId, ServiceId, UpstreamId};
 use crate::core::load::InFlight;
+use crate::core::open_places::PlacesReport;
+use crate::core::place_account::BrittleLimits;
 use crate::core::quarantine::Quarantine;
 use crate::core::rate_account::{Keeping, Purpose};
 use crate::core::registry::Holdings;
@@ -58,6 +61,23 @@
     pub ticket: u64,
 }
 
+/// Report on places to the host that keeps their account.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PlacesMessage {
+    /// What the sender has in flight.
+    #[serde(rename = "r")]
+    pub report: PlacesReport,
+    /// Properties of the upstream.
+    #[serde(rename = "l")]
+    pub limits: BrittleLimits,
+    /// Part of the host that is told.
+    #[serde(rename = "i")]
+    pub keeping: Keeping,
+    /// Identifies the question, if there is one.
+    #[serde(rename = "k")]
+    pub ticket: Option<u64>,
+}
+
 /// Message from one host to another.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PeerMessage {
@@ -209,6 +229,31 @@
         #[serde(rename = "i")]
         retry_in_ms: Option<u64>,
     },
+    /// An upstream states that it is brittle.
+    #[serde(rename = "t")]
+    Brittle(BrittleStatement),
+    /// What a host has in flight at a brittle upstream; asks for a place there if it
+    /// bears a ticket.
+    #[serde(rename = "k")]
+    Places(PlacesMessage),
+    /// Answer to a host that asks for a place.
+    #[serde(rename = "h")]
+    Place {
+        /// Question that it answers.
+        #[serde(rename = "k")]
+        ticket: u64,
+        /// Time after which the host may ask again, in milliseconds; absent if it may
+        /// send its request.
+        #[serde(rename = "i")]
+        retry_in_ms: Option<u64>,
+    },
+    /// A host that was denied a place may ask again.
+    #[serde(rename = "u")]
+    PlaceFree {
+        /// Upstream.
+        #[serde(rename = "u")]
+        upstream: UpstreamId,
+    },
     /// An upstream has ended under requests of a host.
     #[serde(rename = "x")]
     Crash {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -220,6 +220,13 @@
                 ticket,
                 retry_in_ms,
             } => gateway.apply_permit(ticket, retry_in_ms),
+            PeerMessage::Brittle(statement) => gateway.apply_relayed_statement(&statement),
+            PeerMessage::Places(message) => gateway.apply_places(&message),
+            PeerMessage::Place {
+                ticket,
+                retry_in_ms,
+            } => gateway.apply_place(ticket, retry_in_ms),
+            PeerMessage::PlaceFree { upstream } => gateway.on_place_free(&upstream),
             PeerMessage::Crash { .. }
             | PeerMessage::Watch { .. }
             | PeerMessage::Sound { .. }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -12,6 +12,7 @@
 
 use tokio::sync::{Notify, oneshot};
 
+use super::brittle::Place;
 use super::call::RoutedRequest;
 use super::platform::Platform;
 use super::state::Gateway;
@@ -124,6 +125,8 @@
     /// Record of the attempt in the upstream's load.
     pub sent: SentRequest,
     outcome: AttemptOutcome,
+    /// Place at a brittle upstream.
+    pub(super) place: Option<Place<P>>,
 }
 
 impl<P: Platform> InFlightAttempt<P> {
@@ -133,6 +136,7 @@
             gateway: Rc::clone(gateway),
             sent,
             outcome: AttemptOutcome::Neutral,
+            place: None,
         }
     }
 
@@ -207,18 +211,21 @@
 impl<P: Platform> Gateway<P> {
     /// Reserves an upstream for a request, at once or after a wait in the queue. In a
     /// large fleet the account of the engine is asked whether there is room, and every
-    /// request to an upstream that states a rate needs a permit.
+    /// request to an upstream that states a rate needs a permit, to a brittle one a place.
     pub async fn acquire_upstream(
         self: &Rc<Self>,
         request: &RoutedRequest,
         filter: &UpstreamFilter,
     ) -> Result<InFlightAttempt<P>, Rejection> {
         for check in 0..=MAX_ROOM_CHECKS {
-            let in_flight = self.reserve_or_wait(request, filter).await?;
+            let mut in_flight = self.reserve_or_wait(request, filter).await?;
             let upstream = &in_flight.sent.upstream;
             // The account is advice: the last choice is sent by what this host knows.
             let has_room = check == MAX_ROOM_CHECKS || self.has_room(request, upstream).await;
-            if has_room && self.take_permit(upstream, Purpose::Caller).await {
+            let may_send = has_room
+                && self.take_permit(upstream, Purpose::Caller).await
+                && self.take_place(&mut in_flight).await;
+            if may_send {
                 // The request may have been put into quarantine while it waited.
                 return self.hold_back(request).map_or(Ok(in_flight), Err);
             }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -18,6 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::acting::ActingHostService;
+use super::brittle::BrittleService;
 use super::front::{CallerServer, ProbeServer};
 use super::logs::LogBuffer;
 use super::membership::Membership;
@@ -253,6 +254,7 @@
     let acting = kernel.register(ActingHostService::new(Rc::clone(gateway), membership));
     kernel.register(PeerService::new(Rc::clone(gateway), acting, peers));
     kernel.register(QuarantineService::new(Rc::clone(gateway)));
+    kernel.register(BrittleService::new(Rc::clone(gateway)));
     kernel.register(QueueDispatcher::new(Rc::clone(gateway)));
     kernel.register(ProbeServer::new(Rc::clone(gateway), probes));
     kernel.start::<StoreSync<P>>()?;
@@ -260,6 +262,7 @@
     kernel.start::<ActingHostService<P>>()?;
     kernel.start::<PeerService<P, Rc<ActingHostService<P>>>>()?;
     kernel.start::<QuarantineService<P>>()?;
+    kernel.start::<BrittleService<P>>()?;
     kernel.start::<QueueDispatcher<P>>()?;
     kernel.start::<ProbeServer<P>>()?;
     Ok(kernel.register(CallerServer::new(Rc::clone(gateway), callers)))
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -7,6 +7,7 @@
 
 use tokio_util::sync::CancellationToken;
 
+use super::brittle::BrittleDesk;
 use super::crashes::CrashDesk;
 use super::demand::DemandCounters;
 use super::logs::LogBuffer;
@@ -81,6 +82,8 @@
     pub known_rates: RefCell<KnownRates>,
     /// Questions and accounts of requests to upstreams that state a rate.
     pub permits: PermitDesk,
+    /// Statements, places and accounts of brittle upstreams.
+    pub brittle: BrittleDesk,
     /// Requests that broke off when their upstreams ended.
     pub crashes: CrashDesk,
     /// Questions and accounts of room at engines.
@@ -113,7 +116,6 @@
         let clock = Clock::default();
         let seed = crate::core::rendezvous::hash(settings.host.as_str()) ^ clock.started_ms();
         Self {
-            settings: RefCell::new(Rc::new(settings)),
             platform,
             pool: Pool::default(),
             catalog: RefCell::default(),
@@ -127,6 +129,8 @@
             peer_loads: RefCell::default(),
             known_rates: RefCell::default(),
             permits: PermitDesk::default(),
+            brittle: BrittleDesk::new(settings.host.clone(), clock.started_ms()),
+            settings: RefCell::new(Rc::new(settings)),
             crashes: CrashDesk::default(),
             room: RoomDesk::default(),
             peer_sender: PeerSender::default(),
@@ -247,6 +251,8 @@
             self.forget_rate(id);
         }
         if let RegistryChange::Removed(id) = change {
+            let now_ms = self.now_ms();
+            self.brittle.known.borrow_mut().on_removed(now_ms, id);
             self.loads.borrow_mut().remove_if_idle(id);
         }
     }
