Send as before right after upstreams first state that they are brittle

Cause: a new account grants nothing until all hosts have reported, and all accounts of a service were new when its upstreams first stated that they are brittle. Requests waited for 0.3 s although nothing had changed at the upstreams. Reports of hosts without a place also named no incarnation, so that the account was opened twice.

Change: within a second of a service's first statement, which hosts pass on with its age, requests need no place; their hosts report what is in flight, so that the accounts are complete when places are needed. Reports name the incarnation.

--- a/src/core/brittle_notice.rs
+++ b/src/core/brittle_notice.rs
@@ -8,6 +8,10 @@
 //! An upstream from which a host has no response since its service states this counts as
 //! brittle, so that one that returns does not receive a burst. The statement of an
 //! upstream holds until a response to a later request lacks it.
+//!
+//! Upstreams state this some seconds before they let fewer requests wait. Right after the
+//! first statement requests are sent as before, and the keepers of the accounts learn
+//! what is in flight.
 
 use std::collections::BTreeMap;
 
@@ -18,6 +22,9 @@
 /// Time for which the statement of an upstream that is gone holds for its service, in
 /// milliseconds.
 const GONE_RETENTION_MS: u64 = 60_000;
+/// Time after the first statement of a service in which requests need no place, in
+/// milliseconds; upstreams let as many wait as before for longer than that.
+const PREPARATION_MS: u64 = 1_000;
 /// Largest number of rejections that counts as a statement.
 const MAX_STATED_REJECTIONS: u32 = 100_000;
 
@@ -83,6 +90,9 @@
     /// Time since its last response that states this, in milliseconds.
     #[serde(rename = "a")]
     pub age_ms: u64,
+    /// Time since the first statement of the service, in milliseconds.
+    #[serde(rename = "b")]
+    pub stated_for_ms: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -93,6 +103,8 @@
     max_rejections: Option<u32>,
     /// Time at which this host learned of the statement.
     since_ms: u64,
+    /// Time at which the service first stated it, as known to any host.
+    first_ms: u64,
     /// Time of the last response of which this host knows.
     response_ms: u64,
     gone_ms: Option<u64>,
@@ -129,6 +141,17 @@
         (known.started_ms == incarnation.started_ms).then_some(known)
     }
 
+    /// True right after the first statement of a service.
+    pub fn is_preparing(&self, now_ms: u64, service: &ServiceId) -> bool {
+        let first_ms = self.first_ms(service);
+        first_ms.is_some_and(|at| now_ms < at + PREPARATION_MS)
+    }
+
+    fn first_ms(&self, service: &ServiceId) -> Option<u64> {
+        let of_service = self.known.values().filter(|k| k.service == *service);
+        of_service.map(|k| k.first_ms).min()
+    }
+
     /// Statements of a service's upstreams, each with the time at which it was learned.
     fn brittle_in(&self, service: &ServiceId) -> impl Iterator<Item = (u32, u64)> {
         let of_service = self.known.values().filter(move |k| k.service == *service);
@@ -146,7 +169,7 @@
         match stated {
             StatedBrittleness::Unknown | StatedBrittleness::Invalid => None,
             StatedBrittleness::MaxRejections(count) => {
-                self.record(now_ms, incarnation, now_ms, Some(count))
+                self.record(now_ms, incarnation, (now_ms, now_ms), Some(count))
             }
             StatedBrittleness::Sound => {
                 let since_ms = match self.own(incarnation) {
@@ -155,7 +178,7 @@
                 };
                 let is_later = since_ms.is_some_and(|since_ms| sent_ms >= since_ms);
                 is_later
-                    .then(|| self.record(now_ms, incarnation, now_ms, None))
+                    .then(|| self.record(now_ms, incarnation, (now_ms, now_ms), None))
                     .flatten()
             }
         }
@@ -169,23 +192,28 @@
             started_ms: statement.started_ms,
         };
         let response_ms = now_ms.saturating_sub(statement.age_ms);
+        let first_ms = now_ms.saturating_sub(statement.stated_for_ms);
         let known = self.known.get(&statement.upstream);
         let is_outdated = known.is_some_and(|k| {
             k.started_ms > statement.started_ms
                 || (k.started_ms == statement.started_ms && k.response_ms >= response_ms)
         });
         if is_outdated {
+            let of_service = |k: &&mut Known| k.service == statement.service;
+            for known in self.known.values_mut().filter(of_service) {
+                known.first_ms = known.first_ms.min(first_ms);
+            }
             return None;
         }
         let count = Some(statement.max_rejections);
-        self.record(now_ms, incarnation, response_ms, count)
+        self.record(now_ms, incarnation, (first_ms, response_ms), count)
     }
 
     fn record(
         &mut self,
         now_ms: u64,
         incarnation: Incarnation<'_>,
-        response_ms: u64,
+        (first_ms, response_ms): (u64, u64),
         max_rejections: Option<u32>,
     ) -> Option<BrittleChange> {
         let before = self.get(incarnation);
@@ -193,11 +221,13 @@
         let since_ms = own
             .filter(|k| k.max_rejections.is_some())
             .map_or(now_ms, |k| k.since_ms);
+        let earlier_ms = self.first_ms(incarnation.service);
         let known = Known {
             service: incarnation.service.clone(),
             started_ms: incarnation.started_ms,
             max_rejections,
             since_ms,
+            first_ms: earlier_ms.map_or(first_ms, |at| at.min(first_ms)),
             response_ms,
             gone_ms: None,
         };
@@ -244,6 +274,7 @@
             started_ms: known.started_ms,
             max_rejections: known.max_rejections.unwrap_or(MAX_STATED_REJECTIONS),
             age_ms: now_ms.saturating_sub(known.response_ms),
+            stated_for_ms: now_ms.saturating_sub(known.first_ms),
         };
         latest.into_values().map(statement).collect()
     }
--- a/src/core/open_places.rs
+++ b/src/core/open_places.rs
@@ -110,6 +110,14 @@
         started_ms: u64,
         in_flight: u32,
     ) -> PlacesReport {
+        let number = self.last_sequence + 1;
+        let open = self.incarnation(upstream, started_ms);
+        open.places.insert(number, None);
+        self.report(now_ms, upstream, started_ms, in_flight)
+    }
+
+    /// Places at an incarnation; those at an earlier one are dropped.
+    fn incarnation(&mut self, upstream: &UpstreamId, started_ms: u64) -> &mut Open {
         let open = self.open.entry(upstream.clone()).or_default();
         if open.started_ms != started_ms {
             *open = Open {
@@ -117,9 +125,7 @@
                 ..Open::default()
             };
         }
-        let number = self.last_sequence + 1;
-        open.places.insert(number, None);
-        self.report(now_ms, upstream, in_flight)
+        open
     }
 
     /// Records that the request of a place is sent now.
@@ -142,17 +148,22 @@
 
     /// Counts a rejection of a request without a place.
     pub fn on_rejected(&mut self, now_ms: u64, upstream: &UpstreamId, started_ms: u64) {
-        let open = self.open.entry(upstream.clone()).or_default();
-        if open.started_ms == started_ms || open.places.is_empty() {
-            open.started_ms = started_ms;
-            open.rejected_ms.push(now_ms);
-        }
+        let open = self.incarnation(upstream, started_ms);
+        open.rejected_ms.push(now_ms);
     }
 
     /// State of the places at an upstream.
-    pub fn report(&mut self, now_ms: u64, upstream: &UpstreamId, in_flight: u32) -> PlacesReport {
+    pub fn report(
+        &mut self,
+        now_ms: u64,
+        upstream: &UpstreamId,
+        started_ms: u64,
+        in_flight: u32,
+    ) -> PlacesReport {
         self.last_sequence += 1;
-        let open = self.open.entry(upstream.clone()).or_default();
+        let sequence = self.last_sequence;
+        let (host, host_started_ms) = (self.host.clone(), self.host_started_ms);
+        let open = self.incarnation(upstream, started_ms);
         open.rejected_ms
             .retain(|at| now_ms < at + REJECTION_WINDOW_MS);
         let pending: Vec<u64> = open.pending(now_ms).collect();
@@ -161,11 +172,11 @@
         let in_flight = in_flight.max(open.places.len() as u32);
         let ages = open.rejected_ms.iter().rev().take(MAX_LISTED_REJECTIONS);
         PlacesReport {
-            host: self.host.clone(),
-            host_started_ms: self.host_started_ms,
+            host,
+            host_started_ms,
             upstream: upstream.clone(),
-            started_ms: open.started_ms,
-            sequence: self.last_sequence,
+            started_ms,
+            sequence,
             accepted: in_flight - pending.len() as u32,
             rejection_ages_ms: ages.map(|at| now_ms - at).collect(),
             pending,
--- a/src/core/place_account.rs
+++ b/src/core/place_account.rs
@@ -263,8 +263,14 @@
             return Some(account.cut(now_ms));
         }
         let is_accepted = account.pending() < pending && rejected_ms <= account.last_cut_ms;
-        if is_accepted && keeping == Keeping::Keeper {
-            account.trusted = account.trusted.max(in_flight.min(limits.slots));
+        let accepted = if is_accepted { in_flight } else { 0 };
+        let shown = if account.recent_rejections(now_ms) == 0 {
+            accepted.max(account.accepted())
+        } else {
+            accepted
+        };
+        if keeping == Keeping::Keeper {
+            account.trusted = account.trusted.max(shown.min(limits.slots));
         }
         None
     }
--- a/src/gateway/brittle.rs
+++ b/src/gateway/brittle.rs
@@ -128,6 +128,14 @@
         Some((entry.started_ms, limits))
     }
 
+    /// True right after the service of an upstream has first stated that it is brittle.
+    fn is_preparing(&self, upstream: &UpstreamId) -> bool {
+        let registry = self.registry.borrow();
+        let known = self.brittle.known.borrow();
+        let entry = registry.get(upstream.as_str());
+        entry.is_some_and(|e| known.is_preparing(self.now_ms(), &e.service))
+    }
+
     /// True if a request may be sent to its upstream now; it then has a place there if
     /// the upstream is brittle. If it may not, this host sends nothing there for a while.
     pub async fn take_place(self: &Rc<Self>, in_flight: &mut InFlightAttempt<P>) -> bool {
@@ -135,6 +143,9 @@
         let Some((started_ms, limits)) = self.brittle_limits(&upstream) else {
             return true;
         };
+        if self.is_preparing(&upstream) {
+            return true;
+        }
         let report = {
             let local = self.local_requests(&upstream);
             let mut places = self.brittle.places.borrow_mut();
@@ -246,13 +257,13 @@
 
     /// Tells the keepers of an upstream's account what this host has in flight there.
     fn report_places(&self, upstream: &UpstreamId) {
-        let Some((_, limits)) = self.brittle_limits(upstream) else {
+        let Some((started_ms, limits)) = self.brittle_limits(upstream) else {
             return;
         };
         let report = {
             let local = self.local_requests(upstream);
             let mut places = self.brittle.places.borrow_mut();
-            places.report(self.now_ms(), upstream, local)
+            places.report(self.now_ms(), upstream, started_ms, local)
         };
         for (keeping, address) in self.place_keepers(upstream) {
             let report = report.clone();
@@ -492,11 +503,23 @@
         }
         self.published_ms.set(now_ms);
         gateway.brittle.accounts.borrow_mut().drop_unused(now_ms);
+        gateway.report_all_places();
         gateway.repeat_statements();
     }
 }
 
 impl<P: Platform> Gateway<P> {
+    /// Reports what is in flight with and without a place.
+    fn report_all_places(&self) {
+        let upstreams: Vec<UpstreamId> = {
+            let loads = self.loads.borrow();
+            loads.local().map(|(id, _)| id.clone()).collect()
+        };
+        for upstream in upstreams {
+            self.report_places(&upstream);
+        }
+    }
+
     /// Sends the statements for which this host is responsible to all others.
     fn repeat_statements(&self) {
         let statements = self.brittle.known.borrow().statements(self.now_ms());
--- a/tests/common/brittle_fleet.rs
+++ b/tests/common/brittle_fleet.rs
@@ -354,9 +354,13 @@
 
     fn report(&mut self, host: usize, upstream: usize) {
         let in_flight = self.hosts[host].in_flight[upstream];
-        let id = self.upstreams[upstream].id.clone();
+        let (id, started_ms) = {
+            let u = &self.upstreams[upstream];
+            (u.id.clone(), u.started_ms)
+        };
         let now_ms = self.now_ms;
-        let report = self.hosts[host].places.report(now_ms, &id, in_flight);
+        let places = &mut self.hosts[host].places;
+        let report = places.report(now_ms, &id, started_ms, in_flight);
         for keeping in [Keeping::Keeper, Keeping::StandIn] {
             if let Some(to) = self.keeper(host, upstream, keeping) {
                 let event = Event::Report {
--- a/tests/gateway_brittle_notice.rs
+++ b/tests/gateway_brittle_notice.rs
@@ -55,6 +55,7 @@
             started_ms: 1,
             max_rejections: 5,
             age_ms,
+            stated_for_ms: age_ms,
         }
     }
 }
@@ -153,3 +154,28 @@
         .on_removed(LONG_GONE_MS, &UpstreamId::new("u1"));
     assert_eq!(fixture.get("u2", 1), None);
 }
+
+#[test]
+fn requests_need_no_place_right_after_the_first_statement_of_the_service() {
+    let mut fixture = Fixture::new();
+    fixture.respond(10_000, "u1", 9_990, BRITTLE);
+
+    assert!(fixture.known.is_preparing(10_500, &fixture.service));
+    assert!(!fixture.known.is_preparing(11_500, &fixture.service));
+}
+
+/// Guards against a host that starts in the middle and takes its own first response for
+/// the first statement.
+#[test]
+fn host_that_learns_of_an_earlier_statement_is_not_preparing() {
+    let mut fixture = Fixture::new();
+    fixture.respond(10_000, "u1", 9_990, BRITTLE);
+    let repeated = BrittleStatement {
+        stated_for_ms: 4_000,
+        ..fixture.statement("u1", 200)
+    };
+
+    fixture.known.learn(10_100, &repeated);
+
+    assert!(!fixture.known.is_preparing(10_100, &fixture.service));
+}
--- a/tests/gateway_place_account.rs
+++ b/tests/gateway_place_account.rs
@@ -5,7 +5,7 @@
 
 use brittle_fleet::{Allowance, Arrangement, Figures, Fleet};
 use currantcove::core::ids::{HostId, UpstreamId};
-use currantcove::core::open_places::{ACCEPTED_AFTER_MS, OpenPlaces, PlaceEnd, PlacesReport};
+use currantcove::core::open_places::{ACCEPTED_AFTER_MS, OpenPlaces, PlaceEnd};
 use currantcove::core::place_account::{BrittleLimits, PlaceAccounts, PlaceAnswer, allowance};
 use currantcove::core::rate_account::Keeping;
 
@@ -160,11 +160,7 @@
 /// Account that has settled, with a report of a host.
 fn settled_account(places: &mut OpenPlaces) -> PlaceAccounts {
     let mut accounts = PlaceAccounts::default();
-    let report = places.report(1, &upstream(), 0);
-    let report = PlacesReport {
-        started_ms: 1,
-        ..report
-    };
+    let report = places.report(1, &upstream(), 1, 0);
     accounts.on_report(1, &report, LIMITS, Keeping::Keeper);
     accounts
 }
@@ -220,7 +216,7 @@
     let now_ms = SETTLED_MS + ACCEPTED_AFTER_MS;
     places.end(now_ms, &upstream(), granted[0], PlaceEnd::Rejected);
 
-    let report = places.report(now_ms, &upstream(), LIMITS.slots - 1);
+    let report = places.report(now_ms, &upstream(), 1, LIMITS.slots - 1);
     let cut = accounts.on_report(now_ms, &report, LIMITS, Keeping::Keeper);
 
     let cut = cut.expect("withdrawn");
