Add places within the slots of a brittle upstream faster

Cause: after rejections within an upstream's slots, such as by requests that outlive a restarted host, places came back one in a quarter of a second, the pace for places beyond the slots. The more rejections the upstream survives, the more places were withdrawn first.

Change: within the slots that the upstream states, places are added again after 0.3 s and every 50 ms. Beyond the slots nothing changes.

--- a/src/core/place_account.rs
+++ b/src/core/place_account.rs
@@ -33,8 +33,12 @@
 const HOST_EXPIRES_MS: u64 = 2_000;
 /// Time between two additional places, in milliseconds.
 const STEP_INTERVAL_MS: u64 = 250;
-/// Time after a rejection until places are added again, in milliseconds; doubles with
-/// each further one.
+/// The same up to the slots of the upstream.
+const SLOT_STEP_INTERVAL_MS: u64 = 50;
+/// Time after a rejection within the slots until places are added again, in milliseconds.
+const SLOT_HOLD_MS: u64 = 300;
+/// Time after another rejection until places are added again, in milliseconds; doubles
+/// with each further one.
 const INITIAL_HOLD_MS: u64 = 1_000;
 /// Longest such time, in milliseconds.
 const MAX_HOLD_MS: u64 = 16_000;
@@ -200,7 +204,7 @@
         } else {
             self.room = (in_flight * 3 / 4).max(1).min(from);
             self.trusted = 0;
-            self.next_step_ms = now_ms + INITIAL_HOLD_MS;
+            self.next_step_ms = now_ms + SLOT_HOLD_MS;
         }
         RoomCut {
             from,
@@ -215,7 +219,12 @@
             return;
         }
         self.room += 1;
-        self.next_step_ms = now_ms + STEP_INTERVAL_MS;
+        let interval_ms = if self.room < slots {
+            SLOT_STEP_INTERVAL_MS
+        } else {
+            STEP_INTERVAL_MS
+        };
+        self.next_step_ms = now_ms + interval_ms;
     }
 
     fn may_grant(&self, now_ms: u64, keeping: Keeping) -> bool {
--- a/tests/common/brittle_fleet.rs
+++ b/tests/common/brittle_fleet.rs
@@ -10,7 +10,6 @@
 use currantcove::core::routing::Rng;
 
 const SLOTS: u32 = 8;
-const MAX_REJECTIONS: u32 = 6;
 /// Requests that wait at an upstream until it lets fewer wait.
 const WAITING_BEFORE: usize = 24;
 const WAITING_BRITTLE: usize = 1;
@@ -38,6 +37,8 @@
     pub allowance: Allowance,
     pub hosts: usize,
     pub upstreams: usize,
+    /// Rejections within a second that an upstream survives.
+    pub max_rejections: u32,
     /// Requests offered, as a share of what the upstreams can serve.
     pub load_percent: u64,
     pub lost_percent: usize,
@@ -404,7 +405,7 @@
 
     fn on_report(&mut self, to: usize, report: &PlacesReport, keeping: Keeping, ask: Option<u64>) {
         let limits = BrittleLimits {
-            max_rejections: MAX_REJECTIONS,
+            max_rejections: self.arrangement.max_rejections,
             slots: SLOTS,
         };
         let now_ms = self.now_ms;
@@ -486,7 +487,7 @@
         upstream.rejected_ms.push(now_ms);
         upstream.rejected_ms.retain(|at| now_ms < at + WINDOW_MS);
         let in_window = upstream.rejected_ms.len();
-        let has_fallen = in_window > MAX_REJECTIONS as usize;
+        let has_fallen = in_window > self.arrangement.max_rejections as usize;
         if has_fallen {
             upstream.is_up = false;
             upstream.running = 0;
--- a/tests/gateway_place_account.rs
+++ b/tests/gateway_place_account.rs
@@ -13,8 +13,10 @@
 /// The same with hundreds of hosts, where a run takes seconds.
 const LARGE_FLEET_SEEDS: u64 = 2;
 const SEARCH_SEEDS: u64 = 200;
+/// Rejections within a second that upstreams survive.
+const MAX_REJECTIONS: u32 = 6;
 const LIMITS: BrittleLimits = BrittleLimits {
-    max_rejections: 6,
+    max_rejections: MAX_REJECTIONS,
     slots: 4,
 };
 /// Time after which a new account grants places.
@@ -25,6 +27,7 @@
         allowance,
         hosts,
         upstreams: if hosts > 100 { 20 } else { 4 },
+        max_rejections: MAX_REJECTIONS,
         load_percent: 85,
         lost_percent: 1,
         late_percent: 2,
@@ -73,6 +76,24 @@
     }
 }
 
+#[test]
+fn upstreams_that_survive_few_rejections_keep_up() {
+    for max_rejections in [1, 2, 3, 20] {
+        for seed in 1..=SEEDS {
+            let arrangement = Arrangement {
+                max_rejections,
+                ..arrangement(Allowance::Shared, 7, seed)
+            };
+
+            let shared = Fleet::new(arrangement).run();
+
+            print(&format!("7 hosts, N = {max_rejections}"), seed, &shared);
+            assert!(shared.falls <= 2, "{shared:?}");
+            assert!(shared.share() >= 0.9, "{shared:?}");
+        }
+    }
+}
+
 /// Falls and requests in time if each host has an allowance of its own.
 #[test]
 fn own_allowances_of_the_hosts_let_upstreams_fall() {
