--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 pub mod acting;
 pub mod adapter_requests;
 pub mod announce;
+pub mod brittle;
 pub mod call;
 pub mod crashes;
 mod cut_off;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -149,7 +149,6 @@
 
     fn handle_message(&self, message: PeerMessage) {
         let gateway = &self.gateway;
-        let now_ms = gateway.now_ms();
         match message {
             PeerMessage::Loads {
                 host,
@@ -192,17 +191,9 @@
                 .inbox
                 .on_weights_request(&service, &Weights { model, adapter }),
             PeerMessage::Digest { term, totals } => {
-                if !gateway.is_current_term(term) {
-                    return;
-                }
-                let reported = self.reported_loads.borrow();
-                let mut loads = gateway.loads.borrow_mut();
-                for (id, total) in &totals {
-                    let own = reported.get(id).copied().unwrap_or_default();
-                    loads.set_remote(now_ms, id, total.minus(own));
+                if gateway.is_current_term(term) {
+                    self.apply_totals(&totals);
                 }
-                drop(loads);
-                gateway.admission_queue.borrow().wake();
             }
             PeerMessage::Holdings { term, engines } => {
                 if gateway.is_current_term(term) {
@@ -215,17 +206,9 @@
             PeerMessage::Leaving { .. } | PeerMessage::Limited { .. } => {
                 gateway.apply_relayed_notice(&message);
             }
-            PeerMessage::Origins { streams } => gateway.apply_origins(streams),
-            PeerMessage::AskOrigin {
-                host,
-                stream,
-                ticket,
-            } => gateway.answer_origin(&host, stream, ticket),
-            PeerMessage::Origin {
-                ticket,
-                stream,
-                known,
-            } => gateway.apply_origin(ticket, stream, known),
+            PeerMessage::Origins { .. }
+            | PeerMessage::AskOrigin { .. }
+            | PeerMessage::Origin { .. } => gateway.handle_origin_message(message),
             PeerMessage::AskStoreContact { host, ticket } => {
                 gateway.answer_store_contact(&host, ticket);
             }
@@ -235,6 +218,13 @@
                 ticket,
                 retry_in_ms,
             } => gateway.apply_permit(ticket, retry_in_ms),
+            PeerMessage::Brittle(statement) => gateway.apply_relayed_statement(&statement),
+            PeerMessage::Places(message) => gateway.apply_places(&message),
+            PeerMessage::Place {
+                ticket,
+                retry_in_ms,
+            } => gateway.apply_place(ticket, retry_in_ms),
+            PeerMessage::PlaceFree { upstream } => gateway.on_place_free(&upstream),
             PeerMessage::Crash { .. }
             | PeerMessage::Watch { .. }
             | PeerMessage::Sound { .. }
@@ -254,6 +244,20 @@
         }
     }
 
+    /// Updates the loads of the other hosts from the sums of all.
+    fn apply_totals(&self, totals: &[(UpstreamId, InFlight)]) {
+        let gateway = &self.gateway;
+        let now_ms = gateway.now_ms();
+        let reported = self.reported_loads.borrow();
+        let mut loads = gateway.loads.borrow_mut();
+        for (id, total) in totals {
+            let own = reported.get(id).copied().unwrap_or_default();
+            loads.set_remote(now_ms, id, total.minus(own));
+        }
+        drop(loads);
+        gateway.admission_queue.borrow().wake();
+    }
+
     /// Reports the demand since the last report to the acting host.
     fn send_report(&self) {
         let gateway = &self.gateway;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -18,6 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::acting::ActingHostService;
+use super::brittle::BrittleService;
 use super::front::{CallerServer, ProbeServer};
 use super::logs::LogBuffer;
 use super::membership::Membership;
@@ -267,6 +268,7 @@
     kernel.register(PeerService::new(Rc::clone(gateway), acting, peers));
     kernel.register(QuarantineService::new(Rc::clone(gateway)));
     kernel.register(ReachService::new(Rc::clone(gateway)));
+    kernel.register(BrittleService::new(Rc::clone(gateway)));
     kernel.register(QueueDispatcher::new(Rc::clone(gateway)));
     kernel.register(ProbeServer::new(Rc::clone(gateway), probes));
     kernel.start::<StoreSync<P>>()?;
@@ -275,6 +277,7 @@
     kernel.start::<PeerService<P, Rc<ActingHostService<P>>>>()?;
     kernel.start::<QuarantineService<P>>()?;
     kernel.start::<ReachService<P>>()?;
+    kernel.start::<BrittleService<P>>()?;
     kernel.start::<QueueDispatcher<P>>()?;
     kernel.start::<ProbeServer<P>>()?;
     Ok(kernel.register(CallerServer::new(Rc::clone(gateway), callers)))
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -7,6 +7,7 @@
 
 use tokio_util::sync::CancellationToken;
 
+use super::brittle::BrittleDesk;
 use super::crashes::CrashDesk;
 use super::demand::DemandCounters;
 use super::departures::DepartureDesk;
@@ -93,6 +94,8 @@
     pub known_rates: RefCell<KnownRates>,
     /// Questions and accounts of requests to upstreams that state a rate.
     pub permits: PermitDesk,
+    /// Statements, places and accounts of brittle upstreams.
+    pub brittle: BrittleDesk,
     /// Requests that broke off when their upstreams ended.
     pub crashes: CrashDesk,
     /// Where recent streams began.
@@ -137,7 +140,6 @@
         let memory_bytes = (settings.memory_mb * 1024.0 * 1024.0) as usize;
         let seed = crate::core::rendezvous::hash(settings.host.as_str()) ^ clock.started_ms();
         Self {
-            settings: RefCell::new(Rc::new(settings)),
             platform,
             pool: Pool::default(),
             response_reader: ResponseReader::new(memory_bytes / RESPONSE_MEMORY_DIVISOR),
@@ -153,6 +155,8 @@
             peer_loads: RefCell::default(),
             known_rates: RefCell::default(),
             permits: PermitDesk::default(),
+            brittle: BrittleDesk::new(settings.host.clone(), clock.started_ms()),
+            settings: RefCell::new(Rc::new(settings)),
             crashes: CrashDesk::default(),
             origins: OriginDesk::default(),
             reported_incarnations: RefCell::default(),
@@ -288,6 +292,8 @@
         }
         if let RegistryChange::Removed(id) = change {
             self.reported_incarnations.borrow_mut().remove(id);
+            let now_ms = self.now_ms();
+            self.brittle.known.borrow_mut().on_removed(now_ms, id);
             self.loads.borrow_mut().remove_if_idle(id);
         }
     }
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -152,8 +152,26 @@
         selected.into_iter().filter_map(addr).collect()
     }
 
+    /// Handles a message about origins of streams.
+    pub fn handle_origin_message(&self, message: PeerMessage) {
+        match message {
+            PeerMessage::Origins { streams } => self.apply_origins(streams),
+            PeerMessage::AskOrigin {
+                host,
+                stream,
+                ticket,
+            } => self.answer_origin(&host, stream, ticket),
+            PeerMessage::Origin {
+                ticket,
+                stream,
+                known,
+            } => self.apply_origin(ticket, stream, known),
+            _ => {}
+        }
+    }
+
     /// Records what another host tells of its streams.
-    pub fn apply_origins(&self, streams: Vec<KnownOrigin>) {
+    fn apply_origins(&self, streams: Vec<KnownOrigin>) {
         let now_ms = self.now_ms();
         let mut origins = self.origins.origins.borrow_mut();
         for (stream, origin) in streams {
@@ -167,7 +185,7 @@
     }
 
     /// Answers a host that has to take up a stream.
-    pub fn answer_origin(&self, host: &HostId, stream: Fingerprint, ticket: u64) {
+    fn answer_origin(&self, host: &HostId, stream: Fingerprint, ticket: u64) {
         let known = self.known_origin(stream);
         let addr = {
             let peers = self.peers.borrow();
@@ -185,7 +203,7 @@
 
     /// Passes an answer to the task that asked; an answer of a host that does not know the
     /// stream counts once all hosts have answered so.
-    pub fn apply_origin(&self, ticket: u64, stream: Fingerprint, known: OriginKnowledge) {
+    fn apply_origin(&self, ticket: u64, stream: Fingerprint, known: OriginKnowledge) {
         let mut awaited = self.origins.awaited.borrow_mut();
         // Tickets start anew with the process, so that an answer may be to another question.
         let Some(awaited) = awaited.get_mut(&ticket).filter(|a| a.stream == stream) else {
