--- a/src/core/log_trace.rs
+++ b/src/core/log_trace.rs
@@ -134,6 +134,7 @@
             let cause = format!("the request was invalid: {}", end.text("detail"));
             (Vec::new(), cause)
         }
+        ("not_run", "unknown_software" | "no_software") => explain_stranded_resume(lines, end),
         ("not_run", reason) => explain_rejection(lines, &request_lines, end, reason),
         ("unknown" | "broken" | "failed", _) => {
             explain_upstream_failure(lines, &request_lines, end)
@@ -191,6 +192,36 @@
     (related_lines, cause)
 }
 
+/// Explains the rejection of a caller's request to resume a stream.
+fn explain_stranded_resume(lines: &[LogLine], end: &LogLine) -> (Vec<LogLine>, String) {
+    let began = end.text("resumes");
+    let related_lines: Vec<LogLine> = lines
+        .iter()
+        .filter(|l| !began.is_empty() && l.text("request") == began)
+        .cloned()
+        .collect();
+    let began_line = related_lines
+        .iter()
+        .find(|l| l.is_event("request") && !l.text("software").is_empty());
+    let cause = match began_line {
+        Some(line) => format!(
+            "the stream was begun by request {began} at {}, software version {}; {}",
+            line.text("upstream"),
+            line.text("software"),
+            if end.text("reason") == "no_software" {
+                "no upstream of that version took requests"
+            } else {
+                "the host did not learn that version"
+            }
+        ),
+        None if began.is_empty() => {
+            "the caller does not name the request that began the stream".to_owned()
+        }
+        None => format!("no line tells where request {began} began the stream"),
+    };
+    (related_lines, cause)
+}
+
 /// Explains any other rejection of a request that was not run.
 fn explain_rejection(
     lines: &[LogLine],
--- a/tests/log_trace.rs
+++ b/tests/log_trace.rs
@@ -105,3 +105,28 @@
         lines[0].at_s
     );
 }
+
+const RESUME: &str = r#"
+h1 {"timestamp":"2026-06-22T22:13:10.0Z","event":"request","request":"r1","outcome":"broken","reason":"upstream_failed","status":200,"upstream":"i-7","software":"v1"}
+h2 {"timestamp":"2026-06-22T22:13:11.0Z","event":"request","request":"r2","outcome":"not_run","reason":"no_software","status":503,"resumes":"r1"}
+h2 {"timestamp":"2026-06-22T22:13:12.0Z","event":"request","request":"r3","outcome":"not_run","reason":"unknown_software","status":503,"resumes":"r0"}
+"#;
+
+#[test]
+fn a_refused_resume_is_explained_by_the_request_that_began_the_stream() {
+    let lines = parse_all(&[("all", RESUME)]);
+
+    let known = explain(&lines, "r2").expect("known");
+    let unknown = explain(&lines, "r3").expect("known");
+
+    assert_eq!(known.related_lines.len(), 1);
+    assert_eq!(
+        known.cause,
+        "the stream was begun by request r1 at i-7, software version v1; no upstream of that \
+         version took requests"
+    );
+    assert_eq!(
+        unknown.cause,
+        "no line tells where request r0 began the stream"
+    );
+}
