--- a/src/core/peer_selection.rs
+++ b/src/core/peer_selection.rs
@@ -166,6 +166,8 @@
 
     /// Records that a host has accepted a request.
     pub fn on_accepted(&mut self, now_ms: u64, from: &Candidate) {
+        self.accepting_hosts
+            .retain(|_, until_ms| now_ms < *until_ms);
         self.accepting_hosts
             .insert(from.host.clone(), now_ms + ACCEPTING_MS);
         self.paused_hosts.remove(&from.host);
