Count every brittle upstream in its metric

Cause: the gauge was set at a change only, and an upstream that states what its service has stated already is no change; it stayed at 1 of 4.

--- a/src/gateway/brittle.rs
+++ b/src/gateway/brittle.rs
@@ -436,12 +436,16 @@
                 self.loads.borrow_mut().pace(upstream, now_ms);
             }
         }
+        self.count_brittle_upstreams();
+        self.report_places(upstream);
+        self.brittle.wake.notify_one();
+    }
+
+    fn count_brittle_upstreams(&self) {
         let brittle = self.brittle.known.borrow().len();
         self.metrics
             .upstreams_brittle
             .set(brittle.cast_signed() as i64);
-        self.report_places(upstream);
-        self.brittle.wake.notify_one();
     }
 
     /// Sends the latest statements of services that satisfy a condition to all hosts.
@@ -503,6 +507,7 @@
         }
         self.published_ms.set(now_ms);
         gateway.brittle.accounts.borrow_mut().drop_unused(now_ms);
+        gateway.count_brittle_upstreams();
         gateway.report_all_places();
         gateway.repeat_statements();
     }
