Keep the requests at a closed upstream that falls silent for a moment

A request on a kept connection was reset after 0.4 s if its upstream was silent and had stated for how long it wants no requests: the condition under which a request may be sent was also that under which it may still arrive.

Only an upstream that leaves, has left or whose lapse has ended counts now. request_at_an_upstream_that_is_closed_and_silent_for_a_second_is_kept fails with the single condition.

--- a/src/edge/pool.rs
+++ b/src/edge/pool.rs
@@ -86,28 +86,41 @@
         addr: SocketAddr,
         request: Request<RequestBody>,
     ) -> Result<Response<PooledBody>, SendError> {
-        self.send_watched(addr, request, || true, false).await
+        self.exchange(addr, request, || true, None::<fn() -> bool>)
+            .await
     }
 
     /// Sends a request if `is_still_allowed` holds after the connection is
-    /// established, which can take up to [`CONNECT_TIMEOUT`]. Resets the connection if
-    /// the request is held up on its way.
+    /// established, which can take up to [`CONNECT_TIMEOUT`].
     pub async fn send_if(
         &self,
         addr: SocketAddr,
         request: Request<RequestBody>,
         is_still_allowed: impl Fn() -> bool,
     ) -> Result<Response<PooledBody>, SendError> {
-        self.send_watched(addr, request, is_still_allowed, true)
+        self.exchange(addr, request, is_still_allowed, None::<fn() -> bool>)
+            .await
+    }
+
+    /// Sends a request like [`Self::send_if`], and resets its connection if it is held up
+    /// on its way: after a time, or at once if it must no longer arrive.
+    pub async fn send_watched(
+        &self,
+        addr: SocketAddr,
+        request: Request<RequestBody>,
+        is_still_allowed: impl Fn() -> bool,
+        may_arrive: impl Fn() -> bool,
+    ) -> Result<Response<PooledBody>, SendError> {
+        self.exchange(addr, request, is_still_allowed, Some(may_arrive))
             .await
     }
 
-    async fn send_watched(
+    async fn exchange(
         &self,
         addr: SocketAddr,
         mut request: Request<RequestBody>,
         is_still_allowed: impl Fn() -> bool,
-        is_watched: bool,
+        may_arrive: Option<impl Fn() -> bool>,
     ) -> Result<Response<PooledBody>, SendError> {
         loop {
             let (mut connection, is_reused) = match self.checkout(addr).await {
@@ -121,10 +134,10 @@
                 return Err(SendError::NotSent);
             }
             let held_up = async {
-                if !is_watched || !is_reused {
-                    std::future::pending::<()>().await;
+                match &may_arrive {
+                    Some(may_arrive) if is_reused => until_held_up(self, addr, may_arrive).await,
+                    _ => std::future::pending().await,
                 }
-                until_held_up(self, addr, &is_still_allowed).await;
             };
             let mut held_up = pin!(held_up.fuse());
             let sent = futures_util::select_biased! {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -201,16 +201,16 @@
             .parse()
             .map_err(|_| AttemptFailure::NotSent)?;
         *forwarded.headers_mut() = self.platform.forward_headers(&request.headers, &forwarding);
-        let is_accepting_requests = || {
+        let is_in_service = || {
             let registry = self.registry.borrow();
             let entry = registry.get(upstream.as_str());
-            let is_in_service = entry.is_some_and(|e| registry.takes_requests(e, self.now_ms()));
-            is_in_service && !self.is_closed(upstream)
+            entry.is_some_and(|e| registry.takes_requests(e, self.now_ms()))
         };
+        let is_accepting_requests = || is_in_service() && !self.is_closed(upstream);
         let sent_ms = self.now_ms();
         let result = self
             .pool
-            .send_if(addr, forwarded, is_accepting_requests)
+            .send_watched(addr, forwarded, is_accepting_requests, is_in_service)
             .await;
         if matches!(result, Err(SendError::HeldUp)) {
             self.record_held_up(request, upstream, sent_ms);
--- a/tests/edge_held_up.rs
+++ b/tests/edge_held_up.rs
@@ -86,10 +86,12 @@
 async fn send(
     pool: &Pool,
     addr: SocketAddr,
-    is_still_allowed: impl Fn() -> bool,
+    may_arrive: impl Fn() -> bool,
 ) -> Result<(), SendError> {
     let request = Request::get("/x").body(Full::default()).expect("request");
-    let response = pool.send_if(addr, request, is_still_allowed).await?;
+    let response = pool
+        .send_watched(addr, request, || true, may_arrive)
+        .await?;
     response.into_body().collect().await.expect("body");
     Ok(())
 }
@@ -165,3 +167,28 @@
 
     assert_eq!(result, Ok(()));
 }
+
+/// Guards against requests that are lost at an upstream that is silent for a second, and
+/// to which no more are sent for a while.
+#[test]
+fn request_at_an_upstream_that_is_closed_and_silent_for_a_second_is_kept() {
+    let mut upstream = Upstream::start(false);
+
+    let result = block_on(async {
+        let pool = Pool::default();
+        send(&pool, upstream.addr, || true).await.expect("served");
+        upstream.stop_answering();
+        let is_closed = Cell::new(false);
+        let request = Request::get("/x").body(Full::default()).expect("request");
+        let sending = pool.send_watched(upstream.addr, request, || !is_closed.get(), || true);
+        let responding = async {
+            is_closed.set(true);
+            compio::time::sleep(Duration::from_secs(1)).await;
+            upstream.respond.send(()).expect("upstream");
+        };
+        let (response, ()) = futures_util::join!(sending, responding);
+        response.map(|r| r.status().as_u16())
+    });
+
+    assert_eq!(result, Ok(200));
+}
