--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -158,11 +158,11 @@
             }),
             Err(ReadError::Timeout) => Err(AttemptFailure::TimedOut),
             Err(ReadError::TooLarge) => {
-                self.record_cut_off(&in_flight.sent.upstream, "body");
+                self.record_over_limit(&in_flight.sent.upstream, "body");
                 Err(AttemptFailure::Unknown)
             }
             Err(ReadError::NoMemory) => {
-                self.record_cut_off(&in_flight.sent.upstream, "memory");
+                self.record_over_limit(&in_flight.sent.upstream, "memory");
                 Err(AttemptFailure::NoMemory)
             }
             Err(ReadError::Incomplete) => Err(AttemptFailure::Unknown),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -97,7 +97,7 @@
     /// Upstreams that state how many requests a second they take.
     pub upstreams_limited: Gauge,
     /// Responses of upstreams that were cut off at a limit of size or time.
-    pub responses_cut_off: Counter,
+    pub responses_over_limit: Counter,
     /// Upstreams that state how many rejections they survive.
     pub upstreams_brittle: Gauge,
     /// Requests that were not sent to a brittle upstream for want of a place.
@@ -146,7 +146,7 @@
             departures_confirmed: Counter::default(),
             requests_held_up: Counter::default(),
             upstreams_limited: Gauge::default(),
-            responses_cut_off: Counter::default(),
+            responses_over_limit: Counter::default(),
             upstreams_brittle: Gauge::default(),
             places_denied: Counter::default(),
             places_withdrawn: Counter::default(),
@@ -157,7 +157,7 @@
         };
         metrics.register();
         metrics.register_streams();
-        metrics.register_cut_offs();
+        metrics.register_response_limits();
         metrics.register_reach();
         metrics.register_paths();
         metrics.register_brittle();
@@ -166,11 +166,11 @@
 }
 
 impl GatewayMetrics {
-    fn register_cut_offs(&mut self) {
+    fn register_response_limits(&mut self) {
         self.registry.register(
-            "responses_cut_off",
+            "responses_over_limit",
             "Responses of upstreams that were cut off at a limit of size or time",
-            self.responses_cut_off.clone(),
+            self.responses_over_limit.clone(),
         );
     }
 
--- a/src/gateway/cut_off.rs
+++ b/src/gateway/response_limits.rs
@@ -34,12 +34,12 @@
     pub(super) fn on_endless_response(&self, upstream: &UpstreamId, part: &'static str) {
         let now_ms = self.now_ms();
         self.loads.borrow_mut().on_fault(now_ms, upstream);
-        self.record_cut_off(upstream, part);
+        self.record_over_limit(upstream, part);
     }
 
     /// Counts and logs a response that was cut off.
-    pub(super) fn record_cut_off(&self, upstream: &UpstreamId, part: &'static str) {
-        self.metrics.responses_cut_off.inc();
-        tracing::info!(event = "cut_off", upstream = %upstream, part);
+    pub(super) fn record_over_limit(&self, upstream: &UpstreamId, part: &'static str) {
+        self.metrics.responses_over_limit.inc();
+        tracing::info!(event = "over_limit", upstream = %upstream, part);
     }
 }
