Recognise organisations by their keys, and state what hosts understand

A key is hashed when the request's head is decoded; an unknown one is refused with 401 before the body is read. Upstreams are told the organisation, other hosts get its name in the envelope instead of the key, streams and quarantined requests are told apart by it. Hosts state their features in their entries, so that requests with an organisation are sent only to hosts that understand it.

--- a/src/core/catalog.rs
+++ b/src/core/catalog.rs
@@ -7,7 +7,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use super::config::Finding;
 use super::ids::{ModelId, ServiceId};
+use super::organisations::Organisations;
 
 /// Whether a request may be repeated after a failure.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -72,6 +74,8 @@
     pub priority: u8,
     /// Limit on the upstreams that one request is sent to.
     pub max_attempts: u32,
+    /// True if requests need no key.
+    pub is_public: bool,
     /// Targets of the requests.
     pub backends: Vec<Backend>,
 }
@@ -203,6 +207,10 @@
     pub services: BTreeMap<ServiceId, ServiceSpec>,
     /// Limits on callers' requests and connections.
     pub limits: CallerLimits,
+    /// Organisations, if requests need a key.
+    pub organisations: Option<Organisations>,
+    /// Parts of the configuration that are invalid and not in force.
+    pub findings: Vec<Finding>,
 }
 
 impl Catalog {
@@ -241,6 +249,18 @@
             min_event_gaps,
             services,
             limits,
+            organisations: None,
+            findings: Vec::new(),
+        }
+    }
+
+    /// The same catalogue with organisations and what is invalid of them.
+    #[must_use]
+    pub fn with_organisations(self, organisations: Organisations, findings: Vec<Finding>) -> Self {
+        Self {
+            organisations: Some(organisations),
+            findings,
+            ..self
         }
     }
 
--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -168,6 +168,11 @@
         }
     }
 
+    /// All findings.
+    pub fn into_list(self) -> Vec<Finding> {
+        self.0
+    }
+
     /// Returns the value, or all findings if there are any.
     pub fn into_result<T>(self, value: T) -> Result<T, Vec<Finding>> {
         if self.0.is_empty() {
--- a/src/core/ids.rs
+++ b/src/core/ids.rs
@@ -55,6 +55,10 @@
     /// Upstream: a model engine or a plain service.
     UpstreamId
 );
+id_type!(
+    /// Organisation whose callers share the deployment with those of others.
+    OrganisationId
+);
 id_type!(
     /// Version of an upstream's software, without an order.
     SoftwareVersion
--- a/src/core/peer_list.rs
+++ b/src/core/peer_list.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use super::features::{Feature, Features};
 use super::ids::{HostId, ZoneId};
 
 /// Time for which an unlisted host still receives peer messages, in
@@ -38,6 +39,8 @@
     pub addr: SocketAddr,
     /// CPU capacity of its machine, in thousandths of a core.
     pub cpu_milli: u32,
+    /// Features that it states.
+    features: Features,
     zone: Option<ZoneId>,
     /// Time at which it was found to be unlisted, if it is.
     unlisted_ms: Option<u64>,
@@ -49,6 +52,7 @@
         Self {
             addr,
             cpu_milli,
+            features: Features::default(),
             zone: None,
             unlisted_ms: None,
         }
@@ -62,6 +66,16 @@
         }
     }
 
+    /// The same host with the features that it states.
+    pub fn with_features(self, features: Features) -> Self {
+        Self { features, ..self }
+    }
+
+    /// True if it states a feature.
+    pub fn has(&self, feature: Feature) -> bool {
+        self.features.has(feature)
+    }
+
     /// Availability zone, if known.
     pub fn zone(&self) -> Option<&str> {
         self.zone.as_ref().map(ZoneId::as_str)
--- a/src/core/stream_origin.rs
+++ b/src/core/stream_origin.rs
@@ -14,7 +14,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::ids::{HostId, ServiceId, SoftwareVersion, UpstreamId};
+use super::ids::{HostId, OrganisationId, ServiceId, SoftwareVersion, UpstreamId};
 use super::rendezvous;
 use super::request_traits::Fingerprint;
 
@@ -54,11 +54,22 @@
     }
 }
 
-/// Identifies a stream by its caller and the request that began it, so that a caller cannot
-/// name a stream of another one.
-pub fn stream_key(caller: &[u8], request_id: &str) -> Fingerprint {
+/// Identifies a stream by its caller, the caller's organisation and the request that began
+/// it, so that a caller cannot name a stream of another one.
+pub fn stream_key(
+    caller: &[u8],
+    organisation: Option<&OrganisationId>,
+    request_id: &str,
+) -> Fingerprint {
     let caller = caller.to_ascii_lowercase();
-    Fingerprint::of(&[b"stream", &caller, request_id.as_bytes()])
+    let request_id = request_id.as_bytes();
+    match organisation {
+        Some(organisation) => {
+            let organisation = organisation.as_str().as_bytes();
+            Fingerprint::of(&[b"stream", &caller, request_id, organisation])
+        }
+        None => Fingerprint::of(&[b"stream", &caller, request_id]),
+    }
 }
 
 /// What a host knows of the origin of a stream.
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -14,7 +14,7 @@
 use hyper::{Method, StatusCode};
 
 use super::exchange::{AttemptFailure, BufferedResponse};
-use super::front::Arrival;
+use super::front::Caller;
 use super::metrics::OutcomeLabels;
 use super::peer_server::Received;
 use super::place::{InFlightAttempt, Rejection};
@@ -27,6 +27,7 @@
 use crate::core::catalog::{Catalog, ModelSpec, RequestKind, Route};
 use crate::core::ids::{ServiceId, SoftwareVersion, UpstreamId};
 use crate::core::load::AttemptOutcome;
+use crate::core::organisations::Organisation;
 use crate::core::peer_selection::NotAccepted;
 use crate::core::request_traits::{RequestContent, RequestTraits};
 use crate::edge::body::{self, ServerResponse};
@@ -68,6 +69,10 @@
     pub traits: RequestTraits,
     /// Specification of the requested model, if the service has it.
     pub model_spec: Option<ModelSpec>,
+    /// Organisation of the caller, if requests need a key.
+    pub organisation: Option<Rc<Organisation>>,
+    /// Units that it counts as against the organisation's quota.
+    pub quota_cost: u64,
     /// Priority; 0 is the highest.
     pub priority: u8,
     /// Largest number of upstreams that it is sent to.
@@ -143,6 +148,18 @@
     }
 }
 
+/// Name of the caller for comparisons with other requests.
+fn caller_name(headers: &HeaderMap, organisation: Option<&Organisation>) -> Vec<u8> {
+    let host = headers.get(HOST).map_or(&[][..], |h| h.as_bytes());
+    let mut name = host.to_vec();
+    if let Some(organisation) = organisation {
+        // Not part of a host's name.
+        name.push(b'/');
+        name.extend_from_slice(organisation.id.as_str().as_bytes());
+    }
+    name
+}
+
 /// Longest uninterrupted prefill that the streams of a service bear.
 fn max_prefill_ms(catalog: &Catalog, service: &ServiceId) -> f64 {
     let gap = catalog.min_event_gap(service);
@@ -199,8 +216,12 @@
         head: RequestHead,
         parts: hyper::http::request::Parts,
         (body, body_reservation): (Bytes, BodyReservation),
-        arrival: Arrival,
+        caller: Caller,
     ) -> Option<RoutedRequest> {
+        let Caller {
+            arrival,
+            organisation,
+        } = caller;
         let arrived_ms = arrival.at_ms;
         let draw = self.rng.borrow_mut().next_u64();
         let service = route.backend(draw)?;
@@ -213,14 +234,14 @@
         let timeout = head
             .deadline
             .map_or(route.timeout, |d| d.min(route.timeout));
-        let caller = parts.headers.get(HOST).map_or(&[][..], |h| h.as_bytes());
+        let caller = caller_name(&parts.headers, organisation.as_deref());
         let target = parts.uri.path_and_query().map_or("/", |t| t.as_str());
         let content = RequestContent {
             method: parts.method.as_str(),
             target,
             body: &body,
         };
-        let traits = RequestTraits::new(caller, content, &head.prompt_parts);
+        let traits = RequestTraits::new(&caller, content, &head.prompt_parts);
         Some(RoutedRequest {
             request_id: head.request_id,
             route: route.name.clone(),
@@ -234,7 +255,15 @@
             },
             traits,
             model_spec,
-            priority: route.priority,
+            priority: organisation
+                .as_ref()
+                .and_then(|o| o.priority)
+                .unwrap_or(route.priority),
+            quota_cost: organisation
+                .as_ref()
+                .and_then(|o| o.quota)
+                .map_or(0, |quota| quota.cost(head.tokens.count())),
+            organisation,
             max_attempts: arrival
                 .attempts_left
                 .map_or(route.max_attempts, |left| left.min(route.max_attempts))
@@ -634,6 +663,7 @@
             event = "request",
             request = request.request_id,
             route = request.route,
+            organisation = request.organisation.as_ref().map_or("", |o| o.id.as_str()),
             service = %request.requirements.service,
             model = weights.map_or("", |w| w.model.as_str()),
             adapter = weights.and_then(|w| w.adapter.as_ref()).map_or("", |a| a.as_str()),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -232,6 +232,7 @@
                 .as_ref()
                 .map(|_| request.priority),
             last_event_id: resume_after.or(request.last_event_id.as_deref()),
+            organisation: request.organisation.as_ref().map(|o| &o.id),
         };
         let mut forwarded = Request::new(Full::new(request.body.clone()));
         *forwarded.method_mut() = request.method.clone();
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -18,9 +18,11 @@
 use super::metrics::OutcomeLabels;
 use super::peer_protocol;
 use super::peer_server::{MAX_PEER_CONNECTIONS, Received};
-use super::platform::{Platform, RequestHead};
+use super::platform::{Platform, RequestHead, StatedTokens};
 use super::state::Gateway;
-use crate::core::catalog::Catalog;
+use crate::core::catalog::{Catalog, Route};
+use crate::core::ids::OrganisationId;
+use crate::core::organisations::{Organisation, QuotaUnit};
 use crate::edge::body::{self, ServerResponse};
 use crate::edge::body_reader::{BodyLimits, BodyReader};
 use crate::edge::server::{ConnectionLimits, Handler, serve};
@@ -53,6 +55,57 @@
     pub attempts_left: Option<u32>,
     /// Present if another host has received it from the caller.
     pub received: Option<Rc<Received>>,
+    /// Organisation of the caller, as that host has found it.
+    pub organisation: Option<OrganisationId>,
+}
+
+/// Who has sent a request, and how it has reached this host.
+#[derive(Debug)]
+pub struct Caller {
+    /// How it has reached this host.
+    pub arrival: Arrival,
+    /// Organisation, if requests need a key.
+    pub organisation: Option<Rc<Organisation>>,
+}
+
+/// Rejection of a request by its key or by what it states of its use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Unauthorized {
+    status: u16,
+    reason: &'static str,
+}
+
+/// Organisation of a request, if the configuration has organisations.
+fn find_organisation(
+    catalog: &Catalog,
+    route: &Route,
+    head: &RequestHead,
+    arrival: &Arrival,
+) -> Result<Option<Rc<Organisation>>, Unauthorized> {
+    let Some(organisations) = &catalog.organisations else {
+        return Ok(None);
+    };
+    let organisation = match (&arrival.organisation, &head.key) {
+        (Some(id), _) => organisations.get(id.as_str()),
+        (None, Some(key)) => organisations.by_key(key),
+        (None, None) => None,
+    };
+    let is_known = organisation.is_some() || arrival.received.is_some();
+    if !is_known && !route.is_public {
+        return Err(Unauthorized {
+            status: 401,
+            reason: "unknown_key",
+        });
+    }
+    let quota = organisation.and_then(|o| o.quota.as_ref());
+    let counts_tokens = quota.is_some_and(|q| q.unit == QuotaUnit::Tokens);
+    if counts_tokens && head.tokens == StatedTokens::Invalid {
+        return Err(Unauthorized {
+            status: 400,
+            reason: "invalid_token_usage",
+        });
+    }
+    Ok(organisation.cloned())
 }
 
 /// HTTP server for callers.
@@ -81,7 +134,7 @@
         arrival: Arrival,
     ) -> ServerResponse {
         let gateway = &self.gateway;
-        let (parts, incoming) = request.into_parts();
+        let (mut parts, incoming) = request.into_parts();
         let head = match gateway.platform.parse_request_head(&parts) {
             Ok(head) => head,
             Err(error) => {
@@ -101,6 +154,17 @@
             body::discard(incoming);
             return self.reject(404, "no_route", Some(&head), host, None);
         };
+        let organisation = match find_organisation(&catalog, route, &head, &arrival) {
+            Ok(organisation) => organisation,
+            Err(rejection) => {
+                body::discard(incoming);
+                let Unauthorized { status, reason } = rejection;
+                return self.reject(status, reason, Some(&head), &route.name, None);
+            }
+        };
+        if catalog.organisations.is_some() {
+            gateway.platform.remove_credentials(&mut parts.headers);
+        }
         let limits = body_limits(&catalog);
         let body = match self
             .body_reader
@@ -116,7 +180,11 @@
             }
         };
         let request_id = head.request_id.clone();
-        match gateway.prepare_request(&catalog, route, head, parts, body, arrival) {
+        let caller = Caller {
+            arrival,
+            organisation,
+        };
+        match gateway.prepare_request(&catalog, route, head, parts, body, caller) {
             Some(request) => gateway.serve(request).await,
             None => {
                 let retry_after_ms = Some(UNAVAILABLE_RETRY_AFTER_MS);
@@ -191,6 +259,7 @@
             at_ms: self.0.gateway.now_ms(),
             attempts_left: None,
             received: None,
+            organisation: None,
         };
         let mut response = self.0.respond(request, arrival).await;
         if self.0.gateway.stopping.is_cancelled() {
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -23,6 +23,7 @@
 use super::platform::{FleetStore, Platform};
 use super::state::{ActingHost, Gateway};
 use super::store_facts::{ACTING_KEY, HOSTS_KEY, HostRecord};
+use crate::core::features::Features;
 use crate::core::ids::HostId;
 use crate::core::peer_list::rank_by_cpu;
 use crate::core::store_era::term_number;
@@ -113,6 +114,7 @@
             addr: (settings.ip, settings.peer_port).into(),
             zone: settings.zone.as_str().to_owned(),
             cpu_milli: settings.cpu_milli(),
+            features: Features::own(),
         }
     }
 
--- a/src/gateway/peer_protocol.rs
+++ b/src/gateway/peer_protocol.rs
@@ -8,6 +8,7 @@
     TRANSFER_ENCODING, UPGRADE,
 };
 
+use crate::core::ids::OrganisationId;
 use crate::core::peer_selection::NotAccepted;
 use crate::edge::body::{self, ServerResponse};
 
@@ -20,6 +21,8 @@
 const ATTEMPTS_LEFT: HeaderName = HeaderName::from_static("currantcove-peer-attempts");
 /// The caller's `Connection` header.
 const CALLER_CONNECTION: HeaderName = HeaderName::from_static("currantcove-peer-connection");
+/// Organisation of the caller; its key stays at the host that received the request.
+const ORGANISATION: HeaderName = HeaderName::from_static("currantcove-peer-organisation");
 /// Reason why the request was not accepted.
 const NOT_ACCEPTED: HeaderName = HeaderName::from_static("currantcove-peer-not-accepted");
 
@@ -35,7 +38,7 @@
 ];
 
 /// What a host states about a request that it sends to another one.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Envelope {
     /// Version of the sender's configuration.
     pub config_version: u64,
@@ -43,6 +46,8 @@
     pub spent_ms: u64,
     /// Number of upstreams that the request may still be sent to.
     pub attempts_left: u32,
+    /// Organisation of the caller, if requests need a key.
+    pub organisation: Option<OrganisationId>,
 }
 
 /// Drops all headers that are valid between hosts only.
@@ -70,6 +75,11 @@
     headers.insert(CONFIG_VERSION, HeaderValue::from(envelope.config_version));
     headers.insert(SPENT_MS, HeaderValue::from(envelope.spent_ms));
     headers.insert(ATTEMPTS_LEFT, HeaderValue::from(envelope.attempts_left));
+    // Names of organisations are checked when the configuration is decoded.
+    let organisation = envelope.organisation.as_ref();
+    if let Some(Ok(name)) = organisation.map(|o| HeaderValue::from_str(o.as_str())) {
+        headers.insert(ORGANISATION, name);
+    }
     headers
 }
 
@@ -81,6 +91,10 @@
         config_version: number(&CONFIG_VERSION)?,
         spent_ms: number(&SPENT_MS)?,
         attempts_left: u32::try_from(number(&ATTEMPTS_LEFT)?).ok()?,
+        organisation: headers
+            .get(ORGANISATION)
+            .and_then(|name| name.to_str().ok())
+            .map(OrganisationId::new),
     };
     headers.remove(CONNECTION);
     if let Some(options) = headers.remove(CALLER_CONNECTION) {
--- a/src/gateway/peer_requests.rs
+++ b/src/gateway/peer_requests.rs
@@ -24,6 +24,7 @@
 use super::peer_protocol::{self, Envelope};
 use super::platform::Platform;
 use super::state::Gateway;
+use crate::core::features::Feature;
 use crate::core::ids::HostId;
 use crate::core::peer_selection::{Candidate, MAX_HOSTS, NotAccepted, PeerSelector};
 use crate::edge::body::{self, ServerResponse, StreamedBody, Truncated};
@@ -108,7 +109,7 @@
         attempts.has_asked_peers = true;
         let mut tried: Vec<HostId> = Vec::new();
         while tried.len() < MAX_HOSTS {
-            let peer = self.select_peer(&tried)?;
+            let peer = self.select_peer(request, &tried)?;
             tried.push(peer.candidate.host.clone());
             let reply = self.send_to_peer(&peer, request, attempts).await;
             self.record_peer_reply(request, &peer, &reply);
@@ -147,13 +148,15 @@
             && request.headers.contains_key(HOST)
     }
 
-    fn select_peer(&self, tried: &[HostId]) -> Option<SelectedPeer> {
+    fn select_peer(&self, request: &RoutedRequest, tried: &[HostId]) -> Option<SelectedPeer> {
         let now_ms = self.now_ms();
         let settings = self.settings();
         let peers = self.peers.borrow();
         let candidates: Vec<Candidate> = peers
             .listed()
             .filter(|(host, _)| **host != settings.host)
+            // A host of an older release would not tell upstreams the organisation.
+            .filter(|(_, p)| request.organisation.is_none() || p.has(Feature::Organisations))
             .map(|(host, peer)| Candidate {
                 host: host.clone(),
                 zone: peer.zone().map(str::to_owned),
@@ -182,6 +185,7 @@
             config_version: request.config_version,
             spent_ms: now_ms.saturating_sub(request.arrived_ms),
             attempts_left: request.max_attempts - attempts.sent_to.len() as u32,
+            organisation: request.organisation.as_ref().map(|o| o.id.clone()),
         };
         let Ok(target) = request.target.parse() else {
             return PeerReply::NotAccepted(NotAccepted::Unreachable);
--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -17,6 +17,7 @@
 use super::peer_protocol::{self, Envelope};
 use super::platform::Platform;
 use super::state::Gateway;
+use crate::core::catalog::Catalog;
 use crate::core::peer_selection::{MAX_RECEIVED, NotAccepted};
 use crate::edge::body::{self, ServerResponse};
 use crate::edge::server::{ConnectionLimits, Handler, serve};
@@ -75,8 +76,10 @@
 
     fn check(&self, envelope: &Envelope) -> Result<(), NotAccepted> {
         let gateway = &self.gateway;
-        let version = gateway.catalog().map(|c| c.version);
-        let is_current = version.is_some_and(|v| v >= envelope.config_version);
+        let catalog = gateway.catalog();
+        let is_current = catalog.as_ref().is_some_and(|c| {
+            c.version >= envelope.config_version && knows_organisation(c, envelope)
+        });
         if gateway.stopping.is_cancelled() {
             Err(NotAccepted::Stopping)
         } else if !is_current || !gateway.is_synced.get() {
@@ -104,6 +107,7 @@
             at_ms: self.gateway.now_ms().saturating_sub(envelope.spent_ms),
             attempts_left: Some(envelope.attempts_left),
             received: Some(Rc::new(Received::new(&self.received))),
+            organisation: envelope.organisation,
         };
         let mut response = self.callers.respond(request, arrival).await;
         if let Some(reason) = response.extensions_mut().remove::<NotAccepted>() {
@@ -114,6 +118,15 @@
     }
 }
 
+/// True if the configuration has the organisation that another host states, if it states
+/// one.
+fn knows_organisation(catalog: &Catalog, envelope: &Envelope) -> bool {
+    envelope.organisation.as_ref().is_none_or(|id| {
+        let organisations = catalog.organisations.as_ref();
+        organisations.is_some_and(|o| o.get(id.as_str()).is_some())
+    })
+}
+
 struct PeerHandler<P: Platform>(Rc<PeerServer<P>>);
 
 impl<P: Platform> Handler for PeerHandler<P> {
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -13,8 +13,9 @@
 use crate::core::balance::Weights;
 use crate::core::catalog::Catalog;
 pub use crate::core::engine_order::Order;
-use crate::core::ids::{AdapterId, ModelId, UpstreamId};
+use crate::core::ids::{AdapterId, ModelId, OrganisationId, UpstreamId};
 use crate::core::load::RequestSize;
+use crate::core::organisations::KeyDigest;
 use crate::core::registry::{Entry, Holdings};
 use crate::core::store_era::Era;
 use crate::core::upstream_notice::UpstreamNotice;
@@ -200,6 +201,27 @@
     fn fetch_report(&self, addr: SocketAddr) -> impl Future<Output = ReportResponse>;
 }
 
+/// Tokens that a request may use, as its caller states them.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StatedTokens {
+    /// Those of the prompt and the most that the response may have.
+    Tokens(u64),
+    /// The caller states none.
+    None,
+    /// The statement is invalid.
+    Invalid,
+}
+
+impl StatedTokens {
+    /// Stated number, if it is valid.
+    pub fn count(self) -> Option<u64> {
+        match self {
+            Self::Tokens(count) => Some(count),
+            Self::None | Self::Invalid => None,
+        }
+    }
+}
+
 /// Decoded headers of a caller's request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RequestHead {
@@ -211,6 +233,10 @@
     pub weights: Option<Weights>,
     /// Size of the prompt and the expected response.
     pub size: RequestSize,
+    /// Tokens that count against the organisation's quota.
+    pub tokens: StatedTokens,
+    /// Digest of the caller's key, if there is exactly one.
+    pub key: Option<KeyDigest>,
     /// ID of the last event that the caller has received, if it resumes a stream.
     pub last_event_id: Option<String>,
     /// ID of the caller's request that began the stream that it resumes.
@@ -230,6 +256,8 @@
     pub priority: Option<u8>,
     /// ID of the last event that the caller has received, to resume a stream.
     pub last_event_id: Option<&'a str>,
+    /// Organisation of the caller, if requests need a key.
+    pub organisation: Option<&'a OrganisationId>,
 }
 
 /// Kind of an upstream's response, by its status and headers.
@@ -256,6 +284,8 @@
     const METRICS_PATH: &'static str;
     /// Decodes the headers of a caller's request.
     fn parse_request_head(&self, head: &request::Parts) -> Result<RequestHead, DecodeError>;
+    /// Removes the caller's key, and what it states of its organisation.
+    fn remove_credentials(&self, headers: &mut HeaderMap);
     /// Headers of a request to an upstream.
     fn forward_headers(&self, from: &HeaderMap, forwarding: &ForwardingHeaders<'_>) -> HeaderMap;
     /// Classifies an upstream's response to the request with an ID.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -41,6 +41,8 @@
 /// Share of a host's part of the fleet-wide retry budget that it uses; the rest
 /// is a margin for differences between the hosts' views of the fleet.
 const RETRY_SAFETY_FACTOR: f64 = 0.7;
+/// Findings of one configuration that are logged.
+const MAX_LOGGED_FINDINGS: usize = 20;
 /// Number of hosts assumed before any is known.
 const ASSUMED_HOST_COUNT: usize = 8;
 /// Divisor of the process memory that gives the budget for unfinished responses.
@@ -248,6 +250,16 @@
             routes = catalog.routes().len(),
             "configuration in force"
         );
+        for finding in catalog.findings.iter().take(MAX_LOGGED_FINDINGS) {
+            tracing::warn!(
+                event = "configuration",
+                version,
+                path = finding.path,
+                problem = finding.problem,
+                findings = catalog.findings.len(),
+                "part of the configuration is invalid and not in force"
+            );
+        }
         *self.catalog.borrow_mut() = Some(Rc::new(catalog));
         self.catalog_since_ms.set(self.now_ms());
         self.metrics.config_version.set(version.cast_signed());
--- a/src/gateway/store_facts.rs
+++ b/src/gateway/store_facts.rs
@@ -11,6 +11,7 @@
 use super::state::{ActingHost, Gateway};
 use crate::core::catalog::Catalog;
 use crate::core::crash_ledger::StoredLedger;
+use crate::core::features::Features;
 use crate::core::ids::{HostId, UpstreamId};
 use crate::core::peer_list::Peer;
 use crate::core::quarantine::Quarantine;
@@ -39,6 +40,9 @@
     /// CPU share of its machine, in thousandths of a core; 0 if unknown.
     #[serde(default)]
     pub cpu_milli: u32,
+    /// Features that it states; none in entries of older releases.
+    #[serde(default)]
+    pub features: Features,
 }
 
 /// Decoded content or deletion of one key.
@@ -260,7 +264,8 @@
 }
 
 fn peer_from(record: &HostRecord) -> Peer {
-    Peer::new(record.addr, record.cpu_milli).in_zone(&record.zone)
+    let peer = Peer::new(record.addr, record.cpu_milli).in_zone(&record.zone);
+    peer.with_features(record.features.clone())
 }
 
 fn acting_host(record: HostRecord, term: u64) -> ActingHost {
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hyper::header::{HOST, HeaderMap};
+use hyper::header::HOST;
 
 use super::call::RoutedRequest;
 use super::metrics::ResumeLabels;
@@ -90,10 +90,11 @@
     }
 }
 
-/// Key of the stream that a request begins or takes up.
-fn key_of(headers: &HeaderMap, request_id: &str) -> Fingerprint {
-    let caller = headers.get(HOST).map_or(&[][..], |h| h.as_bytes());
-    stream_key(caller, request_id)
+/// Key of the stream that a request of the same caller began.
+fn key_of(request: &RoutedRequest, request_id: &str) -> Fingerprint {
+    let caller = request.headers.get(HOST).map_or(&[][..], |h| h.as_bytes());
+    let organisation = request.organisation.as_ref().map(|o| &o.id);
+    stream_key(caller, organisation, request_id)
 }
 
 fn route_of<'a>(catalog: &'a Catalog, request: &RoutedRequest) -> Option<&'a Route> {
@@ -107,7 +108,7 @@
     pub fn stream_of(&self, request: &RoutedRequest) -> Fingerprint {
         let resumes = request.resumes.as_deref();
         let began = resumes.filter(|_| request.takes_up_stream());
-        key_of(&request.headers, began.unwrap_or(&request.request_id))
+        key_of(request, began.unwrap_or(&request.request_id))
     }
 
     /// Records where a stream began, and tells other hosts within a moment.
@@ -218,7 +219,7 @@
     /// Service and version at which the stream that a request takes up goes on.
     pub async fn resume_place(&self, request: &RoutedRequest) -> Option<ResumePlace> {
         let known = match &request.resumes {
-            Some(id) => self.find_origin(key_of(&request.headers, id)).await,
+            Some(id) => self.find_origin(key_of(request, id)).await,
             None => OriginKnowledge::Unknown,
         };
         let (source, place) = match &known {
--- a/tests/gateway_stream_origin.rs
+++ b/tests/gateway_stream_origin.rs
@@ -96,7 +96,7 @@
     let mut rng = Rng::new(hosts as u64);
     let (mut found, mut asked_in_all) = (0, 0);
     for number in 0..STREAMS {
-        let stream = stream_key(b"h.example", &format!("r{number}"));
+        let stream = stream_key(b"h.example", None, &format!("r{number}"));
         let (begins, takes_up) = (rng.below(hosts), rng.below(hosts));
         if begins == takes_up || is_dead(takes_up) {
             continue;
@@ -143,7 +143,7 @@
 
 #[test]
 fn stream_that_two_versions_claim_is_uncertain_for_good() {
-    let stream = stream_key(b"h.example", "r1");
+    let stream = stream_key(b"h.example", None, "r1");
     let mut origins = StreamOrigins::default();
 
     origins.record(0, stream, origin("v1"));
@@ -159,12 +159,12 @@
 #[test]
 fn streams_of_two_callers_with_one_request_id_are_distinct() {
     assert_ne!(
-        stream_key(b"h.example", "r1"),
-        stream_key(b"other.example", "r1")
+        stream_key(b"h.example", None, "r1"),
+        stream_key(b"other.example", None, "r1")
     );
     assert_eq!(
-        stream_key(b"H.Example", "r1"),
-        stream_key(b"h.example", "r1")
+        stream_key(b"H.Example", None, "r1"),
+        stream_key(b"h.example", None, "r1")
     );
 }
 
@@ -173,13 +173,17 @@
     let mut origins = StreamOrigins::default();
 
     for number in 0..40_000 {
-        let stream = stream_key(b"h.example", &format!("r{number}"));
+        let stream = stream_key(b"h.example", None, &format!("r{number}"));
         origins.record(number / 10, stream, origin("v1"));
     }
     let most = origins.len();
-    let last = stream_key(b"h.example", "r39999");
+    let last = stream_key(b"h.example", None, "r39999");
     let is_known = *origins.get(4_000, last) == OriginKnowledge::Known(origin("v1"));
-    origins.record(200_000, stream_key(b"h.example", "later"), origin("v1"));
+    origins.record(
+        200_000,
+        stream_key(b"h.example", None, "later"),
+        origin("v1"),
+    );
 
     assert!(most <= 16_384, "{most}");
     assert!(is_known);
@@ -189,7 +193,7 @@
 
 #[test]
 fn stream_that_is_told_again_is_remembered_from_then_on() {
-    let stream = stream_key(b"h.example", "r1");
+    let stream = stream_key(b"h.example", None, "r1");
     let mut origins = StreamOrigins::default();
 
     for at_ms in [0, 50_000, 100_000] {
--- a/tests/model_stream_resume.rs
+++ b/tests/model_stream_resume.rs
@@ -61,7 +61,7 @@
 
 /// Version at which host 1 goes on, as its core decides from what it was told.
 fn known_version(state: &State) -> Option<SoftwareVersion> {
-    let stream = stream_key(b"h.example", "r1");
+    let stream = stream_key(b"h.example", None, "r1");
     let mut known = StreamOrigins::default();
     if let Told::Arrived(incarnation) = state.told {
         known.record(0, stream, origin(incarnation));
