--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -71,7 +71,8 @@
 
 const SIGHUP: i32 = 1;
 
-type Result<T> = std::result::Result<T, Report<DaemonError>>;
+/// Result of starting or running a host.
+pub type Result<T> = std::result::Result<T, Report<DaemonError>>;
 
 enum Command {
     Run(PathBuf),
