--- a/src/core/engine_room.rs
+++ b/src/core/engine_room.rs
@@ -9,6 +9,9 @@
 //! what it has in flight there, and asks for the present load of the others right
 //! before it sends a request. Requests are counted in the order in which they ask.
 //! The answer is advice; without one, the host sends by what it knows.
+//!
+//! Load pattern: hosts differ in CPU by a factor of five, and a host with a tenth of a core
+//! answers late whenever its callers are busy. Accounts are kept by strong hosts.
 
 use std::collections::{HashMap, VecDeque};
 
@@ -21,12 +24,18 @@
 /// Limit of the hosts that wait for news of one engine.
 const MAX_WAITING_HOSTS: usize = 64;
 
-/// Host that keeps the account of an engine; all hosts with the same list agree.
+/// Host that keeps the account of an engine, with the CPU of each host in thousandths of a
+/// core; all hosts with the same list agree.
+///
+/// Hosts with less than half the CPU of the strongest one keep no account.
 pub fn keeper_of<'a>(
     upstream: &UpstreamId,
-    hosts: impl Iterator<Item = &'a HostId>,
+    hosts: impl Clone + Iterator<Item = (&'a HostId, u32)>,
 ) -> Option<&'a HostId> {
-    rendezvous::pick(upstream.as_str(), hosts)
+    let strongest_milli = hosts.clone().map(|(_, cpu_milli)| cpu_milli).max()?;
+    let is_strong = |cpu_milli: u32| cpu_milli >= strongest_milli / 2;
+    let strong = hosts.filter(|(_, cpu_milli)| is_strong(*cpu_milli));
+    rendezvous::pick(upstream.as_str(), strong.map(|(host, _)| host))
 }
 
 /// Hosts that wait for room, by engine, in order of arrival.
--- a/src/core/peer_list.rs
+++ b/src/core/peer_list.rs
@@ -136,7 +136,7 @@
     }
 
     /// Listed hosts.
-    pub fn listed(&self) -> impl Iterator<Item = (&HostId, &Peer)> {
+    pub fn listed(&self) -> impl Clone + Iterator<Item = (&HostId, &Peer)> {
         self.peers.iter().filter(|(_, p)| p.unlisted_ms.is_none())
     }
 }
--- a/src/gateway/room.rs
+++ b/src/gateway/room.rs
@@ -40,7 +40,8 @@
 impl<P: Platform> Gateway<P> {
     fn keeper(&self, upstream: &UpstreamId) -> Option<Keeper> {
         let peers = self.peers.borrow();
-        let keeper = keeper_of(upstream, peers.listed().map(|(host, _)| host))?;
+        let hosts = peers.listed().map(|(host, peer)| (host, peer.cpu_milli));
+        let keeper = keeper_of(upstream, hosts)?;
         if *keeper == self.settings().host {
             return Some(Keeper::ThisHost);
         }
--- a/tests/gateway_engine_room.rs
+++ b/tests/gateway_engine_room.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use common::entry;
 use currantcove::core::balance::{
@@ -98,6 +98,32 @@
     assert_eq!(by_account, 1);
 }
 
+fn of_equal_cpu(hosts: &[HostId]) -> impl Clone + DoubleEndedIterator<Item = (&HostId, u32)> {
+    hosts.iter().map(|host| (host, 250))
+}
+
+/// Guards against accounts at hosts that answer late whenever their callers are busy.
+#[test]
+fn accounts_are_kept_by_hosts_with_enough_cpu() {
+    let hosts: Vec<(HostId, u32)> = (0..90)
+        .map(|i| (HostId::new(&format!("h{i}")), [500, 300, 90, 90][i % 4]))
+        .collect();
+    let engines: Vec<UpstreamId> = (0..112)
+        .map(|i| UpstreamId::new(&format!("i-{i}")))
+        .collect();
+    let listed = || hosts.iter().map(|(host, cpu_milli)| (host, *cpu_milli));
+
+    let keepers = engines.iter().filter_map(|e| keeper_of(e, listed()));
+    let mut kept: BTreeMap<&HostId, u32> = BTreeMap::new();
+    for keeper in keepers {
+        *kept.entry(keeper).or_default() += 1;
+    }
+
+    let is_weak = |host: &&HostId| hosts.iter().any(|(h, cpu)| h == *host && *cpu < 250);
+    assert!(!kept.keys().any(is_weak));
+    assert!(kept.values().all(|engines| *engines <= 10), "{kept:?}");
+}
+
 #[test]
 fn all_hosts_agree_on_the_keeper_and_few_engines_move_when_a_host_leaves() {
     let hosts: Vec<HostId> = (0..195).map(|i| HostId::new(&format!("h{i}"))).collect();
@@ -106,14 +132,14 @@
         .collect();
 
     let moved = engines.iter().filter(|engine| {
-        let before = keeper_of(engine, hosts.iter());
-        let after = keeper_of(engine, hosts.iter().skip(1));
+        let before = keeper_of(engine, of_equal_cpu(&hosts));
+        let after = keeper_of(engine, of_equal_cpu(&hosts).skip(1));
         before != after
     });
 
     assert!(moved.count() <= 4);
-    let reversed = keeper_of(&engines[0], hosts.iter().rev());
-    assert_eq!(keeper_of(&engines[0], hosts.iter()), reversed);
+    let reversed = keeper_of(&engines[0], of_equal_cpu(&hosts).rev());
+    assert_eq!(keeper_of(&engines[0], of_equal_cpu(&hosts)), reversed);
 }
 
 #[test]
