Promise that a request has not run only on evidence

Cause: a host passed on an upstream's own 503, 429 or 408, and took refusals and 421 responses without a request id for refusals of the present request. Both reach callers as promises although the request may have run; an extra response on a kept connection even made hosts send it again. A refusal naming the request could be read twice, since a request that is sent again went out on the connection that had carried it. An empty response of another request returned its connection to the pool, so that each further request on it was given the response of the one before. Another host's refusal was passed on without any statement by that host.

Change: attempts count as having run the request until evidence settles them (core/execution.rs): nothing sent, no connection, or a statement that names the request. A status that promises needs a NotRunPromise, which only a request without unsettled attempts yields. A promise status without a statement becomes 502 without the upstream's headers. Requests that were refused once are sent again on new connections only; connections with a foreign response are closed. Hosts state in currantcove-peer-not-run that they have not run a request; a refusal by a host of an older release becomes 502.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -21,6 +21,7 @@
 pub mod engine_room;
 pub mod engine_work;
 pub mod event_progress;
+pub mod execution;
 pub mod features;
 pub mod fleet;
 pub mod ids;
--- a/src/edge/pool.rs
+++ b/src/edge/pool.rs
@@ -25,6 +25,7 @@
 
 use super::connection::Connection;
 use super::path_check::until_held_up;
+use crate::core::execution::NotRunEvidence;
 
 /// Timeout of a connection attempt.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -64,6 +65,26 @@
     HeldUp,
 }
 
+impl SendError {
+    /// Evidence that the request has not run, if no byte of it was sent.
+    pub fn not_run_evidence(self) -> Option<NotRunEvidence> {
+        match self {
+            Self::NotConnected => Some(NotRunEvidence::not_connected()),
+            Self::NotSent => Some(NotRunEvidence::nothing_sent()),
+            Self::MaybeSent | Self::HeldUp => None,
+        }
+    }
+}
+
+/// Whether a request may be sent on a connection that has carried requests before.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reuse {
+    /// On any connection.
+    Allowed,
+    /// On a new connection only.
+    Excluded,
+}
+
 /// Connection without a request in progress.
 #[derive(Debug)]
 struct IdleConnection {
@@ -87,7 +108,7 @@
         addr: SocketAddr,
         request: Request<RequestBody>,
     ) -> Result<Response<PooledBody>, SendError> {
-        self.exchange(addr, request, || true, None::<fn() -> bool>)
+        self.exchange(addr, request, Reuse::Allowed, || true, None::<fn() -> bool>)
             .await
     }
 
@@ -99,20 +120,30 @@
         request: Request<RequestBody>,
         is_still_allowed: impl Fn() -> bool,
     ) -> Result<Response<PooledBody>, SendError> {
-        self.exchange(addr, request, is_still_allowed, None::<fn() -> bool>)
-            .await
+        self.exchange(
+            addr,
+            request,
+            Reuse::Allowed,
+            is_still_allowed,
+            None::<fn() -> bool>,
+        )
+        .await
     }
 
     /// Sends a request like [`Self::send_if`], and resets its connection if it is held up
     /// on its way: after a time, or at once if it must no longer arrive.
+    ///
+    /// A connection that has carried a request with the same ID before is none for `reuse`:
+    /// an extra response to that one would be taken for the response to this one.
     pub async fn send_watched(
         &self,
         addr: SocketAddr,
         request: Request<RequestBody>,
+        reuse: Reuse,
         is_still_allowed: impl Fn() -> bool,
         may_arrive: impl Fn() -> bool,
     ) -> Result<Response<PooledBody>, SendError> {
-        self.exchange(addr, request, is_still_allowed, Some(may_arrive))
+        self.exchange(addr, request, reuse, is_still_allowed, Some(may_arrive))
             .await
     }
 
@@ -120,11 +151,16 @@
         &self,
         addr: SocketAddr,
         mut request: Request<RequestBody>,
+        reuse: Reuse,
         is_still_allowed: impl Fn() -> bool,
         may_arrive: Option<impl Fn() -> bool>,
     ) -> Result<Response<PooledBody>, SendError> {
         loop {
-            let (mut connection, is_reused) = match self.checkout(addr).await {
+            let kept = match reuse {
+                Reuse::Allowed => self.checkout(addr).await,
+                Reuse::Excluded => None,
+            };
+            let (mut connection, is_reused) = match kept {
                 Some(connection) => (connection, true),
                 None => (self.connect(addr).await?, false),
             };
@@ -223,18 +259,12 @@
     ) -> Response<PooledBody> {
         self.record_heard(addr);
         let idle_timeout = idle_timeout(response.headers());
-        response.map(|body| {
-            let mut pooled = PooledBody {
-                body,
-                addr,
-                connection: Some(connection),
-                idle_timeout,
-                pool: self.clone(),
-            };
-            if pooled.body.is_end_stream() {
-                pooled.release();
-            }
-            pooled
+        response.map(|body| PooledBody {
+            body,
+            addr,
+            connection: Some(connection),
+            idle_timeout,
+            pool: self.clone(),
         })
     }
 
@@ -313,7 +343,8 @@
     socket.set_tcp_user_timeout(Some(user_timeout))
 }
 
-/// Response body that returns its connection to the pool at its end.
+/// Response body that returns its connection to the pool at its end; an empty one when it
+/// is dropped.
 #[derive(Debug)]
 pub struct PooledBody {
     body: Incoming,
@@ -324,6 +355,11 @@
 }
 
 impl PooledBody {
+    /// Closes the connection, as its responses belong to other requests.
+    pub fn close(mut self) {
+        self.connection = None;
+    }
+
     fn release(&mut self) {
         if let Some(connection) = self.connection.take() {
             self.pool.check_in(self.addr, connection, self.idle_timeout);
@@ -331,6 +367,14 @@
     }
 }
 
+impl Drop for PooledBody {
+    fn drop(&mut self) {
+        if self.body.is_end_stream() {
+            self.release();
+        }
+    }
+}
+
 impl Body for PooledBody {
     type Data = Bytes;
     type Error = hyper::Error;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -25,6 +25,7 @@
 use super::stream_origins::{MAX_GAP_MS, UNKNOWN_SOFTWARE};
 use crate::core::balance::{Requirements, UpstreamFilter};
 use crate::core::catalog::{Catalog, ModelSpec, RequestKind, Route};
+use crate::core::execution::{Execution, LocalStatus, NotRunPromise};
 use crate::core::ids::{ServiceId, SoftwareVersion, UpstreamId};
 use crate::core::load::AttemptOutcome;
 use crate::core::organisations::Organisation;
@@ -111,6 +112,8 @@
     pub is_trial: bool,
     /// Present if another host has received it from the caller.
     pub received: Option<Rc<Received>>,
+    /// Whether an attempt may have run it.
+    pub execution: Rc<Execution>,
 }
 
 impl RoutedRequest {
@@ -176,8 +179,6 @@
     unsent: u32,
     /// Number of attempts that an upstream refused to run.
     refusals: u32,
-    /// True if an upstream may have run the request.
-    pub(super) may_have_run: bool,
     /// True if other hosts were asked to serve the request.
     pub(super) has_asked_peers: bool,
     /// Failure response of an upstream, forwarded if no retry follows.
@@ -189,6 +190,7 @@
 pub(super) enum FailureOutcome {
     /// No upstream has run the request.
     NotRun {
+        promise: NotRunPromise,
         reason: &'static str,
         retry_after_ms: u64,
     },
@@ -284,6 +286,7 @@
             config_version: catalog.version,
             is_trial: false,
             received: arrival.received,
+            execution: Rc::default(),
         })
     }
 
@@ -296,15 +299,12 @@
             return response;
         }
         if request.takes_up_stream() && !self.bind_to_origin(&mut request).await {
-            let outcome = FailureOutcome::NotRun {
-                reason: UNKNOWN_SOFTWARE,
-                retry_after_ms: REFUSED_RETRY_AFTER_MS,
-            };
+            let outcome = Self::outcome_without_response(&request, UNKNOWN_SOFTWARE);
             return self.respond_with_failure(&request, &attempts, outcome);
         }
         attempts.filter = request.filter(self.now_ms());
         if let Some(rejection) = self.check_quarantine(&mut request).await {
-            let outcome = Self::outcome_without_upstream(&attempts, rejection);
+            let outcome = Self::outcome_without_upstream(&request, &attempts, rejection);
             return self.respond_with_failure(&request, &attempts, outcome);
         }
         self.record_first_attempt(&request.requirements.service);
@@ -326,7 +326,9 @@
             };
             let mut in_flight = match acquired {
                 Ok(in_flight) => in_flight,
-                Err(rejection) => break Self::outcome_without_upstream(&attempts, rejection),
+                Err(rejection) => {
+                    break Self::outcome_without_upstream(&request, &attempts, rejection);
+                }
             };
             let upstream = in_flight.sent.upstream.clone();
             let failure = if request.kind.is_stream() {
@@ -401,16 +403,21 @@
         }
     }
 
-    fn outcome_without_upstream(attempts: &Attempts, rejection: Rejection) -> FailureOutcome {
+    fn outcome_without_upstream(
+        request: &RoutedRequest,
+        attempts: &Attempts,
+        rejection: Rejection,
+    ) -> FailureOutcome {
         if let Some(response) = &attempts.failure_response {
             return FailureOutcome::UpstreamFailure(response.clone());
         }
-        if attempts.may_have_run {
-            return FailureOutcome::Unknown("upstream_failed");
-        }
-        FailureOutcome::NotRun {
-            reason: rejection.reason,
-            retry_after_ms: rejection.retry_after_ms,
+        match request.execution.promise() {
+            Some(promise) => FailureOutcome::NotRun {
+                promise,
+                reason: rejection.reason,
+                retry_after_ms: rejection.retry_after_ms,
+            },
+            None => FailureOutcome::Unknown("upstream_failed"),
         }
     }
 
@@ -450,20 +457,20 @@
                 if attempts.unsent < MAX_UNSENT_ATTEMPTS {
                     return RetryDecision::Retry;
                 }
-                RetryDecision::Stop(Self::final_outcome(attempts, "not_reached"))
+                RetryDecision::Stop(Self::final_outcome(request, attempts, "not_reached"))
             }
             AttemptFailure::NotRun { is_misdirected } => {
                 self.handle_refusal(request, attempts, upstream, is_misdirected)
                     .await
             }
             AttemptFailure::Unknown
+            | AttemptFailure::Unproven
             | AttemptFailure::NoMemory
             | AttemptFailure::TimedOut
             | AttemptFailure::FailureResponse(_) => {
                 let is_timeout = matches!(failure, AttemptFailure::TimedOut);
                 let may_repeat = self.may_repeat(request, attempts);
                 attempts.sent_to.push(upstream.clone());
-                attempts.may_have_run = true;
                 if let AttemptFailure::FailureResponse(response) = failure {
                     attempts.failure_response = Some(response);
                 }
@@ -509,20 +516,33 @@
         let may_resend =
             attempts.refusals <= MAX_RESENDS && time_left > RESEND_DELAY * 2 && !request.is_trial;
         if !may_resend || !self.try_retry(&request.requirements.service) {
-            return RetryDecision::Stop(Self::final_outcome(attempts, "refused_by_upstream"));
+            let outcome = Self::final_outcome(request, attempts, "refused_by_upstream");
+            return RetryDecision::Stop(outcome);
         }
         compio::time::sleep(RESEND_DELAY).await;
         RetryDecision::Retry
     }
 
-    pub(super) fn final_outcome(attempts: &mut Attempts, reason: &'static str) -> FailureOutcome {
+    pub(super) fn final_outcome(
+        request: &RoutedRequest,
+        attempts: &mut Attempts,
+        reason: &'static str,
+    ) -> FailureOutcome {
         match attempts.failure_response.take() {
             Some(response) => FailureOutcome::UpstreamFailure(response),
-            None if attempts.may_have_run => FailureOutcome::Unknown(reason),
-            None => FailureOutcome::NotRun {
+            None => Self::outcome_without_response(request, reason),
+        }
+    }
+
+    /// Outcome of a request to which no upstream has responded.
+    fn outcome_without_response(request: &RoutedRequest, reason: &'static str) -> FailureOutcome {
+        match request.execution.promise() {
+            Some(promise) => FailureOutcome::NotRun {
+                promise,
                 reason,
                 retry_after_ms: REFUSED_RETRY_AFTER_MS,
             },
+            None => FailureOutcome::Unknown(reason),
         }
     }
 
@@ -602,16 +622,20 @@
                 return response.into_response();
             }
             FailureOutcome::NotRun {
+                promise,
                 reason,
                 retry_after_ms,
-            } => (503, "not_run", reason, Some(retry_after_ms)),
-            FailureOutcome::Unknown(reason) => (502, "unknown", reason, None),
-            FailureOutcome::TimedOut => (504, "unknown", "timed_out", None),
+            } => {
+                let status = LocalStatus::refused(503, promise);
+                (status, "not_run", reason, Some(retry_after_ms))
+            }
+            FailureOutcome::Unknown(reason) => (LocalStatus::other(502), "unknown", reason, None),
+            FailureOutcome::TimedOut => (LocalStatus::other(504), "unknown", "timed_out", None),
         };
         if outcome == "not_run" && reason != QUARANTINED && reason != UNKNOWN_SOFTWARE {
             self.request_weights_after_rejection(request);
         }
-        self.log_outcome(request, attempts, outcome, reason, status, None);
+        self.log_outcome(request, attempts, outcome, reason, status.code(), None);
         self.local_response(status, reason, Some(&request.request_id), retry_after_ms)
     }
 
@@ -624,14 +648,21 @@
     /// Response generated by this host, with the reason as its body.
     pub fn local_response(
         &self,
-        status: u16,
+        status: LocalStatus,
         reason: &str,
         request_id: Option<&str>,
         retry_after_ms: Option<u64>,
     ) -> ServerResponse {
-        let mut response = body::text(status, format!("{reason}\n"));
-        if StatusCode::from_u16(status).is_err() {
-            tracing::error!(event = "bug", status, "invalid HTTP status code");
+        let mut response = body::text(status.code(), format!("{reason}\n"));
+        if StatusCode::from_u16(status.code()).is_err() {
+            tracing::error!(
+                event = "bug",
+                status = status.code(),
+                "invalid HTTP status code"
+            );
+        }
+        if let Some(promise) = status.promise() {
+            response.extensions_mut().insert(promise);
         }
         let headers = response.headers_mut();
         if let Some(request_id) = request_id {
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -158,6 +158,7 @@
             }
             AttemptFailure::NotSent
             | AttemptFailure::NotConfirmed
+            | AttemptFailure::Unproven
             | AttemptFailure::NoMemory
             | AttemptFailure::NotRun { .. }
             | AttemptFailure::FailureResponse(_) => {}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -15,10 +15,11 @@
 use super::place::InFlightAttempt;
 use super::platform::{ForwardingHeaders, Platform, ResponseKind};
 use super::state::Gateway;
+use crate::core::execution::{LocalStatus, NotRunPromise, is_promise};
 use crate::core::load::AttemptOutcome;
 use crate::core::stream_origin::StreamOrigin;
 use crate::edge::body::{ReadError, ServerResponse};
-use crate::edge::pool::{PooledBody, SendError};
+use crate::edge::pool::{PooledBody, Reuse, SendError};
 
 /// Largest response that is read completely before it is forwarded, in bytes.
 pub(super) const MAX_BUFFERED_BYTES: usize = 1024 * 1024;
@@ -41,6 +42,9 @@
     },
     /// The request may have run; its response is lost or invalid.
     Unknown,
+    /// The request may have run: the upstream refused it without stating that it did not
+    /// run this request.
+    Unproven,
     /// The request may have run; this host had no memory for its response.
     NoMemory,
     /// No response in time; the request may have run.
@@ -63,6 +67,7 @@
                 is_misdirected: false,
             } => "refused",
             Self::Unknown => "unknown",
+            Self::Unproven => "unproven",
             Self::NoMemory => "no_memory",
             Self::TimedOut => "timed_out",
             Self::FailureResponse(_) => "answered",
@@ -82,9 +87,11 @@
         match self {
             Self::NotRun { .. } | Self::NotConfirmed | Self::NoMemory => AttemptOutcome::Neutral,
             Self::NotConnected => AttemptOutcome::Unreachable,
-            Self::NotSent | Self::Unknown | Self::TimedOut | Self::FailureResponse(_) => {
-                AttemptOutcome::Failed
-            }
+            Self::NotSent
+            | Self::Unknown
+            | Self::Unproven
+            | Self::TimedOut
+            | Self::FailureResponse(_) => AttemptOutcome::Failed,
         }
     }
 }
@@ -104,8 +111,27 @@
         !(200..300).contains(&self.status)
     }
 
-    /// Response for the caller.
-    pub fn into_response(self) -> ServerResponse {
+    /// Response for the caller; without the upstream's headers if its status promises that
+    /// the request was not run.
+    pub fn into_response(mut self) -> ServerResponse {
+        if is_promise(self.status) {
+            tracing::error!(
+                event = "bug",
+                status = self.status,
+                "promise of an upstream"
+            );
+            self.status = LocalStatus::other(self.status).code();
+            self.headers.clear();
+        }
+        self.build()
+    }
+
+    /// Response for the caller whose status promises that the request was not run.
+    pub fn into_refusal(self, _promise: NotRunPromise) -> ServerResponse {
+        self.build()
+    }
+
+    fn build(self) -> ServerResponse {
         let mut response = Response::new(http_body_util::Either::Left(Full::new(self.body)));
         *response.status_mut() = StatusCode::from_u16(self.status).unwrap_or_default();
         *response.headers_mut() = self.headers;
@@ -254,49 +280,70 @@
             is_accepting
         };
         let sent_ms = self.now_ms();
+        let reuse = if request.execution.was_refused() {
+            Reuse::Excluded
+        } else {
+            Reuse::Allowed
+        };
+        let attempt = request.execution.begin_attempt();
         let result = self
             .pool
-            .send_watched(addr, forwarded, is_accepting_requests, is_in_service)
+            .send_watched(addr, forwarded, reuse, is_accepting_requests, is_in_service)
             .await;
         if matches!(result, Err(SendError::HeldUp)) {
             self.record_held_up(request, upstream, sent_ms);
         }
-        let response = result.map_err(|e| match e {
-            SendError::NotConnected => AttemptFailure::NotConnected,
-            SendError::NotSent => AttemptFailure::NotSent,
-            SendError::MaybeSent | SendError::HeldUp => AttemptFailure::Unknown,
-        });
-        if response.is_err() {
-            // Other idle connections to this address have probably failed as well.
-            self.pool.close_idle(addr);
-        }
-        let response = response?;
+        let response = match result {
+            Ok(response) => response,
+            Err(error) => {
+                // Other idle connections to this address have probably failed as well.
+                self.pool.close_idle(addr);
+                if let Some(evidence) = error.not_run_evidence() {
+                    attempt.settle(evidence);
+                }
+                return Err(match error {
+                    SendError::NotConnected => AttemptFailure::NotConnected,
+                    SendError::NotSent => AttemptFailure::NotSent,
+                    SendError::MaybeSent | SendError::HeldUp => AttemptFailure::Unknown,
+                });
+            }
+        };
         let status = response.status().as_u16();
         let id = &request.request_id;
         let kind = self
             .platform
             .classify_response(status, response.headers(), id);
-        let is_from_another = matches!(
-            kind,
-            ResponseKind::Invalid
-                | ResponseKind::NotRun {
-                    is_misdirected: true
-                }
-        );
+        // With 421, another upstream has the address.
+        let is_from_another = kind == ResponseKind::Invalid || status == 421;
         if !is_from_another {
             let notice = self.platform.notice(status, response.headers());
             self.apply_notice(upstream, sent_ms, notice);
         }
         match kind {
             ResponseKind::Valid => Ok(response),
-            ResponseKind::NotRun { is_misdirected } => {
+            ResponseKind::NotRun {
+                is_misdirected,
+                evidence,
+            } => {
+                attempt.settle(evidence);
                 if !is_misdirected {
                     self.on_rejected_for_room(in_flight);
                 }
                 self.finish_refusal(upstream, response.into_body());
                 Err(AttemptFailure::NotRun { is_misdirected })
             }
-            ResponseKind::Invalid => Err(AttemptFailure::Unknown),
+            ResponseKind::Unproven { is_named: true } => {
+                self.finish_refusal(upstream, response.into_body());
+                Err(AttemptFailure::Unproven)
+            }
+            ResponseKind::Unproven { is_named: false } => {
+                response.into_body().close();
+                Err(AttemptFailure::Unproven)
+            }
+            ResponseKind::Invalid => {
+                response.into_body().close();
+                Err(AttemptFailure::Unknown)
+            }
         }
     }
 }
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -21,6 +21,7 @@
 use super::platform::{Platform, RequestHead, StatedTokens};
 use super::state::Gateway;
 use crate::core::catalog::{Catalog, Route};
+use crate::core::execution::{Execution, LocalStatus, is_promise};
 use crate::core::ids::OrganisationId;
 use crate::core::organisations::{Organisation, QuotaUnit};
 use crate::edge::body::{self, ServerResponse};
@@ -188,7 +189,8 @@
             Some(request) => gateway.serve(request).await,
             None => {
                 let retry_after_ms = Some(UNAVAILABLE_RETRY_AFTER_MS);
-                gateway.local_response(503, "no_backend", Some(&request_id), retry_after_ms)
+                let status = unsent_status(503);
+                gateway.local_response(status, "no_backend", Some(&request_id), retry_after_ms)
             }
         }
     }
@@ -222,7 +224,16 @@
             .get_or_create(&labels)
             .inc();
         self.gateway
-            .local_response(status, reason, request_id, retry_after_ms)
+            .local_response(unsent_status(status), reason, request_id, retry_after_ms)
+    }
+}
+
+/// Status of a response to a request that was rejected before it was routed, and that no
+/// attempt has been made for.
+fn unsent_status(status: u16) -> LocalStatus {
+    match Execution::default().promise() {
+        Some(promise) if is_promise(status) => LocalStatus::refused(status, promise),
+        _ => LocalStatus::other(status),
     }
 }
 
--- a/src/gateway/peer_protocol.rs
+++ b/src/gateway/peer_protocol.rs
@@ -26,6 +26,11 @@
 /// Reason why the request was not accepted.
 const NOT_ACCEPTED: HeaderName = HeaderName::from_static("currantcove-peer-not-accepted");
 
+/// ID of the request.
+const REQUEST: HeaderName = HeaderName::from_static("currantcove-peer-request");
+/// ID of the request, if the host that responds to it has not run it and never will.
+const NOT_RUN: HeaderName = HeaderName::from_static("currantcove-peer-not-run");
+
 /// Headers that concern the caller's connection, or its encoding of the body.
 const NOT_FORWARDED: [HeaderName; 7] = [
     CONNECTION,
@@ -48,6 +53,8 @@
     pub attempts_left: u32,
     /// Organisation of the caller, if requests need a key.
     pub organisation: Option<OrganisationId>,
+    /// ID of the request; absent from a host of an older release.
+    pub request_id: Option<HeaderValue>,
 }
 
 /// Drops all headers that are valid between hosts only.
@@ -80,6 +87,9 @@
     if let Some(Ok(name)) = organisation.map(|o| HeaderValue::from_str(o.as_str())) {
         headers.insert(ORGANISATION, name);
     }
+    if let Some(request_id) = &envelope.request_id {
+        headers.insert(REQUEST, request_id.clone());
+    }
     headers
 }
 
@@ -95,6 +105,7 @@
             .get(ORGANISATION)
             .and_then(|name| name.to_str().ok())
             .map(OrganisationId::new),
+        request_id: headers.get(REQUEST).cloned(),
     };
     headers.remove(CONNECTION);
     if let Some(options) = headers.remove(CALLER_CONNECTION) {
@@ -117,3 +128,13 @@
     let reason = headers.get(NOT_ACCEPTED)?;
     Some(NotAccepted::parse(reason.to_str().unwrap_or_default()))
 }
+
+/// States that this host has not run a request and never will.
+pub fn state_not_run(headers: &mut HeaderMap, request_id: &HeaderValue) {
+    headers.insert(NOT_RUN, request_id.clone());
+}
+
+/// ID of the request that a host states it has not run.
+pub fn stated_not_run(headers: &HeaderMap) -> Option<&str> {
+    headers.get(NOT_RUN)?.to_str().ok()
+}
--- a/src/gateway/peer_requests.rs
+++ b/src/gateway/peer_requests.rs
@@ -14,7 +14,7 @@
 use http_body_util::channel::Sender;
 use http_body_util::{BodyExt, Channel, Either, Full};
 use hyper::body::Frame;
-use hyper::header::HOST;
+use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, Response};
 use tokio_util::sync::CancellationToken;
 
@@ -24,11 +24,12 @@
 use super::peer_protocol::{self, Envelope};
 use super::platform::Platform;
 use super::state::Gateway;
+use crate::core::execution::{NotRunEvidence, is_promise};
 use crate::core::features::Feature;
 use crate::core::ids::HostId;
 use crate::core::peer_selection::{Candidate, MAX_HOSTS, NotAccepted, PeerSelector};
 use crate::edge::body::{self, ServerResponse, StreamedBody, Truncated};
-use crate::edge::pool::{Pool, PooledBody, SendError};
+use crate::edge::pool::{Pool, PooledBody};
 
 /// Time after a request's deadline within which the other host responds to it.
 const REPLY_MARGIN: Duration = Duration::from_millis(150);
@@ -117,7 +118,6 @@
                 PeerReply::NotAccepted(_) => {}
                 PeerReply::Lost { is_timeout } => {
                     let may_repeat = self.may_repeat(request, attempts);
-                    attempts.may_have_run = true;
                     request.max_attempts = request.max_attempts.saturating_sub(1);
                     if may_repeat && self.try_retry(&request.requirements.service) {
                         continue;
@@ -186,6 +186,7 @@
             spent_ms: now_ms.saturating_sub(request.arrived_ms),
             attempts_left: request.max_attempts - attempts.sent_to.len() as u32,
             organisation: request.organisation.as_ref().map(|o| o.id.clone()),
+            request_id: HeaderValue::from_str(&request.request_id).ok(),
         };
         let Ok(target) = request.target.parse() else {
             return PeerReply::NotAccepted(NotAccepted::Unreachable);
@@ -195,20 +196,27 @@
         *message.uri_mut() = target;
         *message.headers_mut() = peer_protocol::request_headers(&request.headers, &envelope);
         let timeout = request.time_left(now_ms) + REPLY_MARGIN;
+        let attempt = request.execution.begin_attempt();
         let sending = self.peer_requests.pool.send(peer.addr, message);
         let response = match compio::time::timeout(timeout, sending).await {
             Err(_) => return PeerReply::Lost { is_timeout: true },
-            Ok(Err(SendError::MaybeSent | SendError::HeldUp)) => {
-                return PeerReply::Lost { is_timeout: false };
-            }
-            Ok(Err(SendError::NotConnected | SendError::NotSent)) => {
+            Ok(Err(error)) => {
+                let Some(evidence) = error.not_run_evidence() else {
+                    return PeerReply::Lost { is_timeout: false };
+                };
+                attempt.settle(evidence);
                 return PeerReply::NotAccepted(NotAccepted::Unreachable);
             }
             Ok(Ok(response)) => response,
         };
         if let Some(reason) = peer_protocol::not_accepted(response.headers()) {
+            attempt.settle(NotRunEvidence::not_accepted());
             return PeerReply::NotAccepted(reason);
         }
+        let stated = peer_protocol::stated_not_run(response.headers());
+        if let Some(evidence) = NotRunEvidence::stated(stated, &request.request_id) {
+            attempt.settle(evidence);
+        }
         if request.kind.is_stream() && response.status().is_success() {
             return PeerReply::Stream(response, in_flight);
         }
@@ -277,13 +285,16 @@
         response: BufferedResponse,
     ) -> ServerResponse {
         let status = response.status;
-        if promises_not_run(status) && attempts.may_have_run {
-            let failure = Self::final_outcome(attempts, "upstream_failed");
-            return self.respond_with_failure(request, attempts, failure);
+        if is_promise(status) {
+            let Some(promise) = request.execution.promise() else {
+                let failure = Self::final_outcome(request, attempts, "upstream_failed");
+                return self.respond_with_failure(request, attempts, failure);
+            };
+            self.log_outcome(request, attempts, "not_run", THROUGH_PEER, status, None);
+            return response.into_refusal(promise);
         }
         let outcome = match status {
             200..300 => "served",
-            _ if promises_not_run(status) => "not_run",
             502 | 504 => "unknown",
             _ => "failed",
         };
@@ -347,8 +358,3 @@
         }
     }
 }
-
-/// True if a response with a status promises that the request was not run.
-fn promises_not_run(status: u16) -> bool {
-    matches!(status, 408 | 421 | 429 | 503)
-}
--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -18,6 +18,7 @@
 use super::platform::Platform;
 use super::state::Gateway;
 use crate::core::catalog::Catalog;
+use crate::core::execution::NotRunPromise;
 use crate::core::peer_selection::{MAX_RECEIVED, NotAccepted};
 use crate::edge::body::{self, ServerResponse};
 use crate::edge::server::{ConnectionLimits, Handler, serve};
@@ -114,6 +115,10 @@
             return peer_protocol::not_accepted_response(reason);
         }
         peer_protocol::strip(response.headers_mut());
+        let promise = response.extensions_mut().remove::<NotRunPromise>();
+        if let Some(request_id) = envelope.request_id.filter(|_| promise.is_some()) {
+            peer_protocol::state_not_run(response.headers_mut(), &request_id);
+        }
         response
     }
 }
--- a/src/gateway/platform.rs
+++ b/src/gateway/platform.rs
@@ -13,6 +13,7 @@
 use crate::core::balance::Weights;
 use crate::core::catalog::Catalog;
 pub use crate::core::engine_order::Order;
+use crate::core::execution::NotRunEvidence;
 use crate::core::ids::{AdapterId, ModelId, OrganisationId, UpstreamId};
 use crate::core::load::RequestSize;
 use crate::core::organisations::KeyDigest;
@@ -271,6 +272,14 @@
         /// True if the address belongs to another upstream, or the upstream
         /// does not hold the weights.
         is_misdirected: bool,
+        /// The upstream's statement about this request.
+        evidence: NotRunEvidence,
+    },
+    /// Status that promises that a request was not run, without a statement that names
+    /// this request.
+    Unproven {
+        /// True if the response names this request.
+        is_named: bool,
     },
     /// Response to another request, or without the required signature.
     Invalid,
