Share the places of plain upstreams among all hosts

Cause: with 66 hosts in front of three plain upstreams of six slots, each host decides by loads that are older than a request takes. Upstreams rejected a third of the arrivals.

Change: with the setting shared_places (off by default), every plain upstream with fewer slots than there are hosts has an account at one keeper: a strong host in the upstream's zone. Hosts report what they hold and how urgent their waiting requests are; the keeper grants a free place to the most urgent one at once. Places are the slots and what hides the passing of a place. Without an answer a host sends within its equal share. Hosts without the feature are counted by the loads that they report.

Tests of brittle upstreams pass unchanged.

--- a/src/core/balance.rs
+++ b/src/core/balance.rs
@@ -314,6 +314,9 @@
 
 fn has_capacity(now_ms: u64, load: &Load, entry: &Entry, requirements: &Requirements) -> bool {
     if requirements.weights.is_none() {
+        if let Some(places) = load.places() {
+            return places.limit.is_none_or(|limit| load.local.requests < limit);
+        }
         let total = load.total_still_running(now_ms);
         return total.requests < entry.slots * REQUESTS_PER_SERVICE_SLOT;
     }
@@ -400,6 +403,11 @@
     if has_capacity(now_ms, load, entry, requirements) {
         return refusal_backoff_ms(now_ms, load, requirements) as f64;
     }
+    if let Some(places) = load.places().filter(|_| requirements.weights.is_none()) {
+        // The most urgent waiting request of all hosts takes the next place.
+        let place_interval_ms = load.completion_ms() / f64::from(entry.slots.max(1));
+        return f64::from(places.ahead + 1) * place_interval_ms;
+    }
     let total = load.total(now_ms);
     let prefill_ms = load.predicted_prefill_ms(now_ms, requirements.size.prompt_tokens);
     let is_prefilling = requirements.weights.is_some() && total.unread_tokens > 0;
--- a/src/core/load.rs
+++ b/src/core/load.rs
@@ -90,6 +90,15 @@
     }
 }
 
+/// What a host knows of the account of an upstream's places.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PlaceView {
+    /// Requests that this host may have there now; none if it may ask for any number.
+    pub limit: Option<u32>,
+    /// Waiting requests of other hosts that precede those of this one.
+    pub ahead: u32,
+}
+
 /// Refusal of requests for some weights.
 #[derive(Clone, Debug)]
 struct Refusal {
@@ -117,6 +126,8 @@
     paced_until_ms: u64,
     /// True while the upstream states how many requests a second it takes.
     is_limited: bool,
+    /// What the account of its places allows, if it has one.
+    places: Option<PlaceView>,
     /// Recent refusals by weights.
     refused: Vec<Refusal>,
     /// Moving average of the share of failed responses.
@@ -147,6 +158,7 @@
             closed_until_ms: 0,
             paced_until_ms: 0,
             is_limited: false,
+            places: None,
             refused: Vec::new(),
             failure_share: 0.0,
             first_response_ms: 0.0,
@@ -223,6 +235,11 @@
         self.is_limited
     }
 
+    /// What the account of its places allows, if it has one.
+    pub fn places(&self) -> Option<PlaceView> {
+        self.places
+    }
+
     /// Remaining backoff after a refusal of some weights; 0 if there is none.
     pub fn refusal_backoff_ms(&self, now_ms: u64, weights: &Weights) -> u64 {
         let refusal = self.refused.iter().find(|r| r.weights == *weights);
@@ -452,6 +469,11 @@
         }
     }
 
+    /// Records what the account of an upstream's places allows.
+    pub fn set_places(&mut self, id: &UpstreamId, places: Option<PlaceView>) {
+        self.entry(id).places = places;
+    }
+
     /// Records that an upstream has sent data.
     pub fn on_activity(&mut self, now_ms: u64, id: &str) {
         if let Some(load) = self.loads.get_mut(id) {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -48,6 +48,8 @@
 pub mod response_memory;
 pub mod retry;
 pub mod routing;
+pub mod shared_account;
+pub mod shared_places;
 pub mod slots;
 pub mod software;
 pub mod sound_responses;
--- a/src/core/peer_loads.rs
+++ b/src/core/peer_loads.rs
@@ -100,6 +100,13 @@
         loads.map(|(load, _)| *load).unwrap_or_default()
     }
 
+    /// The same, unless it was reported too long ago.
+    pub fn recent_from_host(&self, now_ms: u64, host: &HostId, id: &UpstreamId) -> InFlight {
+        let loads = self.hosts.get(host).and_then(|h| h.in_flight.get(id));
+        let recent = loads.filter(|(_, reported_ms)| is_recent(now_ms, *reported_ms));
+        recent.map(|(load, _)| *load).unwrap_or_default()
+    }
+
     fn live_hosts(&self, now_ms: u64) -> impl Iterator<Item = &HostLoads> {
         let is_live = move |h: &&HostLoads| is_recent(now_ms, h.reported_ms);
         self.hosts.values().filter(is_live)
--- a/src/core/waiting.rs
+++ b/src/core/waiting.rs
@@ -236,6 +236,15 @@
         round
     }
 
+    /// Queued requests of a service.
+    pub fn of_service<'a>(
+        &'a self,
+        service: &'a ServiceId,
+    ) -> impl Iterator<Item = &'a QueuedRequest> {
+        let is_of_service = |r: &&QueuedRequest| r.requirements.service == *service;
+        self.requests.iter().filter(is_of_service)
+    }
+
     /// Counts a dispatched request, whether or not it was queued.
     pub fn record_dispatch(&mut self, now_ms: u64, queue_key: &QueueKey) {
         match self.dispatch_rates.get_mut(queue_key) {
--- a/src/gateway/brittle.rs
+++ b/src/gateway/brittle.rs
@@ -23,6 +23,7 @@
 use crate::core::open_places::{OpenPlaces, PlaceEnd, PlacesReport};
 use crate::core::place_account::{BrittleLimits, PlaceAccounts, PlaceAnswer, RoomCut};
 use crate::core::rate_account::{Keeping, keepers_of};
+use crate::core::registry::Entry;
 use crate::core::rendezvous;
 use crate::kernel::Service;
 
@@ -128,6 +129,17 @@
         Some((entry.started_ms, limits))
     }
 
+    /// True if an upstream states that it is brittle.
+    pub(super) fn is_brittle(&self, entry: &Entry) -> bool {
+        let known = self.brittle.known.borrow();
+        let incarnation = Incarnation {
+            upstream: &entry.id,
+            service: &entry.service,
+            started_ms: entry.started_ms,
+        };
+        known.get(incarnation).is_some()
+    }
+
     /// True right after the service of an upstream has first stated that it is brittle.
     fn is_preparing(&self, upstream: &UpstreamId) -> bool {
         let registry = self.registry.borrow();
@@ -312,7 +324,7 @@
         }
     }
 
-    fn send_to_host(&self, host: &HostId, message: &PeerMessage) {
+    pub(super) fn send_to_host(&self, host: &HostId, message: &PeerMessage) {
         let addr = {
             let peers = self.peers.borrow();
             peers.get_recipient(self.now_ms(), host).map(|p| p.addr)
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -292,6 +292,7 @@
             ResponseKind::NotRun { is_misdirected } => {
                 if !is_misdirected {
                     self.on_rejected_for_room(in_flight);
+                    self.on_shared_rejection(in_flight);
                 }
                 self.finish_refusal(upstream, response.into_body());
                 Err(AttemptFailure::NotRun { is_misdirected })
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -54,6 +54,7 @@
 pub mod room;
 pub mod run;
 pub mod settings;
+pub mod shared_places;
 pub mod state;
 pub mod store_era;
 pub mod store_facts;
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -15,6 +15,7 @@
 use crate::core::rate_account::{Keeping, Purpose};
 use crate::core::registry::Holdings;
 use crate::core::request_traits::{Fingerprint, Suspect};
+use crate::core::shared_account::SharedReport;
 use crate::core::stream_origin::OriginKnowledge;
 
 /// Holdings of one engine.
@@ -100,6 +101,40 @@
     pub ticket: Option<u64>,
 }
 
+/// Report on places at a shared upstream to the host that keeps their account.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SharedPlacesMessage {
+    /// What the sender holds and awaits.
+    #[serde(rename = "r")]
+    pub report: SharedReport,
+    /// Identifies the question, if the sender has a request that it would send now.
+    #[serde(rename = "k", default)]
+    pub ticket: Option<u64>,
+}
+
+/// Answer or grant of a keeper.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct SharedPlaceMessage {
+    /// Sender.
+    #[serde(rename = "h")]
+    pub keeper: HostId,
+    /// Upstream.
+    #[serde(rename = "u")]
+    pub upstream: UpstreamId,
+    /// Question that it answers, if any.
+    #[serde(rename = "k", default)]
+    pub ticket: Option<u64>,
+    /// Number of the granted place; absent if the question is denied.
+    #[serde(rename = "g", default)]
+    pub grant: Option<u64>,
+    /// Requests of all other hosts in flight there.
+    #[serde(rename = "o")]
+    pub others: u32,
+    /// Waiting requests of other hosts that precede those of the receiver.
+    #[serde(rename = "a")]
+    pub ahead: u32,
+}
+
 /// Message from one host to another.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PeerMessage {
@@ -289,6 +324,13 @@
         #[serde(rename = "u")]
         upstream: UpstreamId,
     },
+    /// What a host holds and awaits at a shared upstream; asks for a place there if it
+    /// bears a ticket.
+    #[serde(rename = "pr")]
+    SharedPlaces(SharedPlacesMessage),
+    /// Place at a shared upstream, or the answer that there is none.
+    #[serde(rename = "pg")]
+    SharedPlace(SharedPlaceMessage),
     /// An upstream has ended under requests of a host.
     #[serde(rename = "x")]
     Crash {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -156,6 +156,7 @@
                 in_flight,
             } => {
                 gateway.apply_loads(&host, started_ms, &in_flight);
+                gateway.pass_loads_to_keepers(&host, started_ms, &in_flight);
                 if gateway.is_large_fleet() {
                     for (upstream, _) in &in_flight {
                         gateway.notify_waiter(upstream);
@@ -225,6 +226,8 @@
                 retry_in_ms,
             } => gateway.apply_place(ticket, retry_in_ms),
             PeerMessage::PlaceFree { upstream } => gateway.on_place_free(&upstream),
+            PeerMessage::SharedPlaces(message) => gateway.apply_shared_report(message),
+            PeerMessage::SharedPlace(message) => gateway.apply_shared_place(&message),
             PeerMessage::Crash { .. }
             | PeerMessage::Watch { .. }
             | PeerMessage::Sound { .. }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -15,18 +15,21 @@
 use super::brittle::Place;
 use super::call::RoutedRequest;
 use super::platform::Platform;
+use super::shared_places::SharedPlace;
 use super::state::Gateway;
 use crate::core::balance::{
     CapacityForecast, NoUpstream, Requirements, UpstreamFilter, Weights, forecast_capacity,
     select_upstream,
 };
 use crate::core::catalog::{ModelSpec, WeightSource};
+use crate::core::ids::ServiceId;
 use crate::core::load::{AttemptOutcome, Load, SentRequest};
 use crate::core::rate_account::Purpose;
 use crate::core::registry::{Entry, Registry};
+use crate::core::shared_places::urgency;
 use crate::core::waiting::{
-    QueueDecision, QueueKey, QueuedRequest, RetryInput, RetrySchedule, WaitForecast, WaitQueue,
-    admit,
+    PRIORITY_PENALTY_MS, QueueDecision, QueueKey, QueuedRequest, RetryInput, RetrySchedule,
+    WaitForecast, WaitQueue, admit,
 };
 
 /// Predicted wait for an adapter that is loaded on demand, in milliseconds: a
@@ -89,6 +92,15 @@
         now_ms.saturating_sub(last_served_ms) > STARVED_AFTER_MS
     }
 
+    /// Urgency of the queued requests of a service.
+    pub(super) fn urgencies(&self, now_ms: u64, service: &ServiceId) -> Vec<i64> {
+        let urgency = |r: &QueuedRequest| {
+            let penalty_ms = u64::from(r.priority) * PRIORITY_PENALTY_MS;
+            urgency(now_ms, r.is_starved, r.due_ms, penalty_ms, r.arrived_ms)
+        };
+        self.queue.of_service(service).map(urgency).collect()
+    }
+
     /// Number of queued requests.
     pub fn queued_count(&self) -> usize {
         self.queue.len()
@@ -127,6 +139,8 @@
     outcome: AttemptOutcome,
     /// Place at a brittle upstream.
     pub(super) place: Option<Place<P>>,
+    /// Place at a plain upstream that the fleet shares.
+    pub(super) shared_place: Option<SharedPlace<P>>,
 }
 
 impl<P: Platform> InFlightAttempt<P> {
@@ -137,6 +151,7 @@
             sent,
             outcome: AttemptOutcome::Neutral,
             place: None,
+            shared_place: None,
         }
     }
 
@@ -211,13 +226,16 @@
 impl<P: Platform> Gateway<P> {
     /// Reserves an upstream for a request, at once or after a wait in the queue. In a
     /// large fleet the account of the engine is asked whether there is room, and every
-    /// request to an upstream that states a rate needs a permit, to a brittle one a place.
+    /// request to an upstream that states a rate needs a permit, to a brittle one or a shared
+    /// one a place.
     pub async fn acquire_upstream(
         self: &Rc<Self>,
         request: &RoutedRequest,
         filter: &UpstreamFilter,
     ) -> Result<InFlightAttempt<P>, Rejection> {
-        for check in 0..=MAX_ROOM_CHECKS {
+        self.prepare_shared_places(&request.requirements);
+        let mut check = 0;
+        while check <= MAX_ROOM_CHECKS {
             let mut in_flight = self.reserve_or_wait(request, filter).await?;
             let upstream = &in_flight.sent.upstream;
             // The account is advice: the last choice is sent by what this host knows.
@@ -225,7 +243,9 @@
             let may_send = has_room
                 && self.take_permit(upstream, Purpose::Caller).await
                 && self.take_place(&mut in_flight).await;
-            if may_send {
+            if !may_send {
+                check += 1;
+            } else if self.take_shared_place(request, &mut in_flight).await {
                 // The request may have been put into quarantine while it waited.
                 return self.hold_back(request).map_or(Ok(in_flight), Err);
             }
@@ -327,7 +347,7 @@
 
     /// Latest dispatch time with which the response is likely to meet the latency
     /// objective.
-    fn due_ms(&self, request: &RoutedRequest) -> u64 {
+    pub(super) fn due_ms(&self, request: &RoutedRequest) -> u64 {
         let response_ms = self.expected_first_response_ms(request);
         let objective_ms = request.objective.as_millis() as u64;
         request.arrived_ms + objective_ms.saturating_sub(response_ms)
@@ -386,7 +406,13 @@
                     return NONE_LISTED_WAIT_MS;
                 };
                 let admission = self.admission_queue.borrow();
-                let (now_ms, hosts) = (self.now_ms(), self.host_count());
+                let now_ms = self.now_ms();
+                // The requests of all hosts in front of shared upstreams form one queue.
+                let hosts = if self.shares_places(&request.requirements) {
+                    1
+                } else {
+                    self.host_count()
+                };
                 admission
                     .queue
                     .predicted_wait_ms(now_ms, queue_key, ahead, capacity, hosts)
@@ -476,6 +502,8 @@
         };
         if let Some(weights) = &request.requirements.weights {
             self.request_weights(&request.requirements.service, weights);
+        } else {
+            self.report_waiting(&request.requirements.service);
         }
         let mut guard = QueueGuard {
             gateway: Rc::clone(self),
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -29,6 +29,7 @@
 use super::quarantine::QuarantineService;
 use super::reach::ReachService;
 use super::settings::{self, GatewaySettings};
+use super::shared_places::SharedPlaceService;
 use super::state::Gateway;
 use super::sync::StoreSync;
 use crate::daemon::{DaemonError, STOP_SIGNALS, report_exit, wait_for_signal};
@@ -269,6 +270,7 @@
     kernel.register(QuarantineService::new(Rc::clone(gateway)));
     kernel.register(ReachService::new(Rc::clone(gateway)));
     kernel.register(BrittleService::new(Rc::clone(gateway)));
+    kernel.register(SharedPlaceService::new(Rc::clone(gateway)));
     kernel.register(QueueDispatcher::new(Rc::clone(gateway)));
     kernel.register(ProbeServer::new(Rc::clone(gateway), probes));
     kernel.start::<StoreSync<P>>()?;
@@ -278,6 +280,7 @@
     kernel.start::<QuarantineService<P>>()?;
     kernel.start::<ReachService<P>>()?;
     kernel.start::<BrittleService<P>>()?;
+    kernel.start::<SharedPlaceService<P>>()?;
     kernel.start::<QueueDispatcher<P>>()?;
     kernel.start::<ProbeServer<P>>()?;
     Ok(kernel.register(CallerServer::new(Rc::clone(gateway), callers)))
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -69,6 +69,10 @@
     #[serde_as(as = "DurationMilliSeconds<f64>")]
     #[serde(rename = "min_lease_ms")]
     pub min_lease: Duration,
+    /// True if hosts take places at plain upstreams with fewer slots than there are hosts;
+    /// the same at all hosts.
+    #[serde(default)]
+    pub shared_places: bool,
 }
 
 fn whole_core() -> f64 {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -21,6 +21,7 @@
 use super::reach::ReachDesk;
 use super::room::RoomDesk;
 use super::settings::GatewaySettings;
+use super::shared_places::SharedPlaceDesk;
 use super::stream_origins::OriginDesk;
 use crate::core::catalog::Catalog;
 use crate::core::ids::{HostId, ServiceId, UpstreamId};
@@ -98,6 +99,8 @@
     pub permits: PermitDesk,
     /// Statements, places and accounts of brittle upstreams.
     pub brittle: BrittleDesk,
+    /// Places and accounts of plain upstreams that the fleet shares.
+    pub shared_places: SharedPlaceDesk,
     /// Requests that broke off when their upstreams ended.
     pub crashes: CrashDesk,
     /// Where recent streams began.
@@ -158,6 +161,7 @@
             known_rates: RefCell::default(),
             permits: PermitDesk::default(),
             brittle: BrittleDesk::new(settings.host.clone(), clock.started_ms()),
+            shared_places: SharedPlaceDesk::new(settings.host.clone(), clock.started_ms()),
             settings: RefCell::new(Rc::new(settings)),
             crashes: CrashDesk::default(),
             origins: OriginDesk::default(),
@@ -306,6 +310,7 @@
             self.reported_incarnations.borrow_mut().remove(id);
             let now_ms = self.now_ms();
             self.brittle.known.borrow_mut().on_removed(now_ms, id);
+            self.shared_places.remove(id);
             self.loads.borrow_mut().remove_if_idle(id);
         }
     }
