Charge requests to quotas that all hosts keep together

Hosts delegate their shares of all quotas to keepers, which keep the accounts. A keeper counts a delegation from its own stamp, so that late messages and frozen hosts never make it last longer than the host assumes. A request is charged before it is queued, and its credit is given back unless an upstream may run it.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -20,6 +20,7 @@
 use super::place::{InFlightAttempt, Rejection};
 use super::platform::{Platform, RequestHead};
 use super::quarantine::QUARANTINED;
+use super::quotas::{QuotaCharge, QuotaRefusal};
 use super::relay;
 use super::state::Gateway;
 use super::stream_origins::{MAX_GAP_MS, UNKNOWN_SOFTWARE};
@@ -73,6 +74,8 @@
     pub organisation: Option<Rc<Organisation>>,
     /// Units that it counts as against the organisation's quota.
     pub quota_cost: u64,
+    /// Credit that it has taken from the quota; given back unless an upstream may run it.
+    pub quota_charge: Option<Rc<QuotaCharge>>,
     /// Priority; 0 is the highest.
     pub priority: u8,
     /// Largest number of upstreams that it is sent to.
@@ -119,6 +122,13 @@
         self.kind.is_stream() && self.last_event_id.is_some()
     }
 
+    /// Records whether it may run, for its organisation's quota.
+    pub(super) fn set_charged(&self, may_run: bool) {
+        if let Some(charge) = &self.quota_charge {
+            charge.set_sent(may_run);
+        }
+    }
+
     /// Restriction of its first attempt.
     fn filter(&self, now_ms: u64) -> UpstreamFilter {
         let go_on_by_ms = now_ms + MAX_GAP_MS;
@@ -264,6 +274,7 @@
                 .and_then(|o| o.quota)
                 .map_or(0, |quota| quota.cost(head.tokens.count())),
             organisation,
+            quota_charge: None,
             max_attempts: arrival
                 .attempts_left
                 .map_or(route.max_attempts, |left| left.min(route.max_attempts))
@@ -290,6 +301,10 @@
     /// Sends a request to upstreams until one responds or no retry is allowed.
     pub async fn serve(self: &Rc<Self>, mut request: RoutedRequest) -> ServerResponse {
         let mut attempts = Attempts::default();
+        match self.charge_quota(&request).await {
+            Ok(charge) => request.quota_charge = charge.map(Rc::new),
+            Err(refusal) => return self.respond_to_overuse(&request, &attempts, refusal),
+        }
         if self.is_cut_off()
             && let Some(response) = self.serve_through_peer(&mut request, &mut attempts).await
         {
@@ -329,6 +344,7 @@
                 Err(rejection) => break Self::outcome_without_upstream(&attempts, rejection),
             };
             let upstream = in_flight.sent.upstream.clone();
+            request.set_charged(true);
             let failure = if request.kind.is_stream() {
                 let software = request.software.as_ref();
                 let opening = self.open_stream_at(&request, &mut in_flight, None, software);
@@ -356,6 +372,7 @@
             self.log_failed_attempt(&request, &upstream, &failure);
             self.on_failed_attempt(&request, &in_flight.sent, &failure);
             in_flight.finish(failure.attempt_outcome());
+            request.set_charged(attempts.may_have_run || failure.may_have_run());
             match self
                 .handle_failure(&request, &mut attempts, &upstream, failure)
                 .await
@@ -615,6 +632,23 @@
         self.local_response(status, reason, Some(&request.request_id), retry_after_ms)
     }
 
+    /// Refuses a request beyond its organisation's quota, or whose quota is unknown now.
+    fn respond_to_overuse(
+        &self,
+        request: &RoutedRequest,
+        attempts: &Attempts,
+        refusal: QuotaRefusal,
+    ) -> ServerResponse {
+        let QuotaRefusal {
+            retry_after_ms,
+            reason,
+        } = refusal;
+        let status = refusal.status();
+        self.log_outcome(request, attempts, "not_run", reason, status, None);
+        let request_id = Some(request.request_id.as_str());
+        self.local_response(status, reason, request_id, Some(retry_after_ms))
+    }
+
     fn request_weights_after_rejection(&self, request: &RoutedRequest) {
         if let Some(weights) = &request.requirements.weights {
             self.request_weights(&request.requirements.service, weights);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -77,6 +77,11 @@
         )
     }
 
+    /// True if the upstream may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        !self.is_unsent() && !matches!(self, Self::NotRun { .. })
+    }
+
     /// Effect on the upstream's health.
     pub fn attempt_outcome(&self) -> AttemptOutcome {
         match self {
--- a/src/gateway/membership.rs
+++ b/src/gateway/membership.rs
@@ -126,7 +126,7 @@
     async fn tick(&self) -> Result<(), KvError> {
         self.keep_term().await?;
         match self.entry_lease.keep(self.store()).await? {
-            Renewal::Held => {}
+            Renewal::Held => self.gateway.quotas.on_store_contact(self.gateway.now_ms()),
             Renewal::Ended if boottime_ms() < self.register_from_ms.get() => {}
             Renewal::Ended => self.register().await?,
             Renewal::Superseded => self.prepare_registration(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 //!   older copy, and `peers` exchanges load and demand between hosts.
 //! - `reach` recognises that this host reaches no upstream; `peer_requests` then sends
 //!   callers' requests to another host, which receives them in `peer_server`.
+//! - `quotas` charges requests to the quotas of their organisations.
 //! - `acting` plans the placement of models, `adapter_requests` that of adapters,
 //!   `announce` publishes the result, and `orders`, `order_models` and
 //!   `order_adapters` carry it out.
@@ -48,6 +49,7 @@
 pub mod platform;
 pub mod quarantine;
 pub mod questions;
+pub mod quotas;
 pub mod reach;
 pub mod relay;
 mod response_limits;
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::demand::ModelCounts;
+use super::quotas::messages::{QuotaMessage, QuotaReply};
 use super::store_relay::StoreChanges;
 use super::stream_origins::KnownOrigin;
 use crate::core::brittle_notice::BrittleStatement;
@@ -381,6 +382,13 @@
         #[serde(rename = "o")]
         known: OriginKnowledge,
     },
+    /// Delegation of a share of all quotas, and questions on accounts; only for hosts that
+    /// state that they know quotas.
+    #[serde(rename = "qm")]
+    Quota(QuotaMessage),
+    /// Answer of the host that keeps the accounts.
+    #[serde(rename = "qr")]
+    QuotaReply(QuotaReply),
     /// A host has a request for weights that no upstream can serve now.
     #[serde(rename = "w")]
     Want {
--- a/src/gateway/peer_requests.rs
+++ b/src/gateway/peer_requests.rs
@@ -114,7 +114,7 @@
             let reply = self.send_to_peer(&peer, request, attempts).await;
             self.record_peer_reply(request, &peer, &reply);
             match reply {
-                PeerReply::NotAccepted(_) => {}
+                PeerReply::NotAccepted(_) => request.set_charged(attempts.may_have_run),
                 PeerReply::Lost { is_timeout } => {
                     let may_repeat = self.may_repeat(request, attempts);
                     attempts.may_have_run = true;
@@ -195,6 +195,7 @@
         *message.uri_mut() = target;
         *message.headers_mut() = peer_protocol::request_headers(&request.headers, &envelope);
         let timeout = request.time_left(now_ms) + REPLY_MARGIN;
+        request.set_charged(true);
         let sending = self.peer_requests.pool.send(peer.addr, message);
         let response = match compio::time::timeout(timeout, sending).await {
             Err(_) => return PeerReply::Lost { is_timeout: true },
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -225,6 +225,8 @@
                 retry_in_ms,
             } => gateway.apply_place(ticket, retry_in_ms),
             PeerMessage::PlaceFree { upstream } => gateway.on_place_free(&upstream),
+            PeerMessage::Quota(message) => gateway.quotas.on_message(&**gateway, &message),
+            PeerMessage::QuotaReply(reply) => gateway.quotas.apply_reply(&**gateway, reply),
             PeerMessage::Crash { .. }
             | PeerMessage::Watch { .. }
             | PeerMessage::Sound { .. }
--- a/src/gateway/questions.rs
+++ b/src/gateway/questions.rs
@@ -35,12 +35,18 @@
 }
 
 impl<T> Questions<T> {
+    /// Number that no other question has.
+    pub fn reserve(&self) -> u64 {
+        let ticket = self.last_ticket.get() + 1;
+        self.last_ticket.set(ticket);
+        ticket
+    }
+
     /// Sends a question, by a function of its ticket, and waits for the answer; `None` if
     /// there is none in time.
     pub async fn ask(&self, timeout: Duration, send: impl FnOnce(u64)) -> Option<T> {
         let (sender, answer) = oneshot::channel();
-        let ticket = self.last_ticket.get() + 1;
-        self.last_ticket.set(ticket);
+        let ticket = self.reserve();
         self.open.borrow_mut().insert(ticket, sender);
         let _open = OpenQuestion {
             questions: self,
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -27,6 +27,7 @@
 use super::placer::QueueDispatcher;
 use super::platform::Platform;
 use super::quarantine::QuarantineService;
+use super::quotas::QuotaService;
 use super::reach::ReachService;
 use super::settings::{self, GatewaySettings};
 use super::state::Gateway;
@@ -269,6 +270,7 @@
     kernel.register(QuarantineService::new(Rc::clone(gateway)));
     kernel.register(ReachService::new(Rc::clone(gateway)));
     kernel.register(BrittleService::new(Rc::clone(gateway)));
+    kernel.register(QuotaService::new(Rc::clone(gateway)));
     kernel.register(QueueDispatcher::new(Rc::clone(gateway)));
     kernel.register(ProbeServer::new(Rc::clone(gateway), probes));
     kernel.start::<StoreSync<P>>()?;
@@ -278,6 +280,7 @@
     kernel.start::<QuarantineService<P>>()?;
     kernel.start::<ReachService<P>>()?;
     kernel.start::<BrittleService<P>>()?;
+    kernel.start::<QuotaService<P>>()?;
     kernel.start::<QueueDispatcher<P>>()?;
     kernel.start::<ProbeServer<P>>()?;
     Ok(kernel.register(CallerServer::new(Rc::clone(gateway), callers)))
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -11,6 +11,7 @@
 
 use crate::core::config::{Finding, Findings};
 use crate::core::ids::{HostId, ZoneId};
+use crate::core::quota_account::Overage;
 use crate::settings::{self, SettingsError};
 
 /// Settings of one host. The platform may write any number as a fraction.
@@ -65,6 +66,12 @@
     #[serde_as(as = "DurationMilliSeconds<f64>")]
     #[serde(rename = "config_within_ms")]
     pub config_within: Duration,
+    /// Window in which the use of an organisation counts against its quota, in seconds.
+    #[serde(default = "quota_window_s")]
+    pub quota_window_s: f64,
+    /// Share of a quota by which use in one window may exceed it.
+    #[serde(default = "quota_overage")]
+    pub quota_overage: f64,
     /// Lower bound on the time to live of a host's lease.
     #[serde_as(as = "DurationMilliSeconds<f64>")]
     #[serde(rename = "min_lease_ms")]
@@ -75,6 +82,14 @@
     1.0
 }
 
+fn quota_window_s() -> f64 {
+    8.0
+}
+
+fn quota_overage() -> f64 {
+    0.1
+}
+
 /// Longest stop grace period in seconds.
 const MAX_STOP_GRACE_S: f64 = 3_600.0;
 
@@ -92,6 +107,14 @@
         (self.cpu_share * 1000.0) as u32
     }
 
+    /// By how much the use of a quota may exceed it.
+    pub fn quota_bounds(&self) -> Overage {
+        Overage {
+            window_s: self.quota_window_s,
+            share: self.quota_overage,
+        }
+    }
+
     fn check(&self, findings: &mut Findings) {
         findings.expect(!self.host.as_str().is_empty(), "host", "must not be empty");
         findings.expect(!self.zone.as_str().is_empty(), "zone", "must not be empty");
@@ -110,6 +133,10 @@
         findings.expect(is_valid, "stop_grace_s", "must be over 0 and at most 3600");
         let is_share = (0.0..=1.0).contains(&self.retry_share);
         findings.expect(is_share, "retry_share", "must be from 0 to 1");
+        let is_valid = self.quota_window_s > 0.0;
+        findings.expect(is_valid, "quota_window_s", "must be over 0");
+        let is_share = (0.0..=1.0).contains(&self.quota_overage);
+        findings.expect(is_share, "quota_overage", "must be from 0 to 1");
         let is_valid = self.retry_slack >= 0.0;
         findings.expect(is_valid, "retry_slack", "must not be negative");
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -18,6 +18,7 @@
 use super::permits::PermitDesk;
 use super::place::AdmissionQueue;
 use super::platform::Platform;
+use super::quotas::QuotaDesk;
 use super::reach::ReachDesk;
 use super::room::RoomDesk;
 use super::settings::GatewaySettings;
@@ -96,6 +97,8 @@
     pub known_rates: RefCell<KnownRates>,
     /// Questions and accounts of requests to upstreams that state a rate.
     pub permits: PermitDesk,
+    /// Share, delegation and accounts of quotas.
+    pub quotas: QuotaDesk,
     /// Statements, places and accounts of brittle upstreams.
     pub brittle: BrittleDesk,
     /// Requests that broke off when their upstreams ended.
@@ -157,6 +160,12 @@
             peer_loads: RefCell::default(),
             known_rates: RefCell::default(),
             permits: PermitDesk::default(),
+            quotas: QuotaDesk::new(
+                settings.host.clone(),
+                settings.zone.clone(),
+                clock.started_ms(),
+                settings.quota_bounds(),
+            ),
             brittle: BrittleDesk::new(settings.host.clone(), clock.started_ms()),
             settings: RefCell::new(Rc::new(settings)),
             crashes: CrashDesk::default(),
