--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -228,6 +228,8 @@
             PeerMessage::PlaceFree { upstream } => gateway.on_place_free(&upstream),
             PeerMessage::SharedPlaces(message) => gateway.apply_shared_report(message),
             PeerMessage::SharedPlace(message) => gateway.apply_shared_place(&message),
+            PeerMessage::Quota(message) => gateway.quotas.on_message(&**gateway, &message),
+            PeerMessage::QuotaReply(reply) => gateway.quotas.apply_reply(&**gateway, reply),
             PeerMessage::Crash { .. }
             | PeerMessage::Watch { .. }
             | PeerMessage::Sound { .. }
--- a/src/gateway/shared_places/keeper.rs
+++ b/src/gateway/shared_places/keeper.rs
@@ -60,7 +60,10 @@
         for load in in_flight {
             let is_told = {
                 let peers = self.peers.borrow();
-                keeper_of(&load.0, peers.listed().map(|(host, _)| host)) == Some(own)
+                keeper_of(
+                    &load.0,
+                    peers.listed().map(|(host, peer)| (host, peer.cpu_milli)),
+                ) == Some(own)
             };
             if !is_told || self.shared(&load.0).is_none() {
                 continue;
