Refuse with a promise what was never sent

Cause: the time for an attempt includes the time to connect. If it passed before the connection was established (up to 300 ms), the attempt counted as timed out and the request as possibly run, which gave 504; the same for requests passed to another host. A request whose deadline had passed while it waited was sent with no time left, and ended with 504. After these statuses callers cannot repeat a request that may run once.

Change: the pool asks before it writes the first byte. An attempt that ends before that is `not_sent_in_time` and leaves the request as not run. A request past its deadline is refused (`past_deadline`, counter requests_past_deadline). No setting: this replaces a wrong response.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -444,6 +444,7 @@
         match failure {
             AttemptFailure::NotConnected
             | AttemptFailure::NotSent
+            | AttemptFailure::NotSentInTime
             | AttemptFailure::NotConfirmed => {
                 attempts.unsent += 1;
                 attempts.filter.excluded.push(upstream.clone());
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -153,7 +153,9 @@
     ) {
         match failure {
             AttemptFailure::Unknown => self.on_broken_off(request, sent, None),
-            AttemptFailure::NotConnected | AttemptFailure::TimedOut => {
+            AttemptFailure::NotConnected
+            | AttemptFailure::NotSentInTime
+            | AttemptFailure::TimedOut => {
                 self.record_unreached(&sent.upstream);
             }
             AttemptFailure::NotSent
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -3,6 +3,7 @@
 //! A response is valid only if it is complete and is this upstream's response to
 //! this request. A connection whose response was not read to its end is closed.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -30,6 +31,8 @@
     NotConnected,
     /// No byte was sent.
     NotSent,
+    /// The time for the attempt passed before a byte was sent.
+    NotSentInTime,
     /// No byte was sent, as the upstream may no longer have the software version at which
     /// the stream goes on.
     NotConfirmed,
@@ -55,6 +58,7 @@
         match self {
             Self::NotConnected => "not_connected",
             Self::NotSent => "not_sent",
+            Self::NotSentInTime => "not_sent_in_time",
             Self::NotConfirmed => "not_confirmed",
             Self::NotRun {
                 is_misdirected: true,
@@ -73,7 +77,7 @@
     pub fn is_unsent(&self) -> bool {
         matches!(
             self,
-            Self::NotConnected | Self::NotSent | Self::NotConfirmed
+            Self::NotConnected | Self::NotSent | Self::NotSentInTime | Self::NotConfirmed
         )
     }
 
@@ -82,9 +86,11 @@
         match self {
             Self::NotRun { .. } | Self::NotConfirmed | Self::NoMemory => AttemptOutcome::Neutral,
             Self::NotConnected => AttemptOutcome::Unreachable,
-            Self::NotSent | Self::Unknown | Self::TimedOut | Self::FailureResponse(_) => {
-                AttemptOutcome::Failed
-            }
+            Self::NotSent
+            | Self::NotSentInTime
+            | Self::Unknown
+            | Self::TimedOut
+            | Self::FailureResponse(_) => AttemptOutcome::Failed,
         }
     }
 }
@@ -138,11 +144,7 @@
         timeout: Duration,
     ) -> Result<BufferedResponse, AttemptFailure> {
         let started_ms = self.now_ms();
-        let head = self.send(request, in_flight, timeout, None);
-        let response = match compio::time::timeout(timeout, head).await {
-            Ok(response) => response?,
-            Err(_) => return Err(AttemptFailure::TimedOut),
-        };
+        let response = self.send(request, in_flight, timeout, None).await?;
         in_flight.record_first_response();
         let spent = Duration::from_millis(self.now_ms() - started_ms);
         let time_left = timeout.saturating_sub(spent);
@@ -178,11 +180,7 @@
     ) -> Result<OpenStream, AttemptFailure> {
         let timeout = request.time_left(self.now_ms());
         let origin = self.listed_origin(&in_flight.sent.upstream);
-        let head = self.send(request, in_flight, timeout, resume_after);
-        let response = match compio::time::timeout(timeout, head).await {
-            Ok(response) => response?,
-            Err(_) => return Err(AttemptFailure::TimedOut),
-        };
+        let response = self.send(request, in_flight, timeout, resume_after).await?;
         let (parts, body) = response.into_parts();
         let headers = self.platform.response_headers(&parts.headers);
         if !parts.status.is_success() {
@@ -208,6 +206,7 @@
         })
     }
 
+    /// Sends a request and waits for the head of the response, for `timeout` at most.
     async fn send(
         self: &Rc<Self>,
         request: &RoutedRequest,
@@ -246,18 +245,25 @@
             let entry = registry.get(upstream.as_str());
             entry.is_some_and(|e| registry.takes_requests(e, self.now_ms()))
         };
+        // The pool asks before it writes the first byte.
+        let may_be_sent = Cell::new(false);
         let is_accepting_requests = || {
             let is_accepting = is_in_service() && !self.is_closed(upstream);
+            may_be_sent.set(is_accepting);
             if let Some(place) = in_flight.place.as_ref().filter(|_| is_accepting) {
                 place.on_sent();
             }
             is_accepting
         };
         let sent_ms = self.now_ms();
-        let result = self
+        let sending = self
             .pool
-            .send_watched(addr, forwarded, is_accepting_requests, is_in_service)
-            .await;
+            .send_watched(addr, forwarded, is_accepting_requests, is_in_service);
+        let result = match compio::time::timeout(timeout, sending).await {
+            Ok(result) => result,
+            Err(_) if may_be_sent.get() => return Err(AttemptFailure::TimedOut),
+            Err(_) => return Err(AttemptFailure::NotSentInTime),
+        };
         if matches!(result, Err(SendError::HeldUp)) {
             self.record_held_up(request, upstream, sent_ms);
         }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -94,6 +94,8 @@
     pub departures_confirmed: Counter,
     /// Requests whose connection was reset since their path did not answer.
     pub requests_held_up: Counter,
+    /// Requests whose deadline passed before they were sent.
+    pub requests_past_deadline: Counter,
     /// Upstreams that state how many requests a second they take.
     pub upstreams_limited: Gauge,
     /// Responses of upstreams that were cut off at a limit of size or time.
@@ -145,6 +147,7 @@
             permits_denied: Counter::default(),
             departures_confirmed: Counter::default(),
             requests_held_up: Counter::default(),
+            requests_past_deadline: Counter::default(),
             upstreams_limited: Gauge::default(),
             responses_over_limit: Counter::default(),
             upstreams_brittle: Gauge::default(),
@@ -349,6 +352,11 @@
             "Requests whose connection was reset since their path did not answer",
             self.requests_held_up.clone(),
         );
+        self.registry.register(
+            "requests_past_deadline",
+            "Requests whose deadline passed before they were sent",
+            self.requests_past_deadline.clone(),
+        );
     }
 
     /// Metrics in the Prometheus text format.
--- a/src/gateway/peer_requests.rs
+++ b/src/gateway/peer_requests.rs
@@ -4,7 +4,7 @@
 //! passed on unchanged. A request that may have reached a host which then gave no response
 //! may have run: it is repeated only if its route allows that.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -195,9 +195,17 @@
         *message.uri_mut() = target;
         *message.headers_mut() = peer_protocol::request_headers(&request.headers, &envelope);
         let timeout = request.time_left(now_ms) + REPLY_MARGIN;
-        let sending = self.peer_requests.pool.send(peer.addr, message);
+        // The pool asks before it writes the first byte.
+        let may_be_sent = Cell::new(false);
+        let on_sending = || {
+            may_be_sent.set(true);
+            true
+        };
+        let pool = &self.peer_requests.pool;
+        let sending = pool.send_if(peer.addr, message, on_sending);
         let response = match compio::time::timeout(timeout, sending).await {
-            Err(_) => return PeerReply::Lost { is_timeout: true },
+            Err(_) if may_be_sent.get() => return PeerReply::Lost { is_timeout: true },
+            Err(_) => return PeerReply::NotAccepted(NotAccepted::Unreachable),
             Ok(Err(SendError::MaybeSent | SendError::HeldUp)) => {
                 return PeerReply::Lost { is_timeout: false };
             }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -25,8 +25,8 @@
 use crate::core::rate_account::Purpose;
 use crate::core::registry::{Entry, Registry};
 use crate::core::waiting::{
-    QueueDecision, QueueKey, QueuedRequest, RetryInput, RetrySchedule, WaitForecast, WaitQueue,
-    admit,
+    MIN_RETRY_AFTER_MS, QueueDecision, QueueKey, QueuedRequest, RetryInput, RetrySchedule,
+    WaitForecast, WaitQueue, admit,
 };
 
 /// Predicted wait for an adapter that is loaded on demand, in milliseconds: a
@@ -50,6 +50,9 @@
 /// is left for the second try, and callers do not wait longer in any case.
 const MAX_RETRY_AFTER_SHARE: f64 = 1.0 / 3.0;
 
+/// Reason of the rejection of a request whose deadline has passed before it was sent.
+const PAST_DEADLINE: &str = "past_deadline";
+
 /// Queued requests and the channels to the tasks that wait for an upstream.
 #[derive(Debug, Default)]
 pub struct AdmissionQueue {
@@ -220,11 +223,17 @@
         for check in 0..=MAX_ROOM_CHECKS {
             let mut in_flight = self.reserve_or_wait(request, filter).await?;
             let upstream = &in_flight.sent.upstream;
+            if request.time_left(self.now_ms()).is_zero() {
+                return Err(self.reject_late(request));
+            }
             // The account is advice: the last choice is sent by what this host knows.
             let has_room = check == MAX_ROOM_CHECKS || self.has_room(request, upstream).await;
             let may_send = has_room
                 && self.take_permit(upstream, Purpose::Caller).await
                 && self.take_place(&mut in_flight).await;
+            if may_send && request.time_left(self.now_ms()).is_zero() {
+                return Err(self.reject_late(request));
+            }
             if may_send {
                 // The request may have been put into quarantine while it waited.
                 return self.hold_back(request).map_or(Ok(in_flight), Err);
@@ -521,6 +530,23 @@
         )
     }
 
+    /// Rejects a request whose deadline has passed while it waited here. An attempt would
+    /// end without a response, and with it the certainty that the request has not run.
+    fn reject_late(&self, request: &RoutedRequest) -> Rejection {
+        self.metrics.requests_past_deadline.inc();
+        tracing::info!(
+            event = "turned_away",
+            request = request.request_id,
+            reason = PAST_DEADLINE,
+            late_ms = self.now_ms().saturating_sub(request.deadline_ms),
+            retry_after_ms = MIN_RETRY_AFTER_MS,
+        );
+        Rejection {
+            reason: PAST_DEADLINE,
+            retry_after_ms: MIN_RETRY_AFTER_MS,
+        }
+    }
+
     /// Rejects a request and assigns its retry delay.
     fn reject(
         &self,
