Order callers that return by their first arrival

Change: the first arrival is inferred from the time that the caller states, against the times that callers of its route commonly state (core/first_arrival.rs). The objective counts from there, so that the request precedes newcomers of its rank; a late one does so in a quarter of the dispatches, and retry delays are spaced at the same quarter. Once admitted, it waits while its response is of use. Setting `waiting.returning_first`, off by default; log line `returned`, counters requests_returned and returns_refused. Without the setting, a late request that is queued a second time is now compared with others by its arrival instead of by the present time.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -22,6 +22,7 @@
 pub mod engine_work;
 pub mod event_progress;
 pub mod features;
+pub mod first_arrival;
 pub mod fleet;
 pub mod ids;
 pub mod ledger;
--- a/src/core/waiting.rs
+++ b/src/core/waiting.rs
@@ -8,13 +8,18 @@
 //! are dispatched first, the most urgent ahead; late ones follow in order of
 //! arrival. Requests for starved weights, which have not been served for a long
 //! time, precede all others, so that rare adapters of an overloaded model are
-//! not rejected forever. A request whose predicted wait is too long is rejected
+//! not rejected forever. A caller that returns after a refusal is ordered by its first
+//! arrival, and so precedes newcomers of its rank; if it can no longer meet its objective, it
+//! does so for a limited share of the dispatches, since newcomers have more to lose.
+//! A request whose predicted wait is too long is rejected
 //! on arrival, with a retry delay after which the backlog will have drained.
 
 use std::collections::{HashMap, HashSet};
 
+use serde::Deserialize;
+
 use super::balance::{CapacityForecast, NoUpstream, Requirements, UpstreamFilter};
-use super::ids::{AdapterId, ModelId, ServiceId};
+use super::ids::{AdapterId, ModelId, OrganisationId, ServiceId};
 use super::rate::DecayingRate;
 use super::routing::Rng;
 
@@ -29,6 +34,14 @@
 /// Share of a queue's dispatch rate that is allotted to retries; the rest is
 /// for new requests, which can still be served in time.
 const RETRY_RATE_SHARE: f64 = 0.5;
+/// Share of a queue's dispatches in which callers that return precede newcomers although
+/// they can no longer meet their objective. A late response is worth about a third of one in
+/// time or less; at a quarter, newcomers lose no more than without any precedence in an
+/// overload of one half.
+const LATE_RETURN_SHARE: f64 = 0.25;
+/// Lengthening of the intervals between retries if callers that return have precedence, so
+/// that no more of them are told to return than precede newcomers.
+pub const RETURNING_INTERVAL_FACTOR: f64 = RETRY_RATE_SHARE / LATE_RETURN_SHARE;
 /// The longest retry delay is shortened by a random jitter of at most the delay
 /// over this divisor.
 const RETRY_JITTER_DIVISOR: u64 = 4;
@@ -38,6 +51,14 @@
 /// of most requests, within which the prediction must hold.
 const DISPATCH_RATE_TIME_CONSTANT_MS: f64 = 1_000.0;
 
+/// Rules of waiting that a deployment may turn on.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(default)]
+pub struct WaitingRules {
+    /// Callers that return after a refusal precede newcomers.
+    pub returning_first: bool,
+}
+
 /// Identifies the requests that compete for the same model copies.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct QueueKey {
@@ -66,10 +87,15 @@
     pub requirements: Requirements,
     /// Upstreams that are eligible.
     pub filter: UpstreamFilter,
+    /// Organisation of the caller.
+    pub organisation: Option<OrganisationId>,
     /// Priority level; 0 is dispatched first.
     pub priority: u8,
     /// Time of arrival.
     pub arrived_ms: u64,
+    /// Time at which the caller first sent the request; earlier than its arrival if it
+    /// returns after a refusal.
+    pub first_arrived_ms: u64,
     /// Latest dispatch that can meet the objective.
     pub due_ms: u64,
     /// Latest dispatch whose response is still of use to the caller.
@@ -81,7 +107,42 @@
     pub reason: NoUpstream,
 }
 
+/// What decides the place of a request in the order.
+#[derive(Clone, Copy, Debug)]
+pub struct OrderInput<'a> {
+    /// Requirements on the upstream.
+    pub requirements: &'a Requirements,
+    /// Priority level; 0 is dispatched first.
+    pub priority: u8,
+    /// Time of arrival.
+    pub arrived_ms: u64,
+    /// Time at which the caller first sent the request.
+    pub first_arrived_ms: u64,
+    /// Latest dispatch that can meet the objective.
+    pub due_ms: u64,
+    /// True if it precedes all others.
+    pub is_starved: bool,
+}
+
+impl OrderInput<'_> {
+    /// True if its caller returns after a refusal, and can no longer be served in time.
+    fn is_late_return(&self, now_ms: u64) -> bool {
+        self.first_arrived_ms < self.arrived_ms && now_ms > self.due_ms
+    }
+}
+
 impl QueuedRequest {
+    fn order_input(&self) -> OrderInput<'_> {
+        OrderInput {
+            requirements: &self.requirements,
+            priority: self.priority,
+            arrived_ms: self.arrived_ms,
+            first_arrived_ms: self.first_arrived_ms,
+            due_ms: self.due_ms,
+            is_starved: self.is_starved,
+        }
+    }
+
     /// True if a new request for the same copies must wait until this one is
     /// dispatched.
     fn blocks(&self, queue_key: &QueueKey, requirements: &Requirements) -> bool {
@@ -102,6 +163,8 @@
     /// Time at which all requests expire, if this host stops.
     closes_ms: Option<u64>,
     dispatch_rates: HashMap<QueueKey, DecayingRate>,
+    /// Part of them that late returning callers took.
+    late_return_rates: HashMap<QueueKey, DecayingRate>,
 }
 
 /// Result of one dispatch round.
@@ -147,20 +210,46 @@
 
     /// Counts the queued requests that precede a new one and compete for the
     /// same copies.
-    pub fn count_ahead(
-        &self,
-        now_ms: u64,
-        requirements: &Requirements,
-        priority: u8,
-        due_ms: u64,
-    ) -> usize {
-        let key = urgency_key(now_ms, priority, due_ms, now_ms);
-        let queue_key = QueueKey::of(requirements);
-        let is_ahead =
-            |r: &&QueuedRequest| sort_key(now_ms, r) <= key && r.blocks(&queue_key, requirements);
+    pub fn count_ahead(&self, now_ms: u64, newcomer: OrderInput) -> usize {
+        if self.requests.is_empty() {
+            return 0;
+        }
+        let key = self.sort_key(now_ms, newcomer);
+        let queue_key = QueueKey::of(newcomer.requirements);
+        let is_ahead = |r: &&QueuedRequest| {
+            r.blocks(&queue_key, newcomer.requirements)
+                && self.sort_key(now_ms, r.order_input()) <= key
+        };
         self.requests.iter().filter(is_ahead).count()
     }
 
+    /// Sort key of a request; the lowest is dispatched first.
+    fn sort_key(&self, now_ms: u64, request: OrderInput) -> (DispatchClass, u64) {
+        if request.is_starved {
+            return (DispatchClass::Starved, request.arrived_ms);
+        }
+        let urgency_ms = request.due_ms + u64::from(request.priority) * PRIORITY_PENALTY_MS;
+        if now_ms <= request.due_ms {
+            return (DispatchClass::InTime, urgency_ms);
+        }
+        let queue_key = || QueueKey::of(request.requirements);
+        if request.is_late_return(now_ms) && self.may_precede_newcomers(now_ms, &queue_key()) {
+            return (DispatchClass::InTime, urgency_ms);
+        }
+        (DispatchClass::Late, request.first_arrived_ms)
+    }
+
+    /// True if late returning callers have not had their share of the dispatches.
+    fn may_precede_newcomers(&self, now_ms: u64, queue_key: &QueueKey) -> bool {
+        let per_s = |rates: &HashMap<QueueKey, DecayingRate>| {
+            let rate = rates.get(queue_key);
+            rate.map_or(0.0, |r| {
+                r.per_second(now_ms, DISPATCH_RATE_TIME_CONSTANT_MS)
+            })
+        };
+        per_s(&self.late_return_rates) <= per_s(&self.dispatch_rates) * LATE_RETURN_SHARE
+    }
+
     /// Predicted wait behind `ahead` requests with the same key, when `hosts`
     /// hosts dispatch to the same upstreams. The queue drains at this host's
     /// equal share of the upstreams' throughput, or at its recent dispatch rate
@@ -196,9 +285,9 @@
         if self.requests.is_empty() {
             return round;
         }
-        self.requests.sort_by_key(|r| sort_key(now_ms, r));
+        let mut requests = std::mem::take(&mut self.requests);
+        requests.sort_by_cached_key(|r| self.sort_key(now_ms, r.order_input()));
         let mut full: HashSet<(QueueKey, Option<AdapterId>)> = HashSet::new();
-        let requests = std::mem::take(&mut self.requests);
         for mut request in requests {
             let queue_key = QueueKey::of(&request.requirements);
             let adapter = request.requirements.adapter().cloned();
@@ -215,6 +304,7 @@
             match result {
                 Ok(upstream) => {
                     self.record_dispatch(now_ms, &queue_key);
+                    self.record_if_late_return(now_ms, &queue_key, request.order_input());
                     round.dispatched.push((request.ticket, upstream));
                 }
                 Err(reason)
@@ -238,13 +328,18 @@
 
     /// Counts a dispatched request, whether or not it was queued.
     pub fn record_dispatch(&mut self, now_ms: u64, queue_key: &QueueKey) {
-        match self.dispatch_rates.get_mut(queue_key) {
-            Some(rate) => rate.add(now_ms, 1.0, DISPATCH_RATE_TIME_CONSTANT_MS),
-            None => {
-                let mut rate = DecayingRate::default();
-                rate.add(now_ms, 1.0, DISPATCH_RATE_TIME_CONSTANT_MS);
-                self.dispatch_rates.insert(queue_key.clone(), rate);
-            }
+        add_one(&mut self.dispatch_rates, now_ms, queue_key);
+    }
+
+    /// Counts a dispatched request if it was of a late returning caller.
+    pub fn record_if_late_return(
+        &mut self,
+        now_ms: u64,
+        queue_key: &QueueKey,
+        request: OrderInput,
+    ) {
+        if request.is_late_return(now_ms) {
+            add_one(&mut self.late_return_rates, now_ms, queue_key);
         }
     }
 
@@ -265,23 +360,14 @@
     }
 }
 
-/// Sort key of a queued request; the lowest is dispatched first.
-fn sort_key(now_ms: u64, request: &QueuedRequest) -> (DispatchClass, u64) {
-    if request.is_starved {
-        return (DispatchClass::Starved, request.arrived_ms);
-    }
-    urgency_key(now_ms, request.priority, request.due_ms, request.arrived_ms)
-}
-
-/// Requests that can meet their objective sort first, by urgency, then the
-/// others by arrival.
-fn urgency_key(now_ms: u64, priority: u8, due_ms: u64, arrived_ms: u64) -> (DispatchClass, u64) {
-    let is_late = now_ms > due_ms;
-    if is_late {
-        (DispatchClass::Late, arrived_ms)
-    } else {
-        let urgency_ms = due_ms + u64::from(priority) * PRIORITY_PENALTY_MS;
-        (DispatchClass::InTime, urgency_ms)
+fn add_one(rates: &mut HashMap<QueueKey, DecayingRate>, now_ms: u64, queue_key: &QueueKey) {
+    match rates.get_mut(queue_key) {
+        Some(rate) => rate.add(now_ms, 1.0, DISPATCH_RATE_TIME_CONSTANT_MS),
+        None => {
+            let mut rate = DecayingRate::default();
+            rate.add(now_ms, 1.0, DISPATCH_RATE_TIME_CONSTANT_MS);
+            rates.insert(queue_key.clone(), rate);
+        }
     }
 }
 
@@ -290,7 +376,7 @@
 enum DispatchClass {
     /// Its weights have not been served for a long time.
     Starved,
-    /// Can still meet its objective.
+    /// Can still meet its objective, or returns after a refusal.
     InTime,
     /// Can no longer meet its objective.
     Late,
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -84,6 +84,8 @@
     pub caller_timeout: Duration,
     /// Arrival, in milliseconds since the epoch.
     pub arrived_ms: u64,
+    /// Time at which its caller first sent it, if it returns after a refusal, or its arrival.
+    pub first_arrived_ms: u64,
     /// End of the route's timeout or the caller's deadline, whichever is
     /// earlier, in milliseconds since the epoch.
     pub deadline_ms: u64,
@@ -119,6 +121,11 @@
         self.kind.is_stream() && self.last_event_id.is_some()
     }
 
+    /// True if its caller has sent it before and returns after a refusal.
+    pub fn is_return(&self) -> bool {
+        self.first_arrived_ms < self.arrived_ms
+    }
+
     /// Restriction of its first attempt.
     fn filter(&self, now_ms: u64) -> UpstreamFilter {
         let go_on_by_ms = now_ms + MAX_GAP_MS;
@@ -223,6 +230,7 @@
             organisation,
         } = caller;
         let arrived_ms = arrival.at_ms;
+        let first_arrived_ms = self.first_arrival_ms(route, &head, arrived_ms);
         let draw = self.rng.borrow_mut().next_u64();
         let service = route.backend(draw)?;
         let service_spec = catalog.services.get(service);
@@ -271,6 +279,7 @@
             objective: route.objective,
             caller_timeout: route.caller_timeout,
             arrived_ms,
+            first_arrived_ms,
             deadline_ms: arrived_ms + timeout.as_millis() as u64,
             last_event_id: head.last_event_id,
             resumes: head.resumes,
@@ -287,6 +296,27 @@
         })
     }
 
+    /// Time at which the caller of a request first sent it, by the time that it states.
+    fn first_arrival_ms(&self, route: &Route, head: &RequestHead, arrived_ms: u64) -> u64 {
+        if !self.settings().waiting.returning_first {
+            return arrived_ms;
+        }
+        let mut admission = self.admission_queue.borrow_mut();
+        let ago_ms = admission.record_stated_time(arrived_ms, route, head.deadline);
+        drop(admission);
+        if ago_ms > 0 {
+            self.metrics.requests_returned.inc();
+            tracing::info!(
+                event = "returned",
+                request = head.request_id,
+                route = route.name,
+                stated_ms = head.deadline.map(|d| d.as_millis() as u64),
+                first_arrived_ago_ms = ago_ms,
+            );
+        }
+        arrived_ms.saturating_sub(ago_ms)
+    }
+
     /// Sends a request to upstreams until one responds or no retry is allowed.
     pub async fn serve(self: &Rc<Self>, mut request: RoutedRequest) -> ServerResponse {
         let mut attempts = Attempts::default();
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -94,6 +94,10 @@
     pub departures_confirmed: Counter,
     /// Requests whose connection was reset since their path did not answer.
     pub requests_held_up: Counter,
+    /// Requests of callers that return after a refusal.
+    pub requests_returned: Counter,
+    /// Those of them that were refused again.
+    pub returns_refused: Counter,
     /// Requests whose deadline passed before they were sent.
     pub requests_past_deadline: Counter,
     /// Upstreams that state how many requests a second they take.
@@ -148,6 +152,8 @@
             departures_confirmed: Counter::default(),
             requests_held_up: Counter::default(),
             requests_past_deadline: Counter::default(),
+            requests_returned: Counter::default(),
+            returns_refused: Counter::default(),
             upstreams_limited: Gauge::default(),
             responses_over_limit: Counter::default(),
             upstreams_brittle: Gauge::default(),
@@ -164,6 +170,7 @@
         metrics.register_reach();
         metrics.register_paths();
         metrics.register_brittle();
+        metrics.register_waiting();
         metrics
     }
 }
@@ -359,6 +366,19 @@
         );
     }
 
+    fn register_waiting(&mut self) {
+        self.registry.register(
+            "requests_returned",
+            "Requests of callers that return after a refusal",
+            self.requests_returned.clone(),
+        );
+        self.registry.register(
+            "returns_refused",
+            "Requests of returning callers that were refused again",
+            self.returns_refused.clone(),
+        );
+    }
+
     /// Metrics in the Prometheus text format.
     pub fn encode(&self) -> String {
         let mut text = String::new();
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -20,13 +20,14 @@
     CapacityForecast, NoUpstream, Requirements, UpstreamFilter, Weights, forecast_capacity,
     select_upstream,
 };
-use crate::core::catalog::{ModelSpec, WeightSource};
+use crate::core::catalog::{ModelSpec, Route, WeightSource};
+use crate::core::first_arrival::StatedTimes;
 use crate::core::load::{AttemptOutcome, Load, SentRequest};
 use crate::core::rate_account::Purpose;
 use crate::core::registry::{Entry, Registry};
 use crate::core::waiting::{
-    MIN_RETRY_AFTER_MS, QueueDecision, QueueKey, QueuedRequest, RetryInput, RetrySchedule,
-    WaitForecast, WaitQueue, admit,
+    MIN_RETRY_AFTER_MS, OrderInput, QueueDecision, QueueKey, QueuedRequest,
+    RETURNING_INTERVAL_FACTOR, RetryInput, RetrySchedule, WaitForecast, WaitQueue, admit,
 };
 
 /// Predicted wait for an adapter that is loaded on demand, in milliseconds: a
@@ -64,6 +65,8 @@
     last_served_ms: HashMap<Weights, u64>,
     /// Retry delays assigned to rejected requests.
     retry_schedule: RetrySchedule,
+    /// Times that callers state.
+    stated_times: StatedTimes,
     /// Expected time at which a model that is being loaded becomes ready, in
     /// milliseconds since the epoch.
     pub ready_at_ms: HashMap<QueueKey, u64>,
@@ -92,6 +95,20 @@
         now_ms.saturating_sub(last_served_ms) > STARVED_AFTER_MS
     }
 
+    /// Counts the time that a caller states for a request of a route, and returns how long
+    /// ago it first sent the request.
+    pub(super) fn record_stated_time(
+        &mut self,
+        now_ms: u64,
+        route: &Route,
+        stated: Option<Duration>,
+    ) -> u64 {
+        let stated_ms = stated.map(|time| time.as_millis() as u64);
+        let timeout_ms = route.timeout.as_millis() as u64;
+        self.stated_times
+            .record(now_ms, &route.name, stated_ms, timeout_ms)
+    }
+
     /// Number of queued requests.
     pub fn queued_count(&self) -> usize {
         self.queue.len()
@@ -255,18 +272,17 @@
         let due_ms = self.due_ms(request);
         let weights = request.requirements.weights.as_ref();
         let goes_on = filter.software.is_some();
-        let (ahead, is_starved) = {
+        let mut order = order_input(request, due_ms);
+        let ahead = {
             let admission = self.admission_queue.borrow();
-            let is_starved = goes_on || weights.is_some_and(|w| admission.is_starved(w, now_ms));
-            let ahead = if is_starved {
+            order.is_starved = goes_on || weights.is_some_and(|w| admission.is_starved(w, now_ms));
+            if order.is_starved {
                 0
             } else {
-                admission
-                    .queue
-                    .count_ahead(now_ms, &request.requirements, request.priority, due_ms)
-            };
-            (ahead, is_starved)
+                admission.queue.count_ahead(now_ms, order)
+            }
         };
+        let is_starved = order.is_starved;
         let found = if ahead > 0 {
             Err(NoUpstream::Full)
         } else {
@@ -276,6 +292,9 @@
             Ok(sent) => {
                 let mut admission = self.admission_queue.borrow_mut();
                 admission.queue.record_dispatch(now_ms, &queue_key);
+                admission
+                    .queue
+                    .record_if_late_return(now_ms, &queue_key, order);
                 return Ok(InFlightAttempt::new(self, sent));
             }
             Err(reason) => reason,
@@ -303,6 +322,7 @@
                 outlook_ms = forecast.wait_ms,
                 useful_ms,
                 ahead,
+                returned = request.is_return(),
                 waiting = queued,
                 copies = self.copy_count(request),
                 retry_after_ms = rejection.retry_after_ms,
@@ -313,8 +333,10 @@
             ticket: 0,
             requirements: request.requirements.clone(),
             filter: filter.clone(),
+            organisation: request.organisation.as_ref().map(|o| o.id.clone()),
             priority: request.priority,
             arrived_ms: request.arrived_ms,
+            first_arrived_ms: request.first_arrived_ms,
             due_ms,
             expires_ms,
             is_starved,
@@ -339,7 +361,7 @@
     fn due_ms(&self, request: &RoutedRequest) -> u64 {
         let response_ms = self.expected_first_response_ms(request);
         let objective_ms = request.objective.as_millis() as u64;
-        request.arrived_ms + objective_ms.saturating_sub(response_ms)
+        request.first_arrived_ms + objective_ms.saturating_sub(response_ms)
     }
 
     /// Mean time from dispatch to the first response at the service's upstreams; 0
@@ -371,7 +393,8 @@
         let latest_ms = (request.arrived_ms + max_queue_ms as u64).min(request.deadline_ms);
         match reason {
             NoUpstream::NoModel | NoUpstream::NoAdapter => latest_ms,
-            _ if is_starved => latest_ms,
+            // A caller that returns is not refused again while its response is of use.
+            _ if is_starved || request.is_return() => latest_ms,
             _ => due_ms.max(request.arrived_ms + 1).min(latest_ms),
         }
     }
@@ -514,11 +537,9 @@
         reason: NoUpstream,
     ) -> Rejection {
         let ahead = {
-            let (now_ms, due_ms) = (self.now_ms(), self.due_ms(request));
+            let order = order_input(request, self.due_ms(request));
             let admission = self.admission_queue.borrow();
-            admission
-                .queue
-                .count_ahead(now_ms, &request.requirements, request.priority, due_ms)
+            admission.queue.count_ahead(self.now_ms(), order)
         };
         let capacity = self.forecast_capacity(request, filter);
         let wait_ms = self.predicted_wait_ms(request, queue_key, reason, capacity, ahead);
@@ -557,12 +578,22 @@
     ) -> Rejection {
         let now_ms = self.now_ms();
         let capacity = capacity.unwrap_or_default();
+        if request.is_return() {
+            self.metrics.returns_refused.inc();
+        }
+        let retry_interval_factor = if self.settings().waiting.returning_first {
+            RETURNING_INTERVAL_FACTOR
+        } else {
+            1.0
+        };
         let mut admission = self.admission_queue.borrow_mut();
         let ready_at_ms = admission.ready_at_ms.get(queue_key).copied().unwrap_or(0);
         let input = RetryInput {
             wait_ms: forecast.wait_ms,
             copy_ready_in_ms: ready_at_ms.saturating_sub(now_ms),
-            dispatch_interval_ms: capacity.dispatch_interval_ms * self.host_count() as f64,
+            dispatch_interval_ms: capacity.dispatch_interval_ms
+                * self.host_count() as f64
+                * retry_interval_factor,
             max_delay_ms: (request.time_left(now_ms).as_millis() as f64 * MAX_RETRY_AFTER_SHARE)
                 as u64,
         };
@@ -618,6 +649,17 @@
     }
 }
 
+fn order_input(request: &RoutedRequest, due_ms: u64) -> OrderInput<'_> {
+    OrderInput {
+        requirements: &request.requirements,
+        priority: request.priority,
+        arrived_ms: request.arrived_ms,
+        first_arrived_ms: request.first_arrived_ms,
+        due_ms,
+        is_starved: false,
+    }
+}
+
 /// Shortest time in which an upstream of the service can load a model.
 fn fastest_load_time(
     registry: &Registry,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -11,6 +11,7 @@
 
 use crate::core::config::{Finding, Findings};
 use crate::core::ids::{HostId, ZoneId};
+use crate::core::waiting::WaitingRules;
 use crate::settings::{self, SettingsError};
 
 /// Settings of one host. The platform may write any number as a fraction.
@@ -69,6 +70,9 @@
     #[serde_as(as = "DurationMilliSeconds<f64>")]
     #[serde(rename = "min_lease_ms")]
     pub min_lease: Duration,
+    /// Rules of waiting beyond those of all deployments.
+    #[serde(default)]
+    pub waiting: WaitingRules,
 }
 
 fn whole_core() -> f64 {
--- a/tests/gateway_load.rs
+++ b/tests/gateway_load.rs
@@ -14,8 +14,8 @@
 use currantcove::core::registry::{Entry, Registry};
 use currantcove::core::routing::Rng;
 use currantcove::core::waiting::{
-    QueueDecision, QueueKey, QueuedRequest, RetryInput, RetrySchedule, WaitForecast, WaitQueue,
-    admit,
+    OrderInput, QueueDecision, QueueKey, QueuedRequest, RetryInput, RetrySchedule, WaitForecast,
+    WaitQueue, admit,
 };
 
 const SLOTS: u32 = 4;
@@ -240,8 +240,10 @@
         ticket,
         requirements: requirements(10, None),
         filter: UpstreamFilter::default(),
+        organisation: None,
         priority,
         arrived_ms,
+        first_arrived_ms: arrived_ms,
         due_ms,
         expires_ms: due_ms + 1_000,
         is_starved: false,
@@ -249,6 +251,19 @@
     }
 }
 
+/// Requests ahead of a newcomer with an objective of a second.
+fn count_ahead(queue: &WaitQueue, now_ms: u64, adapter: Option<&str>) -> usize {
+    let newcomer = OrderInput {
+        requirements: &requirements(10, adapter),
+        priority: 0,
+        arrived_ms: now_ms,
+        first_arrived_ms: now_ms,
+        due_ms: 1_000,
+        is_starved: false,
+    };
+    queue.count_ahead(now_ms, newcomer)
+}
+
 fn order(queue: &mut WaitQueue, now_ms: u64) -> Vec<u64> {
     let round = queue.dispatch(now_ms, |_| Ok(UpstreamId::new("e1")));
     round
@@ -490,7 +505,7 @@
         ..request(1, 0, 0, 500)
     });
 
-    assert_eq!(queue.count_ahead(10, &requirements(10, None), 0, 1_000), 0);
+    assert_eq!(count_ahead(&queue, 10, None), 0);
 }
 
 #[test]
@@ -501,15 +516,9 @@
         ..request(1, 0, 0, 500)
     });
 
-    assert_eq!(
-        queue.count_ahead(10, &requirements(10, Some("a1")), 0, 1_000),
-        1
-    );
-    assert_eq!(
-        queue.count_ahead(10, &requirements(10, Some("a2")), 0, 1_000),
-        0
-    );
-    assert_eq!(queue.count_ahead(10, &requirements(10, None), 0, 1_000), 0);
+    assert_eq!(count_ahead(&queue, 10, Some("a1")), 1);
+    assert_eq!(count_ahead(&queue, 10, Some("a2")), 0);
+    assert_eq!(count_ahead(&queue, 10, None), 0);
 }
 
 #[test]
--- a/tests/gateway_stream_origin.rs
+++ b/tests/gateway_stream_origin.rs
@@ -14,7 +14,7 @@
 use currantcove::core::stream_origin::{
     OriginKnowledge, StreamOrigin, StreamOrigins, lookup_hosts, replica_hosts, stream_key,
 };
-use currantcove::core::waiting::{QueuedRequest, WaitQueue};
+use currantcove::core::waiting::{OrderInput, QueuedRequest, WaitQueue};
 
 /// Time for which a stream can last, in milliseconds.
 const WINDOW_MS: u64 = 10_000;
@@ -316,8 +316,10 @@
             software: software.map(SoftwareVersion::new),
             ..UpstreamFilter::default()
         },
+        organisation: None,
         priority: 0,
         arrived_ms: 0,
+        first_arrived_ms: 0,
         due_ms: 500,
         expires_ms: 1_000,
         is_starved: software.is_some(),
@@ -332,7 +334,15 @@
     let mut queue = WaitQueue::default();
     queue.push(queued(1, Some("v1")));
     queue.push(queued(2, None));
-    let ahead = queue.count_ahead(0, &requirements(), 0, 900);
+    let newcomer = OrderInput {
+        requirements: &requirements(),
+        priority: 0,
+        arrived_ms: 0,
+        first_arrived_ms: 0,
+        due_ms: 900,
+        is_starved: false,
+    };
+    let ahead = queue.count_ahead(0, newcomer);
 
     let round = queue.dispatch(0, |request| {
         let is_restricted = request.filter.software.is_some();
