--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -96,6 +96,12 @@
     pub departures_confirmed: Counter,
     /// Requests whose connection was reset since their path did not answer.
     pub requests_held_up: Counter,
+    /// Requests of callers that return after a refusal.
+    pub requests_returned: Counter,
+    /// Those of them that were refused again.
+    pub returns_refused: Counter,
+    /// Requests whose deadline passed before they were sent.
+    pub requests_past_deadline: Counter,
     /// Upstreams that state how many requests a second they take.
     pub upstreams_limited: Gauge,
     /// Responses of upstreams that were cut off at a limit of size or time.
@@ -149,6 +155,9 @@
             permits_denied: Counter::default(),
             departures_confirmed: Counter::default(),
             requests_held_up: Counter::default(),
+            requests_past_deadline: Counter::default(),
+            requests_returned: Counter::default(),
+            returns_refused: Counter::default(),
             upstreams_limited: Gauge::default(),
             responses_over_limit: Counter::default(),
             upstreams_brittle: Gauge::default(),
@@ -167,6 +176,7 @@
         metrics.register_paths();
         metrics.register_brittle();
         metrics.shared_places.register(&mut metrics.registry);
+        metrics.register_waiting();
         metrics
     }
 }
@@ -355,6 +365,24 @@
             "Requests whose connection was reset since their path did not answer",
             self.requests_held_up.clone(),
         );
+        self.registry.register(
+            "requests_past_deadline",
+            "Requests whose deadline passed before they were sent",
+            self.requests_past_deadline.clone(),
+        );
+    }
+
+    fn register_waiting(&mut self) {
+        self.registry.register(
+            "requests_returned",
+            "Requests of callers that return after a refusal",
+            self.requests_returned.clone(),
+        );
+        self.registry.register(
+            "returns_refused",
+            "Requests of returning callers that were refused again",
+            self.returns_refused.clone(),
+        );
     }
 
     /// Metrics in the Prometheus text format.
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -21,15 +21,16 @@
     CapacityForecast, NoUpstream, Requirements, UpstreamFilter, Weights, forecast_capacity,
     select_upstream,
 };
-use crate::core::catalog::{ModelSpec, WeightSource};
+use crate::core::catalog::{ModelSpec, Route, WeightSource};
+use crate::core::first_arrival::StatedTimes;
 use crate::core::ids::ServiceId;
 use crate::core::load::{AttemptOutcome, Load, SentRequest};
 use crate::core::rate_account::Purpose;
 use crate::core::registry::{Entry, Registry};
 use crate::core::shared_places::urgency;
 use crate::core::waiting::{
-    PRIORITY_PENALTY_MS, QueueDecision, QueueKey, QueuedRequest, RetryInput, RetrySchedule,
-    WaitForecast, WaitQueue, admit,
+    MIN_RETRY_AFTER_MS, OrderInput, PRIORITY_PENALTY_MS, QueueDecision, QueueKey, QueuedRequest,
+    RETURNING_INTERVAL_FACTOR, RetryInput, RetrySchedule, WaitForecast, WaitQueue, admit,
 };
 
 /// Predicted wait for an adapter that is loaded on demand, in milliseconds: a
@@ -53,6 +54,9 @@
 /// is left for the second try, and callers do not wait longer in any case.
 const MAX_RETRY_AFTER_SHARE: f64 = 1.0 / 3.0;
 
+/// Reason of the rejection of a request whose deadline has passed before it was sent.
+const PAST_DEADLINE: &str = "past_deadline";
+
 /// Queued requests and the channels to the tasks that wait for an upstream.
 #[derive(Debug, Default)]
 pub struct AdmissionQueue {
@@ -64,6 +68,8 @@
     last_served_ms: HashMap<Weights, u64>,
     /// Retry delays assigned to rejected requests.
     retry_schedule: RetrySchedule,
+    /// Times that callers state.
+    stated_times: StatedTimes,
     /// Expected time at which a model that is being loaded becomes ready, in
     /// milliseconds since the epoch.
     pub ready_at_ms: HashMap<QueueKey, u64>,
@@ -101,6 +107,20 @@
         self.queue.of_service(service).map(urgency).collect()
     }
 
+    /// Counts the time that a caller states for a request of a route, and returns how long
+    /// ago it first sent the request.
+    pub(super) fn record_stated_time(
+        &mut self,
+        now_ms: u64,
+        route: &Route,
+        stated: Option<Duration>,
+    ) -> u64 {
+        let stated_ms = stated.map(|time| time.as_millis() as u64);
+        let timeout_ms = route.timeout.as_millis() as u64;
+        self.stated_times
+            .record(now_ms, &route.name, stated_ms, timeout_ms)
+    }
+
     /// Number of queued requests.
     pub fn queued_count(&self) -> usize {
         self.queue.len()
@@ -238,11 +258,17 @@
         while check <= MAX_ROOM_CHECKS {
             let mut in_flight = self.reserve_or_wait(request, filter).await?;
             let upstream = &in_flight.sent.upstream;
+            if request.time_left(self.now_ms()).is_zero() {
+                return Err(self.reject_late(request));
+            }
             // The account is advice: the last choice is sent by what this host knows.
             let has_room = check == MAX_ROOM_CHECKS || self.has_room(request, upstream).await;
             let may_send = has_room
                 && self.take_permit(upstream, Purpose::Caller).await
                 && self.take_place(&mut in_flight).await;
+            if may_send && request.time_left(self.now_ms()).is_zero() {
+                return Err(self.reject_late(request));
+            }
             if !may_send {
                 check += 1;
             } else if self.take_shared_place(request, &mut in_flight).await {
@@ -266,18 +292,17 @@
         let due_ms = self.due_ms(request);
         let weights = request.requirements.weights.as_ref();
         let goes_on = filter.software.is_some();
-        let (ahead, is_starved) = {
+        let mut order = order_input(request, due_ms);
+        let ahead = {
             let admission = self.admission_queue.borrow();
-            let is_starved = goes_on || weights.is_some_and(|w| admission.is_starved(w, now_ms));
-            let ahead = if is_starved {
+            order.is_starved = goes_on || weights.is_some_and(|w| admission.is_starved(w, now_ms));
+            if order.is_starved {
                 0
             } else {
-                admission
-                    .queue
-                    .count_ahead(now_ms, &request.requirements, request.priority, due_ms)
-            };
-            (ahead, is_starved)
+                admission.queue.count_ahead(now_ms, order)
+            }
         };
+        let is_starved = order.is_starved;
         let found = if ahead > 0 {
             Err(NoUpstream::Full)
         } else {
@@ -287,6 +312,9 @@
             Ok(sent) => {
                 let mut admission = self.admission_queue.borrow_mut();
                 admission.queue.record_dispatch(now_ms, &queue_key);
+                admission
+                    .queue
+                    .record_if_late_return(now_ms, &queue_key, order);
                 return Ok(InFlightAttempt::new(self, sent));
             }
             Err(reason) => reason,
@@ -314,6 +342,7 @@
                 outlook_ms = forecast.wait_ms,
                 useful_ms,
                 ahead,
+                returned = request.is_return(),
                 waiting = queued,
                 copies = self.copy_count(request),
                 retry_after_ms = rejection.retry_after_ms,
@@ -324,8 +353,10 @@
             ticket: 0,
             requirements: request.requirements.clone(),
             filter: filter.clone(),
+            organisation: request.organisation.as_ref().map(|o| o.id.clone()),
             priority: request.priority,
             arrived_ms: request.arrived_ms,
+            first_arrived_ms: request.first_arrived_ms,
             due_ms,
             expires_ms,
             is_starved,
@@ -350,7 +381,7 @@
     pub(super) fn due_ms(&self, request: &RoutedRequest) -> u64 {
         let response_ms = self.expected_first_response_ms(request);
         let objective_ms = request.objective.as_millis() as u64;
-        request.arrived_ms + objective_ms.saturating_sub(response_ms)
+        request.first_arrived_ms + objective_ms.saturating_sub(response_ms)
     }
 
     /// Mean time from dispatch to the first response at the service's upstreams; 0
@@ -382,7 +413,8 @@
         let latest_ms = (request.arrived_ms + max_queue_ms as u64).min(request.deadline_ms);
         match reason {
             NoUpstream::NoModel | NoUpstream::NoAdapter => latest_ms,
-            _ if is_starved => latest_ms,
+            // A caller that returns is not refused again while its response is of use.
+            _ if is_starved || request.is_return() => latest_ms,
             _ => due_ms.max(request.arrived_ms + 1).min(latest_ms),
         }
     }
@@ -533,11 +565,9 @@
         reason: NoUpstream,
     ) -> Rejection {
         let ahead = {
-            let (now_ms, due_ms) = (self.now_ms(), self.due_ms(request));
+            let order = order_input(request, self.due_ms(request));
             let admission = self.admission_queue.borrow();
-            admission
-                .queue
-                .count_ahead(now_ms, &request.requirements, request.priority, due_ms)
+            admission.queue.count_ahead(self.now_ms(), order)
         };
         let capacity = self.forecast_capacity(request, filter);
         let wait_ms = self.predicted_wait_ms(request, queue_key, reason, capacity, ahead);
@@ -549,6 +579,23 @@
         )
     }
 
+    /// Rejects a request whose deadline has passed while it waited here. An attempt would
+    /// end without a response, and with it the certainty that the request has not run.
+    fn reject_late(&self, request: &RoutedRequest) -> Rejection {
+        self.metrics.requests_past_deadline.inc();
+        tracing::info!(
+            event = "turned_away",
+            request = request.request_id,
+            reason = PAST_DEADLINE,
+            late_ms = self.now_ms().saturating_sub(request.deadline_ms),
+            retry_after_ms = MIN_RETRY_AFTER_MS,
+        );
+        Rejection {
+            reason: PAST_DEADLINE,
+            retry_after_ms: MIN_RETRY_AFTER_MS,
+        }
+    }
+
     /// Rejects a request and assigns its retry delay.
     fn reject(
         &self,
@@ -559,12 +606,22 @@
     ) -> Rejection {
         let now_ms = self.now_ms();
         let capacity = capacity.unwrap_or_default();
+        if request.is_return() {
+            self.metrics.returns_refused.inc();
+        }
+        let retry_interval_factor = if self.settings().waiting.returning_first {
+            RETURNING_INTERVAL_FACTOR
+        } else {
+            1.0
+        };
         let mut admission = self.admission_queue.borrow_mut();
         let ready_at_ms = admission.ready_at_ms.get(queue_key).copied().unwrap_or(0);
         let input = RetryInput {
             wait_ms: forecast.wait_ms,
             copy_ready_in_ms: ready_at_ms.saturating_sub(now_ms),
-            dispatch_interval_ms: capacity.dispatch_interval_ms * self.host_count() as f64,
+            dispatch_interval_ms: capacity.dispatch_interval_ms
+                * self.host_count() as f64
+                * retry_interval_factor,
             max_delay_ms: (request.time_left(now_ms).as_millis() as f64 * MAX_RETRY_AFTER_SHARE)
                 as u64,
         };
@@ -620,6 +677,17 @@
     }
 }
 
+fn order_input(request: &RoutedRequest, due_ms: u64) -> OrderInput<'_> {
+    OrderInput {
+        requirements: &request.requirements,
+        priority: request.priority,
+        arrived_ms: request.arrived_ms,
+        first_arrived_ms: request.first_arrived_ms,
+        due_ms,
+        is_starved: false,
+    }
+}
+
 /// Shortest time in which an upstream of the service can load a model.
 fn fastest_load_time(
     registry: &Registry,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -12,6 +12,7 @@
 use crate::core::config::{Finding, Findings};
 use crate::core::ids::{HostId, ZoneId};
 use crate::core::quota_account::Overage;
+use crate::core::waiting::WaitingRules;
 use crate::settings::{self, SettingsError};
 
 /// Settings of one host. The platform may write any number as a fraction.
@@ -80,6 +81,9 @@
     /// the same at all hosts.
     #[serde(default)]
     pub shared_places: bool,
+    /// Rules of waiting beyond those of all deployments.
+    #[serde(default)]
+    pub waiting: WaitingRules,
 }
 
 fn whole_core() -> f64 {
--- a/tests/common/shared_fleet.rs
+++ b/tests/common/shared_fleet.rs
@@ -12,7 +12,7 @@
 use currantcove::core::routing::Rng;
 use currantcove::core::shared_account::{KeeperCandidate, SharedAccounts, shared_keeper_of};
 use currantcove::core::shared_places::{SharedPlaces, SharedUpstream, urgency};
-use currantcove::core::waiting::{PRIORITY_PENALTY_MS, QueuedRequest, WaitQueue};
+use currantcove::core::waiting::{OrderInput, PRIORITY_PENALTY_MS, QueuedRequest, WaitQueue};
 use currantcove::gateway::peer_messages::{PeerMessage, SharedPlaceMessage, SharedPlacesMessage};
 
 use super::common::entry;
@@ -432,7 +432,16 @@
         let (host, now_ms) = (request.host, self.now_ms);
         self.sync(host);
         let queue = &self.hosts[host].queue;
-        let is_first = queue.count_ahead(now_ms, &requirements(), 0, request.due_ms) == 0;
+        let needs = requirements();
+        let newcomer = OrderInput {
+            requirements: &needs,
+            priority: 0,
+            arrived_ms: now_ms,
+            first_arrived_ms: now_ms,
+            due_ms: request.due_ms,
+            is_starved: false,
+        };
+        let is_first = queue.count_ahead(now_ms, newcomer) == 0;
         if is_first && let Some(sent) = self.select(host) {
             return self.take_place(ticket, sent);
         }
@@ -446,6 +455,8 @@
             filter: UpstreamFilter::default(),
             priority: 0,
             arrived_ms: request.arrived_ms,
+            first_arrived_ms: request.arrived_ms,
+            organisation: None,
             due_ms: request.due_ms,
             expires_ms: request.due_ms,
             is_starved: false,
