--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -8,6 +8,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
+use super::quotas::QuotaMetrics;
+
 /// Labels of an ended request.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct OutcomeLabels {
@@ -108,6 +110,8 @@
     pub brittle_rejections: Counter,
     /// Statements of brittleness that have no meaning.
     pub invalid_brittleness: Counter,
+    /// Requests of organisations with quotas.
+    pub quotas: QuotaMetrics,
     /// Era of the store.
     pub store_era: Gauge,
     /// Log lines dropped because the reader was too slow.
@@ -152,6 +156,7 @@
             places_withdrawn: Counter::default(),
             brittle_rejections: Counter::default(),
             invalid_brittleness: Counter::default(),
+            quotas: QuotaMetrics::default(),
             store_era: Gauge::default(),
             dropped_log_lines: Gauge::default(),
         };
@@ -161,6 +166,7 @@
         metrics.register_reach();
         metrics.register_paths();
         metrics.register_brittle();
+        metrics.quotas.register(&mut metrics.registry);
         metrics
     }
 }
--- a/src/gateway/quotas/desk.rs
+++ b/src/gateway/quotas/desk.rs
@@ -43,6 +43,8 @@
     fn send_message(&self, keeper: &HostId, message: QuotaMessage);
     /// Sends a reply to a host.
     fn send_reply(&self, host: &HostId, reply: QuotaReply);
+    /// Counts credit of a request that is given back.
+    fn on_refund(&self, organisation: &OrganisationId);
     /// Passes hosts that are listed to a function, each with true if it keeps accounts.
     fn for_each_host(&self, visit: impl FnMut(Candidate, bool));
 }
@@ -346,6 +348,9 @@
     /// Sends what waits for keepers.
     pub(super) fn flush(&self, fleet: &impl QuotaFleet) {
         for unused in self.refunds.take() {
+            if !unused.is_ahead {
+                fleet.on_refund(&unused.organisation);
+            }
             let refund = Refund {
                 ticket: self.questions.reserve(),
                 amount: unused.amount,
--- a/src/gateway/quotas/service.rs
+++ b/src/gateway/quotas/service.rs
@@ -11,7 +11,7 @@
 use super::desk::QuotaFleet;
 use super::messages::{QuotaMessage, QuotaReply};
 use crate::core::features::Feature;
-use crate::core::ids::{HostId, ZoneId};
+use crate::core::ids::{HostId, OrganisationId, ZoneId};
 use crate::core::organisations::Organisations;
 use crate::core::quota_share::Candidate;
 use crate::gateway::call::RoutedRequest;
@@ -44,6 +44,10 @@
         self.send_quota(host, &PeerMessage::QuotaReply(reply));
     }
 
+    fn on_refund(&self, organisation: &OrganisationId) {
+        self.metrics.quotas.record(organisation, "refunded");
+    }
+
     fn for_each_host(&self, mut visit: impl FnMut(Candidate, bool)) {
         let peers = self.peers.borrow();
         for (host, peer) in peers.listed() {
@@ -83,6 +87,10 @@
         }
         let charging = self.quotas.charge(self, organisation, request.quota_cost);
         let charge = charging.await;
+        let result = charge
+            .as_ref()
+            .map_or_else(|refusal| refusal.reason, |_| "granted");
+        self.metrics.quotas.record(&organisation.id, result);
         if let Err(refusal) = &charge {
             tracing::info!(
                 event = "quota",
