--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -8,6 +8,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
+use super::quotas::QuotaMetrics;
 use super::shared_places::metrics::SharedPlaceMetrics;
 
 /// Labels of an ended request.
@@ -118,6 +119,8 @@
     pub invalid_brittleness: Counter,
     /// Places at plain upstreams that the fleet shares.
     pub shared_places: SharedPlaceMetrics,
+    /// Requests of organisations with quotas.
+    pub quotas: QuotaMetrics,
     /// Era of the store.
     pub store_era: Gauge,
     /// Log lines dropped because the reader was too slow.
@@ -166,6 +169,7 @@
             brittle_rejections: Counter::default(),
             invalid_brittleness: Counter::default(),
             shared_places: SharedPlaceMetrics::default(),
+            quotas: QuotaMetrics::default(),
             store_era: Gauge::default(),
             dropped_log_lines: Gauge::default(),
         };
@@ -177,6 +181,7 @@
         metrics.register_brittle();
         metrics.shared_places.register(&mut metrics.registry);
         metrics.register_waiting();
+        metrics.quotas.register(&mut metrics.registry);
         metrics
     }
 }
