Say not_run in the product's own interface only on evidence for each attempt

Cause: the last attempt decided whether a request was reported as not_run, so that one that was sent and then found no further upstream was reported as not run; engines' 404, 409, 429 and 503 without a request id were taken for ones of the present request.

Change: dispatch counts attempts with core/execution.rs. The stand-in engine echoes the id in refusals, as its protocol says. Checking of responses is a function of its own.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -15,7 +15,7 @@
 use super::place::InFlightAttempt;
 use super::platform::{ForwardingHeaders, Platform, ResponseKind};
 use super::state::Gateway;
-use crate::core::execution::{LocalStatus, NotRunPromise, is_promise};
+use crate::core::execution::{Attempt, LocalStatus, NotRunPromise, is_promise};
 use crate::core::load::AttemptOutcome;
 use crate::core::stream_origin::StreamOrigin;
 use crate::edge::body::{ReadError, ServerResponse};
@@ -308,6 +308,19 @@
                 });
             }
         };
+        self.check_response(request, in_flight, attempt, (response, sent_ms))
+    }
+
+    /// Separates the upstream's response to a request from refusals and from responses to
+    /// other requests.
+    fn check_response(
+        self: &Rc<Self>,
+        request: &RoutedRequest,
+        in_flight: &InFlightAttempt<P>,
+        attempt: Attempt<'_>,
+        (response, sent_ms): (Response<PooledBody>, u64),
+    ) -> Result<Response<PooledBody>, AttemptFailure> {
+        let upstream = &in_flight.sent.upstream;
         let status = response.status().as_u16();
         let id = &request.request_id;
         let kind = self
--- a/src/services/callers.rs
+++ b/src/services/callers.rs
@@ -263,6 +263,7 @@
             content_type: Some(HeaderValue::from_static("application/json")),
             idempotency_key: None,
             body: bytes.clone(),
+            execution: Rc::default(),
             destination: Destination::Model(artifact),
         };
         Ok(ChatCall {
@@ -389,6 +390,7 @@
             content_type: request.headers().get(CONTENT_TYPE).cloned(),
             idempotency_key: None,
             body: Bytes::new(),
+            execution: Rc::default(),
         })
     }
 
--- a/src/services/dispatch.rs
+++ b/src/services/dispatch.rs
@@ -14,6 +14,7 @@
 
 use super::host::Host;
 use crate::core::admission::check_target;
+use crate::core::execution::{Execution, NotRunEvidence};
 use crate::core::fleet::{Fleet, UpstreamIndex};
 use crate::core::ids::{ArtifactId, TeamId, UpstreamId};
 use crate::core::outcome::{Reason, Refusal};
@@ -21,7 +22,7 @@
 use crate::core::routing::{NoRoute, RouteInput, route};
 use crate::core::timeline::{EventKind, Subject};
 use crate::edge::chat::ChatRequest;
-use crate::edge::pool::{PooledBody, SendError};
+use crate::edge::pool::PooledBody;
 use crate::kernel::Service;
 
 /// Header with the id of a request, towards callers and upstreams.
@@ -73,6 +74,8 @@
     pub idempotency_key: Option<HeaderValue>,
     /// Body; each attempt replaces the model name of a chat request.
     pub body: Bytes,
+    /// Whether an attempt may have run it.
+    pub execution: Rc<Execution>,
 }
 
 /// Upstream selected for an attempt, and the model version to request.
@@ -223,7 +226,7 @@
                 in_flight.record_failure();
             }
             drop(in_flight);
-            attempts.last_refusal = Some(failure_refusal(call, failure));
+            attempts.last_refusal = Some(failure_refusal(call));
             self.check_retry(call, attempts, failure.progress)?;
         }
     }
@@ -259,11 +262,12 @@
         };
         let now_ms = self.host.clock.now_ms();
         let routed = route(now_ms, &fleet, &input, &mut self.host.rng.borrow_mut());
-        let index = routed.map_err(|e| route_refusal(e, attempts))?;
+        let index = routed.map_err(|e| route_refusal(e, call, attempts))?;
         let team_loads = self.host.team_loads.borrow();
         let target_ms = call.target.as_millis() as u64;
         match check_target(&team_loads, &call.team, fleet.get(index), target_ms) {
             Ok(()) => Ok(SelectedUpstream { index, artifact }),
+            Err(_) if call.execution.may_have_run() => Err(failure_refusal(call)),
             Err(refusal) => Err(attempts.last_refusal.clone().unwrap_or(refusal)),
         }
     }
@@ -284,17 +288,27 @@
             call.build_request(&addr.to_string(), selected.artifact.as_ref(), last_event_id);
         let request = request.ok_or(not_sent)?;
         let expires_at = first_byte_deadline(call, attempts);
-        match compio::time::timeout_at(expires_at, self.host.pool.send(addr, request)).await {
-            Err(_) | Ok(Err(SendError::MaybeSent | SendError::HeldUp)) => Err(AttemptFailure {
-                progress: AttemptProgress::Sent,
-                is_upstream_fault: true,
-            }),
-            Ok(Err(SendError::NotConnected | SendError::NotSent)) => Err(AttemptFailure {
-                progress: AttemptProgress::NotSent,
-                is_upstream_fault: true,
-            }),
-            Ok(Ok(response)) => check_response(call, response),
-        }
+        let attempt = call.execution.begin_attempt();
+        let sending = self.host.pool.send(addr, request);
+        let (evidence, is_refusal) = match compio::time::timeout_at(expires_at, sending).await {
+            Ok(Ok(response)) => match check_response(call, response) {
+                Ok(response) => return Ok(response),
+                Err(evidence) => (evidence, evidence.is_some()),
+            },
+            Ok(Err(error)) => (error.not_run_evidence(), false),
+            Err(_) => (None, false),
+        };
+        let progress = match evidence {
+            Some(evidence) => {
+                attempt.settle(evidence);
+                AttemptProgress::NotSent
+            }
+            None => AttemptProgress::Sent,
+        };
+        Err(AttemptFailure {
+            progress,
+            is_upstream_fault: !is_refusal,
+        })
     }
 
     fn check_retry(
@@ -307,7 +321,7 @@
             attempts
                 .last_refusal
                 .clone()
-                .unwrap_or_else(unavailable_refusal)
+                .unwrap_or_else(|| failure_refusal(call))
         };
         let is_past_deadline = Instant::now() >= call.deadline;
         let is_allowed = is_retry_allowed(progress, call.is_idempotent, true);
@@ -389,50 +403,46 @@
     }
 }
 
-/// Separates responses from failures and from refusals to run the request.
+/// Separates responses from refusals, with evidence that the request has not run, and from
+/// failures and responses to other requests, without.
 fn check_response(
     call: &UpstreamCall,
     response: Response<PooledBody>,
-) -> Result<Response<PooledBody>, AttemptFailure> {
+) -> Result<Response<PooledBody>, Option<NotRunEvidence>> {
     let status = response.status().as_u16();
-    match call.destination {
-        // An engine that responds with one of these statuses has not started
-        // the request.
-        Destination::Model(_) if matches!(status, 404 | 409 | 429 | 503) => {
-            return Err(AttemptFailure {
-                progress: AttemptProgress::NotSent,
-                is_upstream_fault: false,
-            });
-        }
-        Destination::Model(_) if status >= 500 => {
-            return Err(AttemptFailure {
-                progress: AttemptProgress::Sent,
-                is_upstream_fault: true,
-            });
-        }
-        Destination::Service(_) if call.is_idempotent && status >= 502 => {
-            return Err(AttemptFailure {
-                progress: AttemptProgress::Sent,
-                is_upstream_fault: true,
-            });
-        }
-        _ => {}
-    }
     let echoed = response.headers().get(REQUEST_ID_HEADER);
+    let is_engine = matches!(call.destination, Destination::Model(_));
     if echoed.is_some_and(|id| id.as_bytes() != call.request_id.as_bytes()) {
-        return Err(AttemptFailure {
-            progress: AttemptProgress::Sent,
-            is_upstream_fault: true,
-        });
+        response.into_body().close();
+        return Err(None);
     }
-    Ok(response)
+    // An engine that responds with one of these statuses has not started the request that
+    // it names.
+    if is_engine && matches!(status, 404 | 409 | 429 | 503) {
+        let stated = echoed.and_then(|id| id.to_str().ok());
+        let evidence = NotRunEvidence::stated(stated, &call.request_id);
+        if evidence.is_none() {
+            response.into_body().close();
+        }
+        return Err(evidence);
+    }
+    let is_failure = if is_engine {
+        status >= 500
+    } else {
+        call.is_idempotent && status >= 502
+    };
+    if is_failure { Err(None) } else { Ok(response) }
 }
 
-fn failure_refusal(call: &UpstreamCall, failure: AttemptFailure) -> Refusal {
-    if failure.progress == AttemptProgress::NotSent {
-        return unavailable_refusal();
-    }
-    let refusal = if Instant::now() >= call.deadline {
+/// Refusal of a call to which no upstream has responded; says that it has not run only if
+/// there is evidence for each attempt.
+fn failure_refusal(call: &UpstreamCall) -> Refusal {
+    let refusal = if call.execution.promise().is_some() {
+        Refusal::not_run(
+            Reason::UpstreamUnavailable,
+            "no upstream can take the request now",
+        )
+    } else if Instant::now() >= call.deadline {
         Refusal::unknown(
             Reason::DeadlineExceeded,
             "no upstream answered before the deadline",
@@ -446,19 +456,12 @@
     refusal.retry_after_ms(UPSTREAM_RETRY_AFTER_MS)
 }
 
-fn unavailable_refusal() -> Refusal {
-    Refusal::not_run(
-        Reason::UpstreamUnavailable,
-        "no upstream can take the request now",
-    )
-    .retry_after_ms(UPSTREAM_RETRY_AFTER_MS)
-}
-
-fn route_refusal(reason: NoRoute, attempts: &Attempts) -> Refusal {
+fn route_refusal(reason: NoRoute, call: &UpstreamCall, attempts: &Attempts) -> Refusal {
     match reason {
         NoRoute::NoCopy | NoRoute::AllTried => attempts
             .last_refusal
             .clone()
-            .unwrap_or_else(unavailable_refusal),
+            .filter(|_| !call.execution.may_have_run())
+            .unwrap_or_else(|| failure_refusal(call)),
     }
 }
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -17,7 +17,7 @@
 use http_body_util::channel::Sender;
 use http_body_util::{Channel, Either};
 use hyper::body::{Frame, Incoming};
-use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue};
 use hyper::{Request, Response};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -380,7 +380,12 @@
         let last_event_id = request.headers().get(LAST_EVENT_ID_HEADER);
         let last_event_id: Option<u64> = last_event_id.and_then(|v| v.to_str().ok()?.parse().ok());
         let chat: ChatRequest = read_json(request).await?;
-        let running = self.admit_request(&chat)?;
+        let running = self.admit_request(&chat).map_err(|mut refusal| {
+            let id = request_id.clone().into_iter();
+            let headers = refusal.headers_mut();
+            headers.extend(id.map(|id| (HeaderName::from_static(REQUEST_ID_HEADER), id)));
+            refusal
+        })?;
         let mut response = if chat.stream {
             let (sender, channel) = Channel::new(4);
             let first_index = last_event_id.map_or(0, |id| id + 1);
