Tell the host with the most urgent request first of room

Cause: the keeper of an engine's account told waiting hosts in order of arrival, so that room went to requests that may wait 20 s while others missed their objective.

Change: `AwaitRoom` has an optional due time, relative to now, and a priority; the keeper tells the host with the most urgent request first. Hosts that do not state them are told in order of arrival, as before. Setting `waiting.urgent_hosts_first`, off by default; log line `awaits_room`, counter urgent_waits. Accounts of brittle upstreams keep the order of arrival.

--- a/src/core/waiting.rs
+++ b/src/core/waiting.rs
@@ -57,6 +57,8 @@
 pub struct WaitingRules {
     /// Callers that return after a refusal precede newcomers.
     pub returning_first: bool,
+    /// Keepers of engines tell the host with the most urgent request first.
+    pub urgent_hosts_first: bool,
 }
 
 /// Identifies the requests that compete for the same model copies.
--- a/src/gateway/brittle.rs
+++ b/src/gateway/brittle.rs
@@ -18,7 +18,7 @@
 use crate::core::brittle_notice::{
     BrittleChange, BrittleStatement, BrittleUpstreams, Incarnation, StatedBrittleness,
 };
-use crate::core::engine_room::RoomWaiters;
+use crate::core::engine_room::{RoomWaiters, Urgency};
 use crate::core::ids::{HostId, UpstreamId};
 use crate::core::open_places::{OpenPlaces, PlaceEnd, PlacesReport};
 use crate::core::place_account::{BrittleLimits, PlaceAccounts, PlaceAnswer, RoomCut};
@@ -242,7 +242,7 @@
         self.on_room_cut(&report.upstream, cut);
         if answer != PlaceAnswer::Granted {
             let mut waiters = self.brittle.waiters.borrow_mut();
-            waiters.add(now_ms, &report.upstream, &report.host);
+            waiters.add(now_ms, &report.upstream, &report.host, Urgency::default());
         }
         answer
     }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -98,6 +98,8 @@
     pub requests_returned: Counter,
     /// Those of them that were refused again.
     pub returns_refused: Counter,
+    /// Waits for room at an engine whose urgency was stated.
+    pub urgent_waits: Counter,
     /// Requests whose deadline passed before they were sent.
     pub requests_past_deadline: Counter,
     /// Upstreams that state how many requests a second they take.
@@ -152,6 +154,7 @@
             departures_confirmed: Counter::default(),
             requests_held_up: Counter::default(),
             requests_past_deadline: Counter::default(),
+            urgent_waits: Counter::default(),
             requests_returned: Counter::default(),
             returns_refused: Counter::default(),
             upstreams_limited: Gauge::default(),
@@ -377,6 +380,11 @@
             "Requests of returning callers that were refused again",
             self.returns_refused.clone(),
         );
+        self.registry.register(
+            "urgent_waits",
+            "Waits for room at an engine of which the keeper was told how urgent they are",
+            self.urgent_waits.clone(),
+        );
     }
 
     /// Metrics in the Prometheus text format.
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -223,6 +223,12 @@
         /// Engine.
         #[serde(rename = "u")]
         upstream: UpstreamId,
+        /// Time until the request is due, in milliseconds, if the sender states it.
+        #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
+        due_in_ms: Option<u64>,
+        /// Priority of the request.
+        #[serde(rename = "y", default, skip_serializing_if = "Option::is_none")]
+        priority: Option<u8>,
     },
     /// Changes of the store, from a watching host.
     #[serde(rename = "c")]
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -25,6 +25,7 @@
 use super::platform::Platform;
 use super::state::Gateway;
 use crate::core::balance::Weights;
+use crate::core::engine_room::Urgency;
 use crate::core::ids::{AdapterId, HostId, ModelId, ServiceId, UpstreamId};
 use crate::core::load::InFlight;
 use crate::core::waiting::QueueKey;
@@ -174,8 +175,17 @@
                 upstream,
                 others,
             } => gateway.apply_room(ticket, &upstream, others),
-            PeerMessage::AwaitRoom { host, upstream } => {
-                gateway.add_room_waiter(&host, &upstream);
+            PeerMessage::AwaitRoom {
+                host,
+                upstream,
+                due_in_ms,
+                priority,
+            } => {
+                let urgency = due_in_ms.map(|due_in_ms| Urgency {
+                    due_in_ms,
+                    priority: priority.unwrap_or_default(),
+                });
+                gateway.add_room_waiter(&host, &upstream, urgency);
             }
             PeerMessage::Report {
                 host,
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -358,7 +358,7 @@
 
     /// Latest dispatch time with which the response is likely to meet the latency
     /// objective.
-    fn due_ms(&self, request: &RoutedRequest) -> u64 {
+    pub(super) fn due_ms(&self, request: &RoutedRequest) -> u64 {
         let response_ms = self.expected_first_response_ms(request);
         let objective_ms = request.objective.as_millis() as u64;
         request.first_arrived_ms + objective_ms.saturating_sub(response_ms)
--- a/src/gateway/room.rs
+++ b/src/gateway/room.rs
@@ -15,7 +15,7 @@
 use super::questions::Questions;
 use super::state::Gateway;
 use crate::core::balance::has_room_for_counted;
-use crate::core::engine_room::{RoomWaiters, keeper_of};
+use crate::core::engine_room::{RoomWaiters, Urgency, keeper_of};
 use crate::core::ids::{HostId, UpstreamId};
 use crate::core::load::InFlight;
 
@@ -64,7 +64,7 @@
         }
         let has_room = self.has_room_now(request, upstream);
         if !has_room {
-            self.await_room(upstream);
+            self.await_room(request, upstream);
         }
         has_room
     }
@@ -133,16 +133,45 @@
     }
 
     /// Asks for news of an engine without room.
-    fn await_room(&self, upstream: &UpstreamId) {
+    fn await_room(&self, request: &RoutedRequest, upstream: &UpstreamId) {
         let host = self.settings().host.clone();
+        let urgency = self.stated_urgency(request);
         match self.keeper(upstream) {
-            Some(Keeper::ThisHost) => self.add_room_waiter(&host, upstream),
+            Some(Keeper::ThisHost) => self.add_room_waiter(&host, upstream, urgency),
             Some(Keeper::Other(addr)) => {
-                let upstream = upstream.clone();
-                self.send_peer(addr, &PeerMessage::AwaitRoom { host, upstream });
+                let message = PeerMessage::AwaitRoom {
+                    host,
+                    upstream: upstream.clone(),
+                    due_in_ms: urgency.map(|u| u.due_in_ms),
+                    priority: urgency.map(|u| u.priority),
+                };
+                self.send_peer(addr, &message);
             }
             None => {}
         }
+        if let Some(Urgency {
+            due_in_ms,
+            priority,
+        }) = urgency
+        {
+            self.metrics.urgent_waits.inc();
+            tracing::info!(
+                event = "awaits_room",
+                request = request.request_id,
+                upstream = %upstream,
+                due_in_ms,
+                priority,
+            );
+        }
+    }
+
+    /// Urgency that keepers are told of a request, if the settings call for it.
+    fn stated_urgency(&self, request: &RoutedRequest) -> Option<Urgency> {
+        let is_stated = self.settings().waiting.urgent_hosts_first;
+        is_stated.then(|| Urgency {
+            due_in_ms: self.due_ms(request).saturating_sub(self.now_ms()),
+            priority: request.priority,
+        })
     }
 
     /// Answers a host that asks for the load of the others.
@@ -174,9 +203,11 @@
     }
 
     /// Records that a host waits for an engine.
-    pub fn add_room_waiter(&self, host: &HostId, upstream: &UpstreamId) {
+    pub fn add_room_waiter(&self, host: &HostId, upstream: &UpstreamId, urgency: Option<Urgency>) {
         let now_ms = self.now_ms();
-        self.room.waiters.borrow_mut().add(now_ms, upstream, host);
+        let urgency = urgency.unwrap_or_default();
+        let mut waiters = self.room.waiters.borrow_mut();
+        waiters.add(now_ms, upstream, host, urgency);
     }
 
     /// Applies a keeper's answer or news.
@@ -216,7 +247,7 @@
         }
     }
 
-    /// Tells the host that has waited longest for an engine its present load.
+    /// Tells the host with the most urgent request for an engine its present load.
     pub fn notify_waiter(&self, upstream: &UpstreamId) {
         let now_ms = self.now_ms();
         let host = self.room.waiters.borrow_mut().next(now_ms, upstream);
--- a/tests/gateway_engine_room.rs
+++ b/tests/gateway_engine_room.rs
@@ -8,7 +8,7 @@
 use currantcove::core::balance::{
     NoUpstream, Requirements, UpstreamFilter, Weights, has_room_for_counted, select_upstream,
 };
-use currantcove::core::engine_room::{RoomWaiters, keeper_of};
+use currantcove::core::engine_room::{RoomWaiters, Urgency, keeper_of};
 use currantcove::core::ids::{HostId, ModelId, ServiceId, UpstreamId, ZoneId};
 use currantcove::core::load::{InFlight, LoadTable, RequestSize};
 use currantcove::core::peer_loads::{HOST_LOADS_EXPIRE_MS, PeerLoads};
@@ -122,7 +122,7 @@
     let engine = UpstreamId::new("e0");
     let [a, b, c] = ["a", "b", "c"].map(HostId::new);
     for (at_ms, host) in [(0, &a), (900, &b), (910, &a), (950, &c)] {
-        waiters.add(at_ms, &engine, host);
+        waiters.add(at_ms, &engine, host, Urgency::default());
     }
 
     // The first one no longer waits.
@@ -151,3 +151,74 @@
     assert!(loads.total(HOST_LOADS_EXPIRE_MS, &lost).is_empty());
     assert_eq!(loads.total(HOST_LOADS_EXPIRE_MS, &other), busy);
 }
+
+fn urgency(due_in_ms: u64, priority: u8) -> Urgency {
+    Urgency {
+        due_in_ms,
+        priority,
+    }
+}
+
+/// Dispatches one request each 100 ms at an engine for which hosts wait, half of them with a
+/// request that may wait 20 s; returns how many requests with an objective of a second are in
+/// time, and how many of the others are told within theirs.
+fn news_in_time(states_urgency: bool) -> (usize, usize) {
+    let engine = UpstreamId::new("e0");
+    let mut waiters = RoomWaiters::default();
+    let mut requests: Vec<(HostId, u64)> = Vec::new();
+    let (mut urgent, mut patient) = (0, 0);
+    for number in 0..200 {
+        let now_ms = number * 50;
+        let host = HostId::new(&format!("h{number}"));
+        let due_in_ms = if number % 2 == 0 { 20_000 } else { 900 };
+        requests.push((host, now_ms + due_in_ms));
+        // Hosts whose requests still wait ask again.
+        for (host, due_ms) in requests.iter().filter(|(_, due_ms)| *due_ms > now_ms) {
+            let stated = urgency(due_ms - now_ms, 0);
+            let stated = if states_urgency {
+                stated
+            } else {
+                Urgency::default()
+            };
+            waiters.add(now_ms, &engine, host, stated);
+        }
+        if number % 2 == 0 {
+            continue;
+        }
+        if let Some(next) = waiters.next(now_ms, &engine) {
+            let index = requests.iter().position(|(host, _)| *host == next);
+            let (_, due_ms) = requests.swap_remove(index.expect("waits"));
+            let is_urgent = next.as_str()[1..].parse::<u64>().expect("number") % 2 == 1;
+            urgent += usize::from(is_urgent && now_ms <= due_ms);
+            patient += usize::from(!is_urgent && now_ms <= due_ms);
+        }
+    }
+    (urgent, patient)
+}
+
+/// Guards against room that goes to hosts whose requests may wait, in order of arrival, while
+/// those of other hosts miss their objective.
+#[test]
+fn hosts_with_urgent_requests_are_told_first() {
+    let (urgent_by_arrival, _) = news_in_time(false);
+    let (urgent, _) = news_in_time(true);
+
+    assert!(urgent_by_arrival < 70, "{urgent_by_arrival}");
+    assert!(urgent >= 99, "{urgent} of 100");
+}
+
+#[test]
+fn host_waits_with_its_most_urgent_request() {
+    let mut waiters = RoomWaiters::default();
+    let engine = UpstreamId::new("e0");
+    let [a, b, old] = ["a", "b", "old"].map(HostId::new);
+    waiters.add(0, &engine, &a, urgency(20_000, 0));
+    waiters.add(0, &engine, &b, urgency(800, 2));
+    waiters.add(10, &engine, &old, Urgency::default());
+    waiters.add(20, &engine, &a, urgency(900, 0));
+    waiters.add(30, &engine, &a, urgency(5_000, 0));
+
+    let news: Vec<_> = (0..3).map(|_| waiters.next(100, &engine)).collect();
+
+    assert_eq!(news, [Some(a), Some(old), Some(b)]);
+}
