--- a/src/core/engine_room.rs
+++ b/src/core/engine_room.rs
@@ -46,6 +46,16 @@
     pub priority: u8,
 }
 
+impl Urgency {
+    /// Urgency as a host states it, if it does.
+    pub fn stated(due_in_ms: Option<u64>, priority: Option<u8>) -> Option<Self> {
+        due_in_ms.map(|due_in_ms| Self {
+            due_in_ms,
+            priority: priority.unwrap_or_default(),
+        })
+    }
+}
+
 impl Default for Urgency {
     fn default() -> Self {
         Self {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -181,10 +181,7 @@
                 due_in_ms,
                 priority,
             } => {
-                let urgency = due_in_ms.map(|due_in_ms| Urgency {
-                    due_in_ms,
-                    priority: priority.unwrap_or_default(),
-                });
+                let urgency = Urgency::stated(due_in_ms, priority);
                 gateway.add_room_waiter(&host, &upstream, urgency);
             }
             PeerMessage::Report {
