--- a/src/core/balance.rs
+++ b/src/core/balance.rs
@@ -26,6 +26,11 @@
 //! time until the first one reopens is the predicted wait, so that a request that
 //! cannot wait for so long is rejected at once.
 //!
+//! Load pattern: engines of one service differ in speed (`core::speed`). If speeds are
+//! learned, work is split by them: the batch of a fast engine counts as larger, prompts
+//! are prefilled and outputs decoded at its speed, and a long output does not go where it
+//! would end after its caller's deadline while another engine can end it in time.
+//!
 //! Load pattern: upstreams of several software versions serve, and a release replaces
 //! them. A stream goes on only at the version that began it, so that it begins elsewhere
 //! than at the last upstream of a version.
@@ -35,6 +40,7 @@
 use super::registry::{Entry, Registry};
 use super::routing::Rng;
 use super::software::VersionCounts;
+use super::speed::{ServiceSpeeds, Speed};
 
 /// Jitter added to the predicted time, in milliseconds: about the prefill time
 /// of one prompt, which is the error caused by one request of another host that
@@ -57,6 +63,11 @@
 /// Cost of the last upstream of a software version while others have several, in
 /// milliseconds: a stream that begins there has nowhere to go on.
 const SOLE_UPSTREAM_COST_MS: f64 = 400.0;
+/// Cost of an upstream at which the response would end after the caller's deadline, in
+/// milliseconds; it is selected only if no other one ends it in time.
+const MISSED_DEADLINE_COST_MS: f64 = 10_000.0;
+/// Slowness assumed while an upstream is slower than it usually is.
+const PASSING_SLOWNESS: f64 = 2.5;
 /// Share of an engine's KV cache that requests in flight may reserve; the rest
 /// holds shared prompt prefixes.
 const MAX_RESERVED_CACHE_SHARE: f64 = 0.92;
@@ -152,6 +163,8 @@
     /// True if a stream begins that may have to go on at a second upstream of the same
     /// software version.
     pub is_resumable: bool,
+    /// Time by which the response has to end, in milliseconds since the epoch, if known.
+    pub end_by_ms: Option<u64>,
 }
 
 impl UpstreamFilter {
@@ -181,6 +194,7 @@
     let versions = filter
         .is_resumable
         .then(|| VersionCounts::of(now_ms, registry, &requirements.service));
+    let speeds = service_speeds(now_ms, registry, loads, requirements);
     for entry in registry.of_service(&requirements.service) {
         if !registry.takes_requests(entry, now_ms) {
             continue;
@@ -191,6 +205,7 @@
             entry,
             requirements,
             filter,
+            speeds.as_ref(),
         );
         let (cost_ms, is_failing) = match scored {
             Ok(scored) => scored,
@@ -234,6 +249,18 @@
     }
 }
 
+/// Speeds of the upstreams of a service, if they are learned.
+fn service_speeds(
+    now_ms: u64,
+    registry: &Registry,
+    loads: &LoadTable,
+    requirements: &Requirements,
+) -> Option<ServiceSpeeds> {
+    let entries = registry.of_service(&requirements.service);
+    let speeds = loads.speeds()?;
+    Some(speeds.of_service(now_ms, entries.map(|e| &e.id)))
+}
+
 fn jitter_scale(requirements: &Requirements) -> f64 {
     if requirements.weights.is_some() {
         1.0
@@ -249,6 +276,7 @@
     entry: &Entry,
     requirements: &Requirements,
     filter: &UpstreamFilter,
+    speeds: Option<&ServiceSpeeds>,
 ) -> Result<(f64, bool), NoUpstream> {
     if !filter.allows_software(entry) {
         return Err(NoUpstream::NoSoftware);
@@ -264,8 +292,11 @@
     if !filter.allows(&entry.id) {
         return Err(NoUpstream::AllTried);
     }
-    let Some(load) = load else {
-        return Ok((0.0, false));
+    let unknown_load = Load::default();
+    let load = match (load, speeds) {
+        (Some(load), _) => load,
+        (None, Some(_)) => &unknown_load,
+        (None, None) => return Ok((0.0, false)),
     };
     if load.unavailable_for_ms(now_ms) > 0 {
         return Err(NoUpstream::Closed);
@@ -283,7 +314,9 @@
     };
     let slots = f64::from(entry.slots.max(1));
     let fill = f64::from(total.requests) / slots;
-    let cost_ms = if requirements.weights.is_some() {
+    let cost_ms = if let Some(speeds) = speeds {
+        cost_by_speed(now_ms, load, entry, requirements, filter, speeds)
+    } else if requirements.weights.is_some() {
         let prefill_ms = load.predicted_prefill_ms(now_ms, requirements.size.prompt_tokens);
         prefill_ms
             + fill * fill * FULL_BATCH_COST_MS
@@ -300,6 +333,55 @@
     Ok((cost_ms + failure_ms + limited_ms, is_failing))
 }
 
+/// Predicted cost at the speed of an upstream.
+fn cost_by_speed(
+    now_ms: u64,
+    load: &Load,
+    entry: &Entry,
+    requirements: &Requirements,
+    filter: &UpstreamFilter,
+    speeds: &ServiceSpeeds,
+) -> f64 {
+    let Speed {
+        factor,
+        is_passing_slow,
+    } = speeds.get(&entry.id);
+    let slowness = if is_passing_slow {
+        PASSING_SLOWNESS / factor
+    } else {
+        1.0 / factor
+    };
+    let slots = f64::from(entry.slots.max(1));
+    if requirements.weights.is_none() {
+        let fill = f64::from(load.total_still_running(now_ms).requests) / slots;
+        return load.first_response_ms() * (1.0 + fill * slowness);
+    }
+    let total = load.total(now_ms);
+    let size = requirements.size;
+    let prefill_ms = speeds.usual_prefill_us().map_or_else(
+        || load.predicted_prefill_ms(now_ms, size.prompt_tokens),
+        |us| f64::from(total.unread_tokens + size.prompt_tokens) * us * slowness / 1_000.0,
+    );
+    // The lasting speed alone decides on the whole output.
+    let decode_ms = speeds
+        .usual_decode_us(total.requests + 1)
+        .map_or(0.0, |us| {
+            f64::from(size.output_tokens) * us / factor / 1_000.0
+        });
+    let ends_ms = now_ms as f64 + prefill_ms + decode_ms;
+    let is_missed = filter.end_by_ms.is_some_and(|by_ms| ends_ms > by_ms as f64);
+    let missed_ms = if is_missed {
+        MISSED_DEADLINE_COST_MS
+    } else {
+        0.0
+    };
+    let fill = f64::from(total.requests) / slots * slowness;
+    prefill_ms
+        + fill * fill * FULL_BATCH_COST_MS
+        + pause_cost_ms(prefill_ms, total.requests, requirements.max_prefill_ms)
+        + missed_ms
+}
+
 /// Cost of the pause that the prefill causes in the streams that run there: none
 /// while it is shorter than the longest gap that they may have.
 fn pause_cost_ms(prefill_ms: f64, running: u32, max_prefill_ms: f64) -> f64 {
--- a/src/core/load.rs
+++ b/src/core/load.rs
@@ -12,6 +12,7 @@
 
 use super::balance::Weights;
 use super::ids::UpstreamId;
+use super::speed::{PaceKind, PaceSum, SpeedTable, load_class};
 
 /// Consecutive failures after which an upstream is ejected.
 pub const EJECT_AFTER_FAILURES: u32 = 3;
@@ -364,6 +365,8 @@
     changed: HashSet<UpstreamId>,
     /// Upstreams whose local load has changed since their keepers were told.
     untold: HashSet<UpstreamId>,
+    /// Speeds of upstreams, if they are learned.
+    speeds: Option<SpeedTable>,
 }
 
 impl LoadTable {
@@ -372,6 +375,38 @@
         self.loads.get(id)
     }
 
+    /// Learns the speeds of upstreams from now on.
+    pub fn learn_speeds(&mut self) {
+        self.speeds.get_or_insert_default();
+    }
+
+    /// Speeds of upstreams, if they are learned.
+    pub fn speeds(&self) -> Option<&SpeedTable> {
+        self.speeds.as_ref()
+    }
+
+    /// Speeds of upstreams, for changes.
+    pub fn speeds_mut(&mut self) -> Option<&mut SpeedTable> {
+        self.speeds.as_mut()
+    }
+
+    fn record_pace(
+        &mut self,
+        now_ms: u64,
+        id: &UpstreamId,
+        kind: PaceKind,
+        took_ms: f64,
+        units: u32,
+    ) {
+        if let Some(speeds) = self.speeds.as_mut().filter(|_| units > 0) {
+            let sum = PaceSum {
+                time_us: took_ms * 1_000.0,
+                units: f64::from(units),
+            };
+            speeds.record(now_ms, id, kind, sum);
+        }
+    }
+
     fn entry(&mut self, id: &UpstreamId) -> &mut Load {
         self.loads.entry(id.clone()).or_default()
     }
@@ -426,6 +461,16 @@
                 * weight;
         }
         load.last_activity_ms = now_ms;
+        if own_tokens > 0 {
+            let upstream = sent.upstream.clone();
+            self.record_pace(
+                now_ms,
+                &upstream,
+                PaceKind::Prefill,
+                took_ms,
+                prefilled_tokens,
+            );
+        }
     }
 
     /// Records that an upstream refused a request without executing it, because
@@ -488,6 +533,9 @@
             .local
             .minus(in_flight(sent.size, sent.is_prefill_pending));
         self.mark_changed(&sent.upstream);
+        if outcome == AttemptOutcome::Succeeded {
+            self.record_end_pace(now_ms, sent);
+        }
         let load = self.entry(&sent.upstream);
         match outcome {
             AttemptOutcome::Succeeded => {
@@ -511,6 +559,19 @@
         }
     }
 
+    fn record_end_pace(&mut self, now_ms: u64, sent: &SentRequest) {
+        let load = self.entry(&sent.upstream);
+        let class = load_class(load.total(now_ms).requests + 1);
+        let (kind, since_ms, units) = if sent.size.output_tokens > 0 {
+            let kind = PaceKind::Decode(class);
+            (kind, sent.first_response_ms, sent.size.output_tokens)
+        } else {
+            (PaceKind::Plain(class), sent.sent_ms, 1)
+        };
+        let took_ms = now_ms.saturating_sub(since_ms) as f64;
+        self.record_pace(now_ms, &sent.upstream, kind, took_ms, units);
+    }
+
     /// Counts a fault of an upstream apart from the end of a request.
     pub fn on_fault(&mut self, now_ms: u64, id: &UpstreamId) {
         self.entry(id).record_failure(now_ms);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -53,6 +53,7 @@
 pub mod slots;
 pub mod software;
 pub mod sound_responses;
+pub mod speed;
 pub mod store_era;
 pub mod store_relay;
 pub mod stream_origin;
--- a/src/gateway/announce.rs
+++ b/src/gateway/announce.rs
@@ -106,9 +106,15 @@
         }
         drop(loads);
         drop(peer_loads);
-        for index in 0..totals.len().div_ceil(MAX_ITEMS_PER_DATAGRAM) {
-            let totals = datagram_chunk(&totals, index);
-            self.broadcast(&PeerMessage::Digest { term, totals });
+        let speeds = gateway.known_speeds();
+        let longest = totals.len().max(speeds.len());
+        for index in 0..longest.div_ceil(MAX_ITEMS_PER_DATAGRAM) {
+            let digest = PeerMessage::Digest {
+                term,
+                totals: datagram_chunk(&totals, index),
+                speeds: datagram_chunk(&speeds, index),
+            };
+            self.broadcast(&digest);
         }
     }
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -126,6 +126,7 @@
             go_on_by_ms: self.software.as_ref().map(|_| go_on_by_ms),
             software: self.software.clone(),
             is_resumable: self.kind.is_stream() && self.kind.is_repeatable(),
+            end_by_ms: self.kind.is_stream().then_some(self.deadline_ms),
             ..UpstreamFilter::default()
         }
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -55,6 +55,7 @@
 pub mod run;
 pub mod settings;
 pub mod shared_places;
+mod speeds;
 pub mod state;
 pub mod store_era;
 pub mod store_facts;
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -16,6 +16,7 @@
 use crate::core::registry::Holdings;
 use crate::core::request_traits::{Fingerprint, Suspect};
 use crate::core::shared_account::SharedReport;
+use crate::core::speed::{PaceKind, PaceSum};
 use crate::core::stream_origin::OriginKnowledge;
 
 /// Holdings of one engine.
@@ -150,6 +151,9 @@
         /// Loads by upstream.
         #[serde(rename = "u")]
         in_flight: Vec<(UpstreamId, InFlight)>,
+        /// Samples of the speed of upstreams since the last message.
+        #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
+        paces: Vec<(UpstreamId, PaceKind, PaceSum)>,
     },
     /// Demand at a host.
     #[serde(rename = "r")]
@@ -176,6 +180,9 @@
         /// Sum of the hosts' loads, by upstream.
         #[serde(rename = "u")]
         totals: Vec<(UpstreamId, InFlight)>,
+        /// Speeds of upstreams in thousandths of the usual one, if they are learned.
+        #[serde(rename = "speed", default, skip_serializing_if = "Vec::is_empty")]
+        speeds: Vec<(UpstreamId, u32)>,
     },
     /// Holdings of engines after orders.
     #[serde(rename = "o")]
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -154,14 +154,10 @@
                 host,
                 started_ms,
                 in_flight,
+                paces,
             } => {
-                gateway.apply_loads(&host, started_ms, &in_flight);
-                gateway.pass_loads_to_keepers(&host, started_ms, &in_flight);
-                if gateway.is_large_fleet() {
-                    for (upstream, _) in &in_flight {
-                        gateway.notify_waiter(upstream);
-                    }
-                }
+                gateway.apply_paces(&paces);
+                self.on_loads(&host, started_ms, &in_flight);
             }
             PeerMessage::AskRoom {
                 host,
@@ -191,9 +187,14 @@
             } => self
                 .inbox
                 .on_weights_request(&service, &Weights { model, adapter }),
-            PeerMessage::Digest { term, totals } => {
+            PeerMessage::Digest {
+                term,
+                totals,
+                speeds,
+            } => {
                 if gateway.is_current_term(term) {
                     self.apply_totals(&totals);
+                    gateway.apply_speeds(&speeds);
                 }
             }
             PeerMessage::Holdings { term, engines } => {
@@ -247,6 +248,17 @@
         }
     }
 
+    fn on_loads(&self, host: &HostId, started_ms: u64, in_flight: &[(UpstreamId, InFlight)]) {
+        let gateway = &self.gateway;
+        gateway.apply_loads(host, started_ms, in_flight);
+        gateway.pass_loads_to_keepers(host, started_ms, in_flight);
+        if gateway.is_large_fleet() {
+            for (upstream, _) in in_flight {
+                gateway.notify_waiter(upstream);
+            }
+        }
+    }
+
     /// Updates the loads of the other hosts from the sums of all.
     fn apply_totals(&self, totals: &[(UpstreamId, InFlight)]) {
         let gateway = &self.gateway;
@@ -323,11 +335,14 @@
             let acting = gateway.acting_host.borrow();
             acting.iter().map(|a| a.addr).collect()
         };
-        for index in 0..in_flight.len().div_ceil(MAX_ITEMS_PER_DATAGRAM) {
+        let paces = gateway.take_paces();
+        let longest = in_flight.len().max(paces.len());
+        for index in 0..longest.div_ceil(MAX_ITEMS_PER_DATAGRAM) {
             let message = PeerMessage::Loads {
                 host: host.clone(),
                 started_ms,
                 in_flight: datagram_chunk(in_flight, index),
+                paces: datagram_chunk(&paces, index),
             };
             gateway.send_peers(addrs.clone(), &message);
         }
--- a/src/gateway/room.rs
+++ b/src/gateway/room.rs
@@ -210,6 +210,7 @@
                     host: self.settings().host.clone(),
                     started_ms: self.clock.started_ms(),
                     in_flight: datagram_chunk(&loads, index),
+                    paces: Vec::new(),
                 };
                 self.send_peer(addr, &message);
             }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -73,6 +73,9 @@
     /// the same at all hosts.
     #[serde(default)]
     pub shared_places: bool,
+    /// True if the speeds of upstreams are learned and work is split by them.
+    #[serde(default)]
+    pub learned_speed: bool,
 }
 
 fn whole_core() -> f64 {
--- a/src/gateway/shared_places/keeper.rs
+++ b/src/gateway/shared_places/keeper.rs
@@ -70,6 +70,7 @@
                     host: host.clone(),
                     started_ms,
                     in_flight: datagram_chunk(std::slice::from_ref(load), 0),
+                    paces: Vec::new(),
                 };
                 self.send_to_host(&keeper, &message);
             }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -138,6 +138,14 @@
     pub stopping: CancellationToken,
 }
 
+fn loads_at_start(settings: &GatewaySettings) -> LoadTable {
+    let mut loads = LoadTable::default();
+    if settings.learned_speed {
+        loads.learn_speeds();
+    }
+    loads
+}
+
 impl<P: Platform> Gateway<P> {
     /// State at the start of a process.
     pub fn new(settings: GatewaySettings, platform: P, logs: LogBuffer) -> Self {
@@ -151,7 +159,7 @@
             catalog: RefCell::default(),
             catalog_since_ms: Cell::new(0),
             registry: RefCell::default(),
-            loads: RefCell::default(),
+            loads: RefCell::new(loads_at_start(&settings)),
             admission_queue: RefCell::default(),
             retry_budgets: RefCell::default(),
             demand: RefCell::default(),
@@ -305,6 +313,9 @@
             RegistryChange::Added(_) | RegistryChange::Removed(_)
         ) {
             self.forget_rate(id);
+            if let Some(speeds) = self.loads.borrow_mut().speeds_mut() {
+                speeds.forget(id);
+            }
         }
         if let RegistryChange::Removed(id) = change {
             self.reported_incarnations.borrow_mut().remove(id);
