--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -16,9 +16,7 @@
 use super::place::InFlightAttempt;
 use super::platform::{ForwardingHeaders, Platform, ResponseKind};
 use super::state::Gateway;
-use crate::core::execution::{
-    Attempt, LocalStatus, NotRunEvidence, NotRunPromise, is_promise,
-};
+use crate::core::execution::{Attempt, LocalStatus, NotRunEvidence, NotRunPromise, is_promise};
 use crate::core::load::AttemptOutcome;
 use crate::core::stream_origin::StreamOrigin;
 use crate::edge::body::{ReadError, ServerResponse};
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -84,6 +84,9 @@
     /// Rules of waiting beyond those of all deployments.
     #[serde(default)]
     pub waiting: WaitingRules,
+    /// True if the speeds of upstreams are learned and work is split by them.
+    #[serde(default)]
+    pub learned_speed: bool,
 }
 
 fn whole_core() -> f64 {
