Hedge late requests of the routes that the settings name

Cause: a request waits for an upstream that is slow for half a second, while others of the service have room; a retry comes only after half of its time.

Change: core::hedge and core::first_responses decide when a second attempt is sent (measured times, limit of each host, not while the service is slow or full or callers wait, not into silent zones). gateway::hedging runs it beside the first one, for safe requests and for resumable streams before their first event, delivers the first response and drops the other.

--- a/src/core/balance.rs
+++ b/src/core/balance.rs
@@ -160,7 +160,8 @@
         self.software.is_none() || self.software == entry.software
     }
 
-    fn allows(&self, id: &UpstreamId) -> bool {
+    /// True if an upstream is eligible by its ID.
+    pub fn allows(&self, id: &UpstreamId) -> bool {
         !self.excluded.contains(id) && (self.only.is_empty() || self.only.contains(id))
     }
 }
--- a/src/core/waiting.rs
+++ b/src/core/waiting.rs
@@ -258,6 +258,13 @@
             .map(|r| &r.requirements)
     }
 
+    /// True if a request for a service is queued.
+    pub fn has_queued_for(&self, service: &ServiceId) -> bool {
+        self.requests
+            .iter()
+            .any(|r| r.requirements.service == *service)
+    }
+
     /// Earliest time at which a queued request expires.
     pub fn next_expiry_ms(&self) -> Option<u64> {
         let expiries_ms = self.requests.iter().map(|r| self.expiry_ms(r.expires_ms));
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -15,6 +15,7 @@
 
 use super::exchange::{AttemptFailure, BufferedResponse};
 use super::front::Caller;
+use super::hedging::{Exchange, Opening};
 use super::metrics::OutcomeLabels;
 use super::peer_server::Received;
 use super::place::{InFlightAttempt, Rejection};
@@ -169,7 +170,7 @@
 /// Attempts made so far for one request.
 #[derive(Clone, Debug, Default)]
 pub struct Attempts {
-    filter: UpstreamFilter,
+    pub(super) filter: UpstreamFilter,
     /// Upstreams that the request was sent to.
     pub sent_to: Vec<UpstreamId>,
     /// Number of attempts that failed before a byte was sent.
@@ -178,6 +179,8 @@
     refusals: u32,
     /// True if an upstream may have run the request.
     pub(super) may_have_run: bool,
+    /// True once the request has earned credit for second attempts.
+    pub(super) is_counted_for_hedges: bool,
     /// True if other hosts were asked to serve the request.
     pub(super) has_asked_peers: bool,
     /// Failure response of an upstream, forwarded if no retry follows.
@@ -324,35 +327,34 @@
                 acquired = self.acquire_upstream(&request, &attempts.filter).fuse() => acquired,
                 () = self.until_cut_off().fuse() => continue,
             };
-            let mut in_flight = match acquired {
+            let in_flight = match acquired {
                 Ok(in_flight) => in_flight,
                 Err(rejection) => break Self::outcome_without_upstream(&attempts, rejection),
             };
-            let upstream = in_flight.sent.upstream.clone();
-            let failure = if request.kind.is_stream() {
-                let software = request.software.as_ref();
-                let opening = self.open_stream_at(&request, &mut in_flight, None, software);
+            let (in_flight, failure) = if request.kind.is_stream() {
+                let opening = self.send_hedged(&request, &mut attempts, in_flight, &Opening);
                 match opening.await {
-                    Ok(opened) => {
-                        attempts.sent_to.push(upstream);
+                    (in_flight, Ok(opened)) => {
+                        attempts.sent_to.push(in_flight.sent.upstream.clone());
                         return relay::start(self, request, attempts, in_flight, opened);
                     }
-                    Err(failure) => failure,
+                    (in_flight, Err(failure)) => (in_flight, failure),
                 }
             } else {
-                let timeout = self.attempt_timeout(&request, &attempts);
-                match self.exchange(&request, &mut in_flight, timeout).await {
-                    Ok(response)
+                let exchange = self.send_hedged(&request, &mut attempts, in_flight, &Exchange);
+                match exchange.await {
+                    (in_flight, Ok(response))
                         if response.is_failure() && self.may_repeat(&request, &attempts) =>
                     {
-                        AttemptFailure::FailureResponse(response)
+                        (in_flight, AttemptFailure::FailureResponse(response))
                     }
-                    Ok(response) => {
+                    (in_flight, Ok(response)) => {
                         return self.forward_response(&request, &attempts, in_flight, response);
                     }
-                    Err(failure) => failure,
+                    (in_flight, Err(failure)) => (in_flight, failure),
                 }
             };
+            let upstream = in_flight.sent.upstream.clone();
             self.log_failed_attempt(&request, &upstream, &failure);
             self.on_failed_attempt(&request, &in_flight.sent, &failure);
             in_flight.finish(failure.attempt_outcome());
@@ -423,7 +425,7 @@
             && request.deadline_ms > self.now_ms()
     }
 
-    fn attempt_timeout(&self, request: &RoutedRequest, attempts: &Attempts) -> Duration {
+    pub(super) fn attempt_timeout(&self, request: &RoutedRequest, attempts: &Attempts) -> Duration {
         let time_left = request.time_left(self.now_ms());
         if !self.may_repeat(request, attempts) {
             return time_left;
@@ -481,6 +483,44 @@
         }
     }
 
+    /// Enters an attempt that failed while another one for the same request goes on.
+    pub(super) fn end_failed_attempt(
+        self: &Rc<Self>,
+        request: &RoutedRequest,
+        attempts: &mut Attempts,
+        in_flight: InFlightAttempt<P>,
+        failure: &AttemptFailure,
+    ) {
+        let upstream = in_flight.sent.upstream.clone();
+        self.log_failed_attempt(request, &upstream, failure);
+        self.on_failed_attempt(request, &in_flight.sent, failure);
+        in_flight.finish(failure.attempt_outcome());
+        match failure {
+            AttemptFailure::NotConnected
+            | AttemptFailure::NotSent
+            | AttemptFailure::NotConfirmed => attempts.unsent += 1,
+            AttemptFailure::NotRun { .. } => {
+                if let Some(weights) = &request.requirements.weights {
+                    let mut loads = self.loads.borrow_mut();
+                    loads.on_refused(self.now_ms(), &upstream, weights);
+                }
+                attempts.refusals += 1;
+                attempts.sent_to.push(upstream.clone());
+            }
+            AttemptFailure::Unknown
+            | AttemptFailure::NoMemory
+            | AttemptFailure::TimedOut
+            | AttemptFailure::FailureResponse(_) => {
+                attempts.may_have_run = true;
+                attempts.sent_to.push(upstream.clone());
+            }
+        }
+        if let AttemptFailure::FailureResponse(response) = failure {
+            attempts.failure_response = Some(response.clone());
+        }
+        attempts.filter.excluded.push(upstream);
+    }
+
     /// Handles an upstream's refusal to run the request.
     async fn handle_refusal(
         &self,
@@ -542,7 +582,7 @@
         );
     }
 
-    fn retries_left(&self, service: &ServiceId) -> u32 {
+    pub(super) fn retries_left(&self, service: &ServiceId) -> u32 {
         let budgets = self.retry_budgets.borrow();
         budgets
             .get(service)
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -120,7 +120,9 @@
     pub status: StatusCode,
     /// Headers for the caller.
     pub headers: HeaderMap,
-    /// Body with the events.
+    /// Beginning of the body, if it was read already.
+    pub read_ahead: Bytes,
+    /// Body with the events, or what follows of it.
     pub body: PooledBody,
     /// Listed incarnation of the upstream, if its software version is known; it may have
     /// restarted without this host knowing.
@@ -202,6 +204,7 @@
         Ok(OpenStream {
             status: parts.status,
             headers,
+            read_ahead: Bytes::new(),
             body,
             origin: origin.filter(|o| self.is_listed(o)),
             opened_ms: self.now_ms(),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -38,6 +38,20 @@
     pub source: &'static str,
 }
 
+/// Label of a second attempt.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct HedgeLabels {
+    /// Which attempt was delivered.
+    pub outcome: &'static str,
+}
+
+/// Label of a late request without a second attempt.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct NoHedgeLabels {
+    /// Reason.
+    pub reason: &'static str,
+}
+
 /// All metrics and their registry.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -54,6 +68,10 @@
     pub requests_waiting: Gauge,
     /// Retried attempts.
     pub retries: Counter,
+    /// Second attempts for late requests, by outcome.
+    pub hedges: Family<HedgeLabels, Counter>,
+    /// Late requests without a second attempt, by reason.
+    pub hedges_withheld: Family<NoHedgeLabels, Counter>,
     /// Streams resumed at another upstream.
     pub streams_resumed: Counter,
     /// Streams that broke off and found no upstream of their software version.
@@ -125,6 +143,8 @@
             requests_in_flight: Gauge::default(),
             requests_waiting: Gauge::default(),
             retries: Counter::default(),
+            hedges: Family::default(),
+            hedges_withheld: Family::default(),
             streams_resumed: Counter::default(),
             streams_not_resumed: Counter::default(),
             resume_requests: Family::default(),
@@ -156,6 +176,7 @@
             dropped_log_lines: Gauge::default(),
         };
         metrics.register();
+        metrics.register_hedges();
         metrics.register_streams();
         metrics.register_response_limits();
         metrics.register_reach();
@@ -301,6 +322,19 @@
         );
     }
 
+    fn register_hedges(&mut self) {
+        self.registry.register(
+            "hedges",
+            "Second attempts for late requests, by the attempt that was delivered",
+            self.hedges.clone(),
+        );
+        self.registry.register(
+            "hedges_withheld",
+            "Late requests without a second attempt, by reason",
+            self.hedges_withheld.clone(),
+        );
+    }
+
     fn register_streams(&mut self) {
         let registry = &mut self.registry;
         registry.register(
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //!   an upstream, and `relay` forwards an event stream. `notices` applies what an
 //!   upstream states about itself in its responses.
 //! - `departures` learns whether upstreams that are missing after an outage have left.
+//! - `hedging` sends a second attempt for a request whose first response is late.
 //! - `held_up` records requests whose path to an upstream does not answer.
 //! - `sync` mirrors the platform's store with `store_facts`, which decodes its keys,
 //!   and `store_relay`, which passes changes on between hosts; `membership` registers this host and
@@ -27,6 +28,7 @@
 pub mod departures;
 pub mod exchange;
 pub mod front;
+pub mod hedging;
 mod held_up;
 pub mod incarnations;
 pub mod lease;
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -21,6 +21,7 @@
     select_upstream,
 };
 use crate::core::catalog::{ModelSpec, WeightSource};
+use crate::core::ids::ServiceId;
 use crate::core::load::{AttemptOutcome, Load, SentRequest};
 use crate::core::rate_account::Purpose;
 use crate::core::registry::{Entry, Registry};
@@ -94,6 +95,11 @@
         self.queue.len()
     }
 
+    /// True if a request for a service is queued.
+    pub fn has_queued_for(&self, service: &ServiceId) -> bool {
+        self.queue.has_queued_for(service)
+    }
+
     /// Lets all queued requests expire at a time at the latest, since this host stops.
     pub fn close_at(&mut self, at_ms: u64) {
         self.queue.close_at(at_ms);
@@ -234,6 +240,22 @@
         Err(self.reject_expired(request, filter, &queue_key, NoUpstream::Closed))
     }
 
+    /// Reserves an upstream for a second attempt if one can take it now.
+    pub(super) async fn acquire_without_wait(
+        self: &Rc<Self>,
+        request: &RoutedRequest,
+        filter: &UpstreamFilter,
+    ) -> Option<InFlightAttempt<P>> {
+        let reserved = self.reserve(self.now_ms(), &request.requirements, filter);
+        let mut in_flight = InFlightAttempt::new(self, reserved.ok()?);
+        let upstream = &in_flight.sent.upstream;
+        let may_send = self.has_room(request, upstream).await
+            && self.take_permit(upstream, Purpose::Caller).await
+            && self.take_place(&mut in_flight).await
+            && self.hold_back(request).is_none();
+        may_send.then_some(in_flight)
+    }
+
     /// Reserves an upstream by what this host knows, at once or after a wait in the
     /// queue.
     async fn reserve_or_wait(
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -94,6 +94,7 @@
         responding_since_ms: None,
         is_sound: false,
         longest_gap_ms: 0,
+        read_ahead: opened.read_ahead,
     };
     compio::runtime::spawn(relay.run(in_flight, opened.body)).detach();
     response
@@ -127,6 +128,8 @@
     /// True once that upstream counts as responding soundly.
     is_sound: bool,
     longest_gap_ms: u64,
+    /// Beginning of the present response, if it was read already.
+    read_ahead: Bytes,
 }
 
 impl<P: Platform> Relay<P> {
@@ -209,9 +212,17 @@
         let mut last_ms = self.gateway.now_ms();
         loop {
             let time_left = self.request.time_left(self.gateway.now_ms());
+            let read_ahead = std::mem::take(&mut self.read_ahead);
+            let next_frame = async {
+                if read_ahead.is_empty() {
+                    body.frame().await
+                } else {
+                    Some(Ok(Frame::data(read_ahead)))
+                }
+            };
             let frame = futures_util::select_biased! {
                 () = self.disconnected.cancelled().fuse() => return SegmentEnd::CallerDisconnected,
-                frame = compio::time::timeout(time_left, body.frame()).fuse() => frame,
+                frame = compio::time::timeout(time_left, next_frame).fuse() => frame,
             };
             let data = match frame {
                 Err(_) if progress.is_stalled(self.gateway.now_ms()) => return SegmentEnd::Stalled,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -10,6 +10,7 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 
 use crate::core::config::{Finding, Findings};
+use crate::core::hedge::MAX_SHARE;
 use crate::core::ids::{HostId, ZoneId};
 use crate::settings::{self, SettingsError};
 
@@ -65,12 +66,31 @@
     #[serde_as(as = "DurationMilliSeconds<f64>")]
     #[serde(rename = "config_within_ms")]
     pub config_within: Duration,
+    /// Second attempts for requests whose first response is late; absent means none.
+    #[serde(default)]
+    pub hedging: Option<HedgingSettings>,
     /// Lower bound on the time to live of a host's lease.
     #[serde_as(as = "DurationMilliSeconds<f64>")]
     #[serde(rename = "min_lease_ms")]
     pub min_lease: Duration,
 }
 
+/// Second attempts for requests whose first response is late.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct HedgingSettings {
+    /// Largest share of second attempts among the requests of these routes.
+    pub max_share: f64,
+    /// Names of the routes.
+    pub routes: Vec<String>,
+}
+
+impl HedgingSettings {
+    /// True if the share is within its bounds.
+    pub fn is_valid(&self) -> bool {
+        (0.0..=MAX_SHARE).contains(&self.max_share)
+    }
+}
+
 fn whole_core() -> f64 {
     1.0
 }
@@ -112,6 +132,8 @@
         findings.expect(is_share, "retry_share", "must be from 0 to 1");
         let is_valid = self.retry_slack >= 0.0;
         findings.expect(is_valid, "retry_slack", "must not be negative");
+        let is_valid = self.hedging.as_ref().is_none_or(HedgingSettings::is_valid);
+        findings.expect(is_valid, "hedging.max_share", "must be from 0 to 0.2");
     }
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,6 +11,7 @@
 use super::crashes::CrashDesk;
 use super::demand::DemandCounters;
 use super::departures::DepartureDesk;
+use super::hedging::HedgeDesk;
 use super::logs::LogBuffer;
 use super::metrics::GatewayMetrics;
 use super::peer_requests::PeerDesk;
@@ -100,6 +101,8 @@
     pub brittle: BrittleDesk,
     /// Requests that broke off when their upstreams ended.
     pub crashes: CrashDesk,
+    /// Response times and second attempts of late requests.
+    pub hedges: HedgeDesk,
     /// Where recent streams began.
     pub origins: OriginDesk,
     /// Incarnations that engines have reported, each with its start and the time at which
@@ -160,6 +163,7 @@
             brittle: BrittleDesk::new(settings.host.clone(), clock.started_ms()),
             settings: RefCell::new(Rc::new(settings)),
             crashes: CrashDesk::default(),
+            hedges: HedgeDesk::default(),
             origins: OriginDesk::default(),
             reported_incarnations: RefCell::default(),
             software: RefCell::default(),
