--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -194,21 +194,11 @@
             } => self
                 .inbox
                 .on_weights_request(&service, &Weights { model, adapter }),
-            PeerMessage::Digest {
-                term,
-                totals,
-                speeds,
-            } => {
-                if gateway.is_current_term(term) {
-                    self.apply_totals(&totals);
-                    gateway.apply_speeds(&speeds);
-                }
-            }
-            PeerMessage::Holdings { term, engines } => {
+            PeerMessage::Digest { term, .. }
+            | PeerMessage::Holdings { term, .. }
+            | PeerMessage::Loading { term, .. } => {
                 if gateway.is_current_term(term) {
-                    for engine in &engines {
-                        gateway.apply_holdings(term, engine);
-                    }
+                    self.apply_announcement(message);
                 }
             }
             PeerMessage::StoreChanges(changes) => gateway.apply_relayed(changes),
@@ -244,16 +234,29 @@
             | PeerMessage::Quarantine(_)
             | PeerMessage::AskTrial { .. }
             | PeerMessage::Trial { .. } => gateway.handle_crash_message(message),
+        }
+    }
+
+    /// Applies what the acting host announces to all hosts.
+    fn apply_announcement(&self, message: PeerMessage) {
+        let gateway = &self.gateway;
+        match message {
+            PeerMessage::Digest { totals, speeds, .. } => {
+                self.apply_totals(&totals);
+                gateway.apply_speeds(&speeds);
+            }
+            PeerMessage::Holdings { term, engines } => {
+                for engine in &engines {
+                    gateway.apply_holdings(term, engine);
+                }
+            }
             PeerMessage::Loading {
-                term,
                 service,
                 model,
                 ready_in_ms,
-            } => {
-                if gateway.is_current_term(term) {
-                    gateway.apply_loading(service, model, ready_in_ms);
-                }
-            }
+                ..
+            } => gateway.apply_loading(service, model, ready_in_ms),
+            _ => {}
         }
     }
 
--- a/tests/common/brittle_fleet.rs
+++ b/tests/common/brittle_fleet.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use currantcove::core::engine_room::RoomWaiters;
+use currantcove::core::engine_room::{RoomWaiters, Urgency};
 use currantcove::core::ids::{HostId, UpstreamId};
 use currantcove::core::open_places::{OpenPlaces, PlaceEnd, PlacesReport};
 use currantcove::core::place_account::{BrittleLimits, PlaceAccounts, PlaceAnswer};
@@ -420,7 +420,7 @@
         let (answer, _) = accounts.try_take(now_ms, report, limits, keeping);
         if answer != PlaceAnswer::Granted {
             let waiters = &mut self.hosts[to].waiters;
-            waiters.add(now_ms, &report.upstream, &report.host);
+            waiters.add(now_ms, &report.upstream, &report.host, Urgency::default());
         }
         let host = self.hosts.iter().position(|h| h.id == report.host);
         let host = host.expect("listed");
