--- a/src/gateway/quotas/desk.rs
+++ b/src/gateway/quotas/desk.rs
@@ -14,10 +14,10 @@
 use crate::core::ids::{HostId, OrganisationId, ZoneId};
 use crate::core::organisations::{Organisation, Organisations};
 use crate::core::quota_account::{
-    Ask, Asker, Overage, QuotaAccounts, QuotaAnswer, QuotaLimit, Refund, group_of,
+    Ask, Asker, DELEGATION_MS, Overage, QuotaAccounts, QuotaAnswer, QuotaLimit, Refund, group_of,
 };
 use crate::core::quota_credit::CreditAhead;
-use crate::core::quota_share::{Candidate, KnownHosts, QuotaShare, choose_keepers};
+use crate::core::quota_share::{Candidate, KnownHosts, QuotaShare, UNANSWERED_MS, choose_keepers};
 use crate::gateway::questions::Questions;
 
 /// Time after which a question is repeated; several times the round trip between zones.
@@ -25,9 +25,9 @@
 /// Time after which a question counts as unanswered. A host with a tenth of a core may be
 /// off its processor for 90 ms at a time.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
-/// Retry delay of requests without an answer, in milliseconds; about the time in which
-/// another keeper takes over.
-const UNKNOWN_RETRY_MS: u64 = 300;
+/// Retry delay of requests without an answer, in milliseconds: until the keeper is passed
+/// over and its delegation has lapsed. Callers that returned earlier were refused again.
+const UNKNOWN_RETRY_MS: u64 = UNANSWERED_MS + DELEGATION_MS;
 /// Time for which the answer to a question may still arrive, in milliseconds.
 const ASKED_MS: u64 = 2_000;
 /// Questions and refunds in one datagram.
