--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,19 +16,21 @@
 
 
 class Spoiling(Server):
-    """Server that spoils the digits of one Keep-Alive header."""
+    """Server that may spoil the digits of one Keep-Alive header."""
 
-    def __init__(self, world, name, is_faulty):
-        super().__init__(world, name)
-        self.is_faulty, self.answers = is_faulty, 0
+    may_spoil = False  # until the first of the servers has spoilt its answer
+
+    def __init__(self, world, name, service):
+        super().__init__(world, name, service)
+        self.answers = 0
 
     async def respond(self, first, headers, body, reader, writer):
         self.answers += 1
         self.extra_headers = {"Keep-Alive": SOUND}
-        if self.is_faulty and self.answers == SPOILT_ANSWER:
+        if Spoiling.may_spoil and self.service == "app" and self.answers == SPOILT_ANSWER:
             self.extra_headers = {"Keep-Alive": SPOILT}
             self.world.record(f"{self.id} spoils the Keep-Alive header of its answer no. {self.answers}")
-            self.is_faulty = False
+            Spoiling.may_spoil = False
         self.work_s = 0.25 if "/slow/" in first else 0.01
         return await super().respond(first, headers, body, reader, writer)
 
@@ -36,11 +38,10 @@
 async def case(world, with_trouble):
     world.routes = [route("slow", "/slow/", "unsafe", "register"), route("quick", "/quick/", "unsafe", "app")]
     world.services = [{"name": name, "max_connections": 100} for name in ("app", "register")]
-    faulty = [Spoiling(world, "i-1", with_trouble)] + [Spoiling(world, f"i-{n}", False) for n in (2, 3)]
-    sound = [Spoiling(world, f"i-{n}", False) for n in (4, 5, 6)]
-    for server in sound:
-        server.service = "register"
+    faulty = [Spoiling(world, f"i-{n}", "app") for n in (1, 2, 3)]  # one of these
+    sound = [Spoiling(world, f"i-{n}", "register") for n in (4, 5, 6)]
     world.servers = faulty + sound
+    Spoiling.may_spoil = with_trouble
     await world.start()
     await asyncio.sleep(4)  # in touch: contact_ms without disruption
     host = world.hosts[0]
@@ -62,9 +63,9 @@
         client.close()
 
     async def quick_client():
-        """Keeps the other service busy until the faulty server has sent 60 answers."""
+        """Keeps the other service busy until one of its servers has sent 60 answers."""
         client, count = Client(world, host.front), 0
-        while faulty[0].answers < SPOILT_ANSWER * 3 // 2 and count < 1000 and not host.ended:
+        while max(s.answers for s in faulty) < SPOILT_ANSWER * 3 // 2 and count < 1000 and not host.ended:
             count += 1
             answer = await client.send("POST", "/quick/x", f"quick-{count}", body=b"x")
             if answer.end == "no connection":
