--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -17,6 +17,7 @@
 import urllib.parse
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+USED_PORTS = set()
 REASONS = {200: "OK", 404: "Not Found", 412: "Precondition Failed", 503: "Unavailable"}
 
 
@@ -24,10 +25,13 @@
     """Port that is free for TCP and UDP now, outside the usual range of outgoing connections."""
     for _ in range(500):
         port = random.randrange(20000, 32000)
+        if port in USED_PORTS:
+            continue
         tcp, udp = socket.socket(), socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
             tcp.bind((ip, port))
             udp.bind((ip, port))
+            USED_PORTS.add(port)
             return port
         except OSError:
             continue
