Take times of Keep-Alive headers through one checked conversion

Cause: edge/pool.rs added the stated number of seconds, any of 64 bits, to the present instant and to a duration. Both additions panic on overflow, and the release profile aborts the process on a panic.

Evidence: the log line `panic` says "overflow when adding duration to instant".

Fix: core::stated converts a number of another process once, where it is decoded, and shortens times to one year, so that no sum of it with a duration or the present time overflows.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -61,6 +61,7 @@
 pub mod software;
 pub mod sound_responses;
 pub mod speed;
+pub mod stated;
 pub mod store_era;
 pub mod store_relay;
 pub mod stream_origin;
--- a/src/edge/pool.rs
+++ b/src/edge/pool.rs
@@ -26,6 +26,7 @@
 use super::connection::Connection;
 use super::path_check::until_held_up;
 use crate::core::execution::NotRunEvidence;
+use crate::core::stated;
 
 /// Timeout of a connection attempt.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -295,7 +296,7 @@
         parameters.find_map(|p| p.strip_prefix("timeout=")?.parse().ok())
     });
     timeout_s.map_or(DEFAULT_IDLE_TIMEOUT, |s| {
-        Duration::from_secs(s).saturating_sub(IDLE_MARGIN)
+        stated::seconds(s).saturating_sub(IDLE_MARGIN)
     })
 }
 
