Convert the numbers of all other processes where they are decoded

On the code before, with overflow checks, callers' Token-Usage, sizes in the configuration, an engine's count of orders, a lease's time to live and other hosts' messages each end a task by "attempt to add with overflow" or "attempt to multiply with overflow"; as released, where these wrap around, an engine is sent an order by a count that it cannot have, and a configuration with a count beyond 32 bits or a time beyond 2^64 s is not in force.

Fix: adapters of core::stated for times, sizes, counts and totals shorten what is too large; numbers that are compared with others are invalid beyond 2^53. A total in flight stays within its limit when loads are added.

--- a/src/core/brittle_notice.rs
+++ b/src/core/brittle_notice.rs
@@ -16,8 +16,10 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
 
 use super::ids::{ServiceId, UpstreamId};
+use super::stated::{StatedCount, StatedMillis};
 
 /// Time for which the statement of an upstream that is gone holds for its service, in
 /// milliseconds.
@@ -73,6 +75,7 @@
 }
 
 /// Statement as passed on between hosts.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct BrittleStatement {
     /// Upstream.
@@ -85,12 +88,15 @@
     #[serde(rename = "s")]
     pub started_ms: u64,
     /// Rejections within a second that it survives.
+    #[serde_as(as = "StatedCount")]
     #[serde(rename = "n")]
     pub max_rejections: u32,
     /// Time since its last response that states this, in milliseconds.
+    #[serde_as(as = "StatedMillis")]
     #[serde(rename = "a")]
     pub age_ms: u64,
     /// Time since the first statement of the service, in milliseconds.
+    #[serde_as(as = "StatedMillis")]
     #[serde(rename = "b")]
     pub stated_for_ms: u64,
 }
--- a/src/core/load.rs
+++ b/src/core/load.rs
@@ -9,10 +9,12 @@
 use std::collections::{HashMap, HashSet};
 
 use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
 
 use super::balance::Weights;
 use super::ids::UpstreamId;
 use super::speed::{PaceKind, PaceSum, SpeedTable, load_class};
+use super::stated::{MAX_TOTAL, StatedTotal};
 
 /// Consecutive failures after which an upstream is ejected.
 pub const EJECT_AFTER_FAILURES: u32 = 3;
@@ -52,27 +54,32 @@
 const FULL_WEIGHT_TOKENS: f64 = 1_500.0;
 
 /// Requests in flight at one upstream.
+#[serde_as]
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct InFlight {
     /// Number of requests.
+    #[serde_as(as = "StatedTotal")]
     #[serde(rename = "n")]
     pub requests: u32,
     /// Tokens of their prompts and expected outputs.
+    #[serde_as(as = "StatedTotal")]
     #[serde(rename = "t")]
     pub tokens: u32,
     /// Prompt tokens of requests that have no first event yet, as their prefill
     /// is still pending.
+    #[serde_as(as = "StatedTotal")]
     #[serde(rename = "u")]
     pub unread_tokens: u32,
 }
 
 impl InFlight {
-    /// Sum of both.
+    /// Sum of both, up to the largest total.
     pub fn plus(self, other: Self) -> Self {
+        let sum = |a: u32, b: u32| (a + b).min(MAX_TOTAL);
         Self {
-            requests: self.requests + other.requests,
-            tokens: self.tokens + other.tokens,
-            unread_tokens: self.unread_tokens + other.unread_tokens,
+            requests: sum(self.requests, other.requests),
+            tokens: sum(self.tokens, other.tokens),
+            unread_tokens: sum(self.unread_tokens, other.unread_tokens),
         }
     }
 
--- a/src/core/open_places.rs
+++ b/src/core/open_places.rs
@@ -10,8 +10,10 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
 
 use super::ids::{HostId, UpstreamId};
+use super::stated::StatedCount;
 
 /// Time after which an open request counts as accepted, in milliseconds; many times the
 /// round trip to an upstream.
@@ -24,6 +26,7 @@
 const MAX_LISTED_REJECTIONS: usize = 64;
 
 /// What a host has in flight at a brittle upstream.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PlacesReport {
     /// Sender.
@@ -43,6 +46,7 @@
     #[serde(rename = "n")]
     pub sequence: u64,
     /// Requests that the upstream has accepted.
+    #[serde_as(as = "StatedCount")]
     #[serde(rename = "a")]
     pub accepted: u32,
     /// Places of requests that it may still turn away.
--- a/src/core/place_account.rs
+++ b/src/core/place_account.rs
@@ -20,10 +20,12 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
 
 use super::ids::{HostId, UpstreamId};
 use super::open_places::{PlacesReport, REJECTION_WINDOW_MS};
 use super::rate_account::Keeping;
+use super::stated::StatedCount;
 
 /// Time for which a new account grants nothing, in milliseconds; hosts with places report
 /// within it.
@@ -53,12 +55,15 @@
 const ACCOUNT_EXPIRES_MS: u64 = 30_000;
 
 /// Properties of a brittle upstream.
+#[serde_as]
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct BrittleLimits {
     /// Rejections within a second that it survives.
+    #[serde_as(as = "StatedCount")]
     #[serde(rename = "n")]
     pub max_rejections: u32,
     /// Requests that it runs at once.
+    #[serde_as(as = "StatedCount")]
     #[serde(rename = "s")]
     pub slots: u32,
 }
--- a/src/core/quota_account.rs
+++ b/src/core/quota_account.rs
@@ -18,9 +18,11 @@
 use std::rc::Rc;
 
 use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
 
 use super::ids::{HostId, OrganisationId};
 use super::rendezvous::hash;
+use super::stated::{StatedMillis, StatedSize};
 
 /// Groups of organisations. Hosts delegate each group to one keeper; the number is the same
 /// for all hosts, because hosts that group organisations differently would delegate a share
@@ -101,20 +103,24 @@
 }
 
 /// What a host asks for.
+#[serde_as]
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Ask {
     /// Identifies the question; a repeated question has the same number.
     #[serde(rename = "k")]
     pub ticket: u64,
     /// Units for a request; 0 if only credit ahead is asked for.
+    #[serde_as(as = "StatedSize")]
     #[serde(rename = "c")]
     pub cost: u64,
     /// Units of credit ahead that the host can use.
+    #[serde_as(as = "StatedSize")]
     #[serde(rename = "a", default)]
     pub ahead: u64,
 }
 
 /// Answer of a keeper.
+#[serde_as]
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum QuotaAnswer {
     /// The request may be sent.
@@ -124,6 +130,7 @@
         #[serde(rename = "m")]
         mark: u64,
         /// Units of credit granted ahead.
+        #[serde_as(as = "StatedSize")]
         #[serde(rename = "a", default)]
         ahead: u64,
     },
@@ -131,6 +138,7 @@
     #[serde(rename = "o")]
     OverQuota {
         /// Time until there is credit, in milliseconds.
+        #[serde_as(as = "StatedMillis")]
         #[serde(rename = "i")]
         retry_in_ms: u64,
     },
@@ -140,12 +148,14 @@
 }
 
 /// Credit that is given back.
+#[serde_as]
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Refund {
     /// Identifies the refund among the questions of its host.
     #[serde(rename = "k")]
     pub ticket: u64,
     /// Units.
+    #[serde_as(as = "StatedSize")]
     #[serde(rename = "c")]
     pub amount: u64,
     /// Mark of the grant.
--- a/src/core/shared_account.rs
+++ b/src/core/shared_account.rs
@@ -18,10 +18,12 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
 
 use super::ids::{HostId, UpstreamId};
 use super::place_account::RoomCut;
 use super::rendezvous;
+use super::stated::{StatedCount, StatedMillis};
 
 /// Time after which a grant that its host has not reported counts as lost, in
 /// milliseconds; hosts that hold or await places report more often.
@@ -45,6 +47,7 @@
 const EWMA_WEIGHT: f64 = 0.05;
 
 /// What one host holds and awaits at an upstream.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SharedReport {
     /// Sender.
@@ -60,18 +63,21 @@
     #[serde(rename = "s")]
     pub started_ms: u64,
     /// Requests that it runs at once.
+    #[serde_as(as = "StatedCount")]
     #[serde(rename = "c")]
     pub slots: u32,
     /// Rises with each report of the process.
     #[serde(rename = "n")]
     pub sequence: u64,
     /// Requests of the sender at the upstream, and places that it has not used yet.
+    #[serde_as(as = "StatedCount")]
     #[serde(rename = "o")]
     pub held: u32,
     /// Latest grant of this keeper that the sender has received; 0 if none.
     #[serde(rename = "g")]
     pub seen_grant: u64,
     /// Urgency of the sender's most urgent waiting requests (`urgency`).
+    #[serde_as(as = "Vec<StatedMillis>")]
     #[serde(rename = "w", default)]
     pub waiting: Vec<i64>,
     /// Requests that the upstream has rejected for want of room, since the sender started.
--- a/src/gateway/demand.rs
+++ b/src/gateway/demand.rs
@@ -7,24 +7,29 @@
 use std::collections::{BTreeMap, HashMap};
 
 use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
 
 use crate::core::balance::Weights;
 use crate::core::ids::{AdapterId, ModelId, ServiceId};
 use crate::core::load::RequestSize;
+use crate::core::stated::StatedSize;
 
 /// Service and model.
 pub type ServiceModel = (ServiceId, ModelId);
 
 /// Demand for one model at one host.
+#[serde_as]
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ModelCounts {
     /// Requests that arrived since the start of the process.
     #[serde(rename = "a")]
     pub requests: u32,
     /// Prompt tokens of those requests.
+    #[serde_as(as = "StatedSize")]
     #[serde(rename = "t")]
     pub prompt_tokens: u64,
     /// Output tokens that their callers expect.
+    #[serde_as(as = "StatedSize")]
     #[serde(rename = "o", default)]
     pub output_tokens: u64,
 }
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -1,6 +1,7 @@
 //! Messages that hosts exchange, as encoded on the wire.
 
 use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
 
 use super::demand::ModelCounts;
 use super::quotas::messages::{QuotaMessage, QuotaReply};
@@ -18,6 +19,7 @@
 use crate::core::request_traits::{Fingerprint, Suspect};
 use crate::core::shared_account::SharedReport;
 use crate::core::speed::{PaceKind, PaceSum};
+use crate::core::stated::{StatedCount, StatedMillis};
 use crate::core::stream_origin::OriginKnowledge;
 
 /// Holdings of one engine.
@@ -115,6 +117,7 @@
 }
 
 /// Answer or grant of a keeper.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SharedPlaceMessage {
     /// Sender.
@@ -130,14 +133,17 @@
     #[serde(rename = "g", default)]
     pub grant: Option<u64>,
     /// Requests of all other hosts in flight there.
+    #[serde_as(as = "StatedCount")]
     #[serde(rename = "o")]
     pub others: u32,
     /// Waiting requests of other hosts that precede those of the receiver.
+    #[serde_as(as = "StatedCount")]
     #[serde(rename = "a")]
     pub ahead: u32,
 }
 
 /// Message from one host to another.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PeerMessage {
     /// In-flight loads of a host.
@@ -221,6 +227,7 @@
         #[serde(rename = "m")]
         model: ModelId,
         /// Expected time until the model is ready, in milliseconds.
+        #[serde_as(as = "StatedMillis")]
         #[serde(rename = "i")]
         ready_in_ms: u64,
     },
@@ -267,6 +274,7 @@
         #[serde(rename = "u")]
         upstream: UpstreamId,
         /// Time until the request is due, in milliseconds, if the sender states it.
+        #[serde_as(as = "Option<StatedMillis>")]
         #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
         due_in_ms: Option<u64>,
         /// Priority of the request.
@@ -310,7 +318,8 @@
         ticket: u64,
         /// Time after which the host may ask again, in milliseconds; absent if it may
         /// send its request.
-        #[serde(rename = "i")]
+        #[serde_as(as = "Option<StatedMillis>")]
+        #[serde(rename = "i", default)]
         retry_in_ms: Option<u64>,
     },
     /// An upstream states that it is brittle.
@@ -328,7 +337,8 @@
         ticket: u64,
         /// Time after which the host may ask again, in milliseconds; absent if it may
         /// send its request.
-        #[serde(rename = "i")]
+        #[serde_as(as = "Option<StatedMillis>")]
+        #[serde(rename = "i", default)]
         retry_in_ms: Option<u64>,
     },
     /// A host that was denied a place may ask again.
@@ -355,6 +365,7 @@
         #[serde(rename = "s")]
         started_ms: u64,
         /// Time since its end, in milliseconds.
+        #[serde_as(as = "StatedMillis")]
         #[serde(rename = "a")]
         age_ms: u64,
         /// Requests that may have caused it.
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -7,12 +7,13 @@
 use std::time::Duration;
 
 use serde::Deserialize;
-use serde_with::{DurationMilliSeconds, serde_as};
+use serde_with::serde_as;
 
 use crate::core::config::{Finding, Findings};
 use crate::core::hedge::MAX_SHARE;
 use crate::core::ids::{HostId, ZoneId};
 use crate::core::quota_account::Overage;
+use crate::core::stated::StatedMillis;
 use crate::core::waiting::WaitingRules;
 use crate::settings::{self, SettingsError};
 
@@ -46,7 +47,7 @@
     pub engines_check_fences: bool,
     /// Shortest time between the orders of two acting hosts to one engine, if
     /// engines do not check fencing tokens.
-    #[serde_as(as = "DurationMilliSeconds<f64>")]
+    #[serde_as(as = "StatedMillis")]
     #[serde(rename = "order_lease_ms")]
     pub order_lease: Duration,
     /// Time from the stop signal until the process is killed, in seconds.
@@ -56,16 +57,16 @@
     /// Retries that all hosts together may make in addition to that share.
     pub retry_slack: f64,
     /// Time after which a draining upstream must receive no further requests.
-    #[serde_as(as = "DurationMilliSeconds<f64>")]
+    #[serde_as(as = "StatedMillis")]
     #[serde(rename = "drain_within_ms")]
     pub drain_within: Duration,
     /// Time after a disruption within which the limits on upstreams that have left do
     /// not apply.
-    #[serde_as(as = "DurationMilliSeconds<f64>")]
+    #[serde_as(as = "StatedMillis")]
     #[serde(rename = "contact_within_ms", default)]
     pub contact_within: Duration,
     /// Time within which a new configuration must be in force.
-    #[serde_as(as = "DurationMilliSeconds<f64>")]
+    #[serde_as(as = "StatedMillis")]
     #[serde(rename = "config_within_ms")]
     pub config_within: Duration,
     /// Window in which the use of an organisation counts against its quota, in seconds.
@@ -78,7 +79,7 @@
     #[serde(default)]
     pub hedging: Option<HedgingSettings>,
     /// Lower bound on the time to live of a host's lease.
-    #[serde_as(as = "DurationMilliSeconds<f64>")]
+    #[serde_as(as = "StatedMillis")]
     #[serde(rename = "min_lease_ms")]
     pub min_lease: Duration,
     /// True if hosts take places at plain upstreams with fewer slots than there are hosts;
--- a/src/gateway/store_relay.rs
+++ b/src/gateway/store_relay.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
 
 use super::peer_messages::PeerMessage;
 use super::platform::Platform;
@@ -11,6 +12,7 @@
 use super::store_facts::{HostRecord, RevisedFact, StoreFact};
 use crate::core::ids::{HostId, ServiceId, SoftwareVersion, UpstreamId, ZoneId};
 use crate::core::registry::{Entry, Holdings};
+use crate::core::stated::{StatedCount, StatedMillis, StatedNumber};
 use crate::core::store_era::Era;
 use crate::core::store_relay::{Fit, Follower, Position, is_watcher};
 
@@ -19,6 +21,7 @@
 const MAX_FACTS_PER_DATAGRAM: usize = 4;
 
 /// Entry of an upstream as passed on; leaves out what only the acting host uses.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RelayedEntry {
     #[serde(rename = "i")]
@@ -31,12 +34,15 @@
     zone: ZoneId,
     #[serde(rename = "w", default)]
     software: Option<SoftwareVersion>,
+    #[serde_as(as = "StatedCount")]
     #[serde(rename = "n")]
     slots: u32,
     #[serde(rename = "d")]
     is_draining: bool,
+    #[serde_as(as = "StatedNumber")]
     #[serde(rename = "b")]
     started_ms: u64,
+    #[serde_as(as = "StatedNumber")]
     #[serde(rename = "q")]
     sequence: u64,
     #[serde(rename = "m")]
@@ -76,18 +82,23 @@
 }
 
 /// Consecutive changes of the store.
+#[serde_as]
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StoreChanges {
     /// Era of the store.
+    #[serde_as(as = "StatedNumber")]
     #[serde(rename = "e")]
     pub era: u64,
     /// Revision before the changes.
+    #[serde_as(as = "StatedNumber")]
     #[serde(rename = "f")]
     pub after: u64,
     /// Revision up to which these are all changes.
+    #[serde_as(as = "StatedNumber")]
     #[serde(rename = "r")]
     pub until: u64,
     /// Time for which missing upstreams may only have lapsed, in milliseconds.
+    #[serde_as(as = "StatedMillis")]
     #[serde(rename = "g", default)]
     pub lapse_left_ms: u64,
     /// Changes with their revisions, oldest first.
