Set timeouts of connections that may be idle for more than two minutes

A server whose Keep-Alive header states more than 124 s had its connections kept without the timeouts for idle connections: the number of probes computed from the time was beyond what the kernel takes, so that setting them failed and the short timeout stayed in force, which ends a connection while it is idle.

--- a/src/edge/pool.rs
+++ b/src/edge/pool.rs
@@ -36,6 +36,8 @@
 /// `Keep-Alive` header states a timeout; servers commonly close idle connections
 /// after five seconds or more.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Longest idle time after which a connection is reused.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_mins(10);
 /// Margin subtracted from the server's idle timeout, so that the client closes
 /// first; covers the network latency and the whole-second resolution of the
 /// `Keep-Alive` header.
@@ -43,6 +45,8 @@
 /// Idle time before the first TCP keepalive probe, and interval between probes; a
 /// peer that lost power is detected after a few seconds.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Largest number of probes that the kernel takes.
+const MAX_KEEPALIVE_PROBES: u128 = 127;
 /// Time for which it is remembered that an address has sent something; longer than a
 /// request whose path is watched waits.
 const HEARD_MEMORY: Duration = Duration::from_secs(10);
@@ -296,7 +300,8 @@
         parameters.find_map(|p| p.strip_prefix("timeout=")?.parse().ok())
     });
     timeout_s.map_or(DEFAULT_IDLE_TIMEOUT, |s| {
-        stated::seconds(s).saturating_sub(IDLE_MARGIN)
+        let stated = stated::seconds(s).saturating_sub(IDLE_MARGIN);
+        stated.min(MAX_IDLE_TIMEOUT)
     })
 }
 
@@ -335,7 +340,8 @@
 pub fn set_timeouts(socket: &SockRef<'_>, user_timeout: Duration) -> io::Result<()> {
     let probes = user_timeout
         .as_millis()
-        .div_ceil(KEEPALIVE_INTERVAL.as_millis());
+        .div_ceil(KEEPALIVE_INTERVAL.as_millis())
+        .min(MAX_KEEPALIVE_PROBES);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
