Follow an upstream again after an odd entry under its name

Fix: an upstream that goes on announcing itself in its own order for 5 s, with no announcement that counts as the latest between, is followed again. Late writes of older announcements come between present ones.

--- a/src/core/registry.rs
+++ b/src/core/registry.rs
@@ -10,6 +10,10 @@
 //! the host reaches the store again, whenever an entry is found missing, and ends before
 //! the time limit for requests to upstreams that have left.
 //!
+//! Fault: another writer leaves an announcement under an upstream's name that counts as
+//! later than all of its own. An upstream that goes on announcing itself is followed
+//! nevertheless.
+//!
 //! Fault: the store is restored from an older copy, which lists upstreams as they
 //! were. An upstream that this host knows to be gone or leaving stays out of
 //! service until it announces itself anew.
@@ -76,6 +80,10 @@
         WeightSource::of(self.in_memory.contains(model), self.on_disk.contains(model))
     }
 
+    fn order(&self) -> AnnouncementOrder {
+        (self.started_ms, self.sequence)
+    }
+
     /// Name of the version of its software; empty if unknown.
     pub fn software_name(&self) -> &str {
         self.software.as_ref().map_or("", SoftwareVersion::as_str)
@@ -116,6 +124,22 @@
 /// copies of the store are some seconds old.
 const DEPARTURE_MEMORY_MS: u64 = 120_000;
 
+/// Time for which an upstream must go on announcing itself before announcements that
+/// count as outdated are taken for its present ones, in milliseconds; late writes of
+/// announcements that are outdated come within less.
+const CONTRADICTION_MS: u64 = 5_000;
+
+/// Start and sequence number of an announcement, by which the announcements of an upstream
+/// are ordered.
+type AnnouncementOrder = (u64, u64);
+
+/// Announcements of one upstream that count as outdated, without any other since.
+#[derive(Clone, Copy, Debug)]
+struct Contradiction {
+    since_ms: u64,
+    latest: AnnouncementOrder,
+}
+
 /// Upstream that was deleted from the list.
 #[derive(Clone, Copy, Debug)]
 struct Removal {
@@ -150,6 +174,7 @@
     entries: BTreeMap<UpstreamId, Entry>,
     observations: BTreeMap<UpstreamId, (ObservationNumber, u64)>,
     lapsed: BTreeMap<UpstreamId, Lapse>,
+    contradictions: BTreeMap<UpstreamId, Contradiction>,
 }
 
 impl Registry {
@@ -187,6 +212,9 @@
 
     /// Starts to apply listings of an era of the store.
     pub fn start_era(&mut self, era: Era) {
+        if self.era != era {
+            self.contradictions.clear();
+        }
         self.era = era;
     }
 
@@ -219,11 +247,28 @@
     /// upstream is gone; only a restored store still lists it.
     fn predates_removal(&self, entry: &Entry) -> bool {
         self.removals.get(&entry.id).is_some_and(|removal| {
-            let announced = (entry.started_ms, entry.sequence);
-            removal.era < self.era && announced <= (removal.started_ms, removal.sequence)
+            let removed = (removal.started_ms, removal.sequence);
+            removal.era < self.era && entry.order() <= removed
         })
     }
 
+    /// True if an announcement that counts as outdated is the upstream's present one: it
+    /// has announced itself in this order for some time, and in no other.
+    fn contradicts_known(&mut self, entry: &Entry, now_ms: u64) -> bool {
+        let contradiction = self
+            .contradictions
+            .entry(entry.id.clone())
+            .or_insert(Contradiction {
+                since_ms: now_ms,
+                latest: entry.order(),
+            });
+        if entry.order() <= contradiction.latest {
+            return false;
+        }
+        contradiction.latest = entry.order();
+        now_ms >= contradiction.since_ms + CONTRADICTION_MS
+    }
+
     /// Inserts or updates an entry.
     pub fn upsert(&mut self, mut entry: Entry, now_ms: u64) -> Option<RegistryChange> {
         if self.predates_removal(&entry) {
@@ -239,15 +284,18 @@
             self.entries.insert(entry.id.clone(), entry);
             return Some(RegistryChange::Added(id));
         };
-        if (entry.started_ms, entry.sequence) < (old.started_ms, old.sequence) {
+        let (order, known_order) = (entry.order(), old.order());
+        if order < known_order && !self.contradicts_known(&entry, now_ms) {
             // An outdated announcement, perhaps of an earlier incarnation.
             return None;
         }
-        if (entry.started_ms, entry.sequence) == (old.started_ms, old.sequence) {
+        self.contradictions.remove(&entry.id);
+        let old = self.entries.get(&entry.id)?;
+        if order == known_order {
             // The same announcement, listed again.
             entry.read_ms = old.read_ms;
         }
-        let is_restarted = entry.started_ms > old.started_ms;
+        let is_restarted = entry.started_ms != old.started_ms;
         let is_newly_draining = entry.is_draining && !old.is_draining;
         let observed_ms = self
             .observations
@@ -337,6 +385,7 @@
     fn drop_entry(&mut self, id: &UpstreamId) -> Option<Entry> {
         self.observations.remove(id);
         self.lapsed.remove(id);
+        self.contradictions.remove(id);
         self.entries.remove(id)
     }
 
