Send no request on a connection that refused one with its ID

Here a refusal counts only for the request that it names, so that this holds for requests with an ID of their own (the test stays). A caller whose next try has the ID of the refused one had it run twice, and a repeated refusal of an order was taken for the reply to the next order.

Fix: a connection remembers the requests that were refused on it and carries none with the same ID, which replaces the new connection for each retry of a refused request. The calls in edge_held_up.rs name a tag in place of the former argument; their checks are the same.

--- a/src/core/execution.rs
+++ b/src/core/execution.rs
@@ -61,7 +61,6 @@
 #[derive(Debug, Default)]
 pub struct Execution {
     unsettled: Cell<u32>,
-    was_refused: Cell<bool>,
 }
 
 impl Execution {
@@ -76,11 +75,6 @@
         self.unsettled.get() > 0
     }
 
-    /// True if an upstream has stated that it did not run the request.
-    pub fn was_refused(&self) -> bool {
-        self.was_refused.get()
-    }
-
     /// The promise that the request has not run, if all attempts are settled.
     pub fn promise(&self) -> Option<NotRunPromise> {
         (!self.may_have_run()).then_some(NotRunPromise(()))
@@ -94,11 +88,8 @@
 
 impl Attempt<'_> {
     /// Records evidence that the attempt did not run the request.
-    pub fn settle(self, evidence: NotRunEvidence) {
+    pub fn settle(self, _evidence: NotRunEvidence) {
         self.0.unsettled.set(self.0.unsettled.get() - 1);
-        if evidence.0 == Basis::Stated {
-            self.0.was_refused.set(true);
-        }
     }
 }
 
--- a/src/edge/connection.rs
+++ b/src/edge/connection.rs
@@ -6,6 +6,7 @@
 //! can reset a request that is sent at the end of that time before the kernel gives up.
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,10 +19,25 @@
 
 use super::head_limit::{HeadLimit, HeadLimitedReader};
 use super::pool::{RequestBody, USER_TIMEOUT, connect_tcp, set_timeouts};
+use crate::core::rendezvous::hash;
 
 /// Maximum size of a response head, and of the read buffer of a connection.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Refused requests that a connection remembers; an extra refusal is of a recent one.
+const MAX_REFUSED: usize = 32;
+
+/// Identifies the requests with the same ID.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RequestTag(u64);
+
+impl RequestTag {
+    /// Tag of the requests with an ID.
+    pub fn of(request_id: &str) -> Self {
+        Self(hash(request_id))
+    }
+}
+
 /// HTTP connection to an upstream or the platform.
 #[derive(Debug)]
 pub struct Connection {
@@ -32,6 +48,8 @@
     /// Empty once the connection has ended.
     socket: Rc<RefCell<Option<TcpStream>>>,
     user_timeout: Cell<Duration>,
+    /// Requests that were refused on this connection, the latest last.
+    refused: RefCell<VecDeque<RequestTag>>,
 }
 
 impl Connection {
@@ -64,9 +82,25 @@
             head_limit,
             socket,
             user_timeout: Cell::new(USER_TIMEOUT),
+            refused: RefCell::default(),
         })
     }
 
+    /// Records that a request was refused on this connection.
+    pub fn record_refusal(&self, tag: RequestTag) {
+        let mut refused = self.refused.borrow_mut();
+        if refused.len() == MAX_REFUSED {
+            refused.pop_front();
+        }
+        refused.push_back(tag);
+    }
+
+    /// True if a request with the same ID was refused on this connection: an extra copy
+    /// of that refusal would be taken for the response to the next one.
+    pub fn has_refused(&self, tag: RequestTag) -> bool {
+        self.refused.borrow().contains(&tag)
+    }
+
     /// Lets the kernel end the connection only after a time without a request and the
     /// whole timeout for the next one.
     pub fn allow_idle(&self, idle_timeout: Duration) {
--- a/src/edge/pool.rs
+++ b/src/edge/pool.rs
@@ -24,6 +24,7 @@
 use socket2::{SockRef, TcpKeepalive};
 
 use super::connection::Connection;
+pub use super::connection::RequestTag;
 use super::path_check::until_held_up;
 use crate::core::execution::NotRunEvidence;
 use crate::core::stated;
@@ -81,15 +82,6 @@
     }
 }
 
-/// Whether a request may be sent on a connection that has carried requests before.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Reuse {
-    /// On any connection.
-    Allowed,
-    /// On a new connection only.
-    Excluded,
-}
-
 /// Connection without a request in progress.
 #[derive(Debug)]
 struct IdleConnection {
@@ -113,7 +105,7 @@
         addr: SocketAddr,
         request: Request<RequestBody>,
     ) -> Result<Response<PooledBody>, SendError> {
-        self.exchange(addr, request, Reuse::Allowed, || true, None::<fn() -> bool>)
+        self.exchange(addr, request, None, || true, None::<fn() -> bool>)
             .await
     }
 
@@ -125,30 +117,23 @@
         request: Request<RequestBody>,
         is_still_allowed: impl Fn() -> bool,
     ) -> Result<Response<PooledBody>, SendError> {
-        self.exchange(
-            addr,
-            request,
-            Reuse::Allowed,
-            is_still_allowed,
-            None::<fn() -> bool>,
-        )
-        .await
+        self.exchange(addr, request, None, is_still_allowed, None::<fn() -> bool>)
+            .await
     }
 
     /// Sends a request like [`Self::send_if`], and resets its connection if it is held up
     /// on its way: after a time, or at once if it must no longer arrive.
     ///
-    /// A connection that has carried a request with the same ID before is none for `reuse`:
-    /// an extra response to that one would be taken for the response to this one.
+    /// It is not sent on a connection on which a request with the same tag was refused.
     pub async fn send_watched(
         &self,
         addr: SocketAddr,
         request: Request<RequestBody>,
-        reuse: Reuse,
+        tag: RequestTag,
         is_still_allowed: impl Fn() -> bool,
         may_arrive: impl Fn() -> bool,
     ) -> Result<Response<PooledBody>, SendError> {
-        self.exchange(addr, request, reuse, is_still_allowed, Some(may_arrive))
+        self.exchange(addr, request, Some(tag), is_still_allowed, Some(may_arrive))
             .await
     }
 
@@ -156,16 +141,12 @@
         &self,
         addr: SocketAddr,
         mut request: Request<RequestBody>,
-        reuse: Reuse,
+        tag: Option<RequestTag>,
         is_still_allowed: impl Fn() -> bool,
         may_arrive: Option<impl Fn() -> bool>,
     ) -> Result<Response<PooledBody>, SendError> {
         loop {
-            let kept = match reuse {
-                Reuse::Allowed => self.checkout(addr).await,
-                Reuse::Excluded => None,
-            };
-            let (mut connection, is_reused) = match kept {
+            let (mut connection, is_reused) = match self.checkout(addr, tag).await {
                 Some(connection) => (connection, true),
                 None => (self.connect(addr).await?, false),
             };
@@ -213,9 +194,15 @@
         self.connections.get()
     }
 
-    async fn checkout(&self, addr: SocketAddr) -> Option<Connection> {
+    async fn checkout(&self, addr: SocketAddr, tag: Option<RequestTag>) -> Option<Connection> {
+        let may_carry = |idle: &IdleConnection| tag.is_none_or(|t| !idle.connection.has_refused(t));
         loop {
-            let idle = self.idle.borrow_mut().get_mut(&addr)?.pop()?;
+            let idle = {
+                let mut idle_connections = self.idle.borrow_mut();
+                let connections = idle_connections.get_mut(&addr)?;
+                let latest = connections.iter().rposition(may_carry)?;
+                connections.remove(latest)
+            };
             let mut connection = idle.connection;
             let is_usable = Instant::now() < idle.usable_until && !connection.sender.is_closed();
             if is_usable && connection.sender.ready().await.is_ok() {
@@ -367,6 +354,19 @@
         self.connection = None;
     }
 
+    /// Records that the response refuses the request with a tag.
+    pub fn record_refusal(&self, tag: RequestTag) {
+        if let Some(connection) = &self.connection {
+            connection.record_refusal(tag);
+        }
+    }
+
+    /// Closes the connection after the response, whose status may belong to another
+    /// request than the next one.
+    pub fn close_at_end(&mut self) {
+        self.idle_timeout = Duration::ZERO;
+    }
+
     fn release(&mut self) {
         if let Some(connection) = self.connection.take() {
             self.pool.check_in(self.addr, connection, self.idle_timeout);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -20,7 +20,7 @@
 use crate::core::load::AttemptOutcome;
 use crate::core::stream_origin::StreamOrigin;
 use crate::edge::body::{ReadError, ServerResponse};
-use crate::edge::pool::{PooledBody, Reuse, SendError};
+use crate::edge::pool::{PooledBody, RequestTag, SendError};
 
 /// Largest response that is read completely before it is forwarded, in bytes.
 pub(super) const MAX_BUFFERED_BYTES: usize = 1024 * 1024;
@@ -289,15 +289,11 @@
             is_accepting
         };
         let sent_ms = self.now_ms();
-        let reuse = if request.execution.was_refused() {
-            Reuse::Excluded
-        } else {
-            Reuse::Allowed
-        };
+        let tag = RequestTag::of(&request.request_id);
         let attempt = request.execution.begin_attempt();
         let sending =
             self.pool
-                .send_watched(addr, forwarded, reuse, is_accepting_requests, is_in_service);
+                .send_watched(addr, forwarded, tag, is_accepting_requests, is_in_service);
         let result = match compio::time::timeout(timeout, sending).await {
             Ok(result) => result,
             Err(_) if may_be_sent.get() => return Err(AttemptFailure::TimedOut),
@@ -359,7 +355,9 @@
                     self.on_rejected_for_room(in_flight);
                     self.on_shared_rejection(in_flight);
                 }
-                self.finish_refusal(upstream, response.into_body());
+                let body = response.into_body();
+                body.record_refusal(RequestTag::of(id));
+                self.finish_refusal(upstream, body);
                 Err(AttemptFailure::NotRun { is_misdirected })
             }
             ResponseKind::Unproven { is_named: true } => {
--- a/tests/edge_held_up.rs
+++ b/tests/edge_held_up.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use currantcove::edge::pool::{Pool, Reuse, SendError};
+use currantcove::edge::pool::{Pool, RequestTag, SendError};
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use socket2::{Domain, Socket, Type};
@@ -90,7 +90,7 @@
 ) -> Result<(), SendError> {
     let request = Request::get("/x").body(Full::default()).expect("request");
     let response = pool
-        .send_watched(addr, request, Reuse::Allowed, || true, may_arrive)
+        .send_watched(addr, request, RequestTag::of("r1"), || true, may_arrive)
         .await?;
     response.into_body().collect().await.expect("body");
     Ok(())
@@ -183,7 +183,7 @@
         let sending = pool.send_watched(
             upstream.addr,
             request,
-            Reuse::Allowed,
+            RequestTag::of("r1"),
             || !is_closed.get(),
             || true,
         );
