Pass on only what goes on with a resumed stream

Other operators: a stream broke off, the next server answered with an error, and callers found its text or its whole head in the middle of their stream, or the stream ended as if it were complete.

Here failure statuses were told apart, but any signed success was taken for the rest of the stream, whatever it held.

Fix: core::stream_continuation accepts a later upstream's events only if their IDs rise above the last one, and the end of its response only after an event; status and content type must be those of the response that began the stream. The rest is cut off, and the stream is resumed within its limits or truncated. Log lines not_resumed name foreign_events or no_event_id.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -64,6 +64,7 @@
 pub mod stated;
 pub mod store_era;
 pub mod store_relay;
+pub mod stream_continuation;
 pub mod stream_origin;
 pub mod timeline;
 pub mod upstream_notice;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -4,7 +4,8 @@
 //! is resumed after the last event if its route allows that, at another upstream of the
 //! software version that began it, since events of two versions do not fit together.
 //! Otherwise the response ends with an error, so that the caller can detect the
-//! truncation. When the caller disconnects, the upstream's connection is closed
+//! truncation. Only what goes on with the events before is taken from a later upstream
+//! (`core::stream_continuation`). When the caller disconnects, the upstream's connection is closed
 //! at once, which cancels the request there.
 
 use std::cell::Cell;
@@ -14,8 +15,9 @@
 use futures_util::FutureExt;
 use http_body_util::channel::Sender;
 use http_body_util::{BodyExt, Channel, Either};
-use hyper::Response;
 use hyper::body::Frame;
+use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use hyper::{Response, StatusCode};
 use tokio_util::sync::CancellationToken;
 
 use super::call::{Attempts, RoutedRequest};
@@ -29,6 +31,7 @@
 use crate::core::event_progress::EventProgress;
 use crate::core::ids::{SoftwareVersion, UpstreamId};
 use crate::core::load::AttemptOutcome;
+use crate::core::stream_continuation::{Continuation, last_event_id};
 use crate::core::stream_origin::StreamOrigin;
 use crate::edge::body::{ServerResponse, StreamedBody, Truncated};
 use crate::edge::pool::PooledBody;
@@ -39,8 +42,6 @@
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 /// Delimiter of events.
 const EVENT_DELIMITER: &[u8] = b"\n\n";
-/// Field with the ID of an event.
-const ID_FIELD: &[u8] = b"id:";
 
 /// Upstreams at which a stream is to go on until one receives the request.
 const MAX_RESUME_ATTEMPTS: u32 = 3;
@@ -49,6 +50,27 @@
 #[derive(Clone, Copy, Debug)]
 struct UncertainOrigin;
 
+/// Head of the response that began a stream.
+#[derive(Clone, Debug)]
+struct StreamHead {
+    status: StatusCode,
+    content_type: Option<HeaderValue>,
+}
+
+impl StreamHead {
+    fn new(status: StatusCode, headers: &HeaderMap) -> Self {
+        Self {
+            status,
+            content_type: headers.get(CONTENT_TYPE).cloned(),
+        }
+    }
+
+    /// True if a response with another head may go on with the stream.
+    fn continues_with(&self, next: &Self) -> bool {
+        self.status == next.status && self.content_type == next.content_type
+    }
+}
+
 /// How the part of a stream that one upstream sent ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum SegmentEnd {
@@ -75,6 +97,7 @@
     let (sender, channel) = Channel::new(MAX_BUFFERED_FRAMES);
     let disconnected = CancellationToken::new();
     let body = StreamedBody::new(channel, disconnected.clone());
+    let head = StreamHead::new(opened.status, &opened.headers);
     let mut response = Response::new(Either::Right(body));
     *response.status_mut() = opened.status;
     *response.headers_mut() = opened.headers;
@@ -83,6 +106,8 @@
         request,
         attempts,
         sender,
+        head,
+        continuation: None,
         disconnected,
         ended: CancellationToken::new(),
         origin: opened.origin,
@@ -113,6 +138,9 @@
     request: RoutedRequest,
     attempts: Attempts,
     sender: Sender<Bytes, Truncated>,
+    head: StreamHead,
+    /// Check of the present response, unless it is the one that began the stream.
+    continuation: Option<Continuation>,
     disconnected: CancellationToken,
     /// Cancelled at the end of the response.
     ended: CancellationToken,
@@ -154,6 +182,9 @@
             }
             match self.resume().await {
                 Some((next, opened)) => {
+                    let last_id = self.last_event_id.as_ref();
+                    let last_id = last_id.or(self.request.last_event_id.as_ref());
+                    self.continuation = Some(Continuation::after(last_id.map(String::as_str)));
                     self.responding_since_ms = None;
                     self.is_sound = false;
                     self.origin = opened.origin;
@@ -227,7 +258,7 @@
             let data = match frame {
                 Err(_) if progress.is_stalled(self.gateway.now_ms()) => return SegmentEnd::Stalled,
                 Err(_) => return SegmentEnd::TimedOut,
-                Ok(None) if partial.is_empty() => return SegmentEnd::Complete,
+                Ok(None) if partial.is_empty() && self.may_end() => return SegmentEnd::Complete,
                 Ok(None | Some(Err(_))) => return SegmentEnd::Interrupted,
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
@@ -236,11 +267,15 @@
                 self.longest_gap_ms = self.longest_gap_ms.max(now_ms - last_ms);
             }
             last_ms = now_ms;
-            let Some(events) = split_complete_events(&mut partial, data) else {
+            let Some(mut events) = split_complete_events(&mut partial, data) else {
                 return SegmentEnd::Interrupted;
             };
             progress.on_data(now_ms, !events.is_empty(), !partial.is_empty());
+            let has_foreign_events = self.cut_foreign_events(&mut events);
             if events.is_empty() {
+                if has_foreign_events {
+                    return SegmentEnd::Interrupted;
+                }
                 continue;
             }
             self.record_events(in_flight, &events, now_ms);
@@ -250,6 +285,7 @@
                 sent = compio::time::timeout(time_left, sending).fuse() => sent,
             };
             match sent {
+                Ok(Ok(())) if has_foreign_events => return SegmentEnd::Interrupted,
                 Ok(Ok(())) => {}
                 Ok(Err(_)) => return SegmentEnd::CallerDisconnected,
                 Err(_) => return SegmentEnd::TimedOut,
@@ -257,6 +293,25 @@
         }
     }
 
+    /// True if the end of the present response may be the end of the stream.
+    fn may_end(&self) -> bool {
+        self.continuation.as_ref().is_none_or(Continuation::may_end)
+    }
+
+    /// Cuts off events that do not go on with the stream; true if there are some.
+    fn cut_foreign_events(&mut self, events: &mut Bytes) -> bool {
+        let Some(continuation) = &mut self.continuation else {
+            return false;
+        };
+        let accepted = continuation.accept(events);
+        if accepted == events.len() {
+            return false;
+        }
+        events.truncate(accepted);
+        self.log_not_resumed("foreign_events");
+        true
+    }
+
     fn record_events(&mut self, in_flight: &mut InFlightAttempt<P>, events: &[u8], now_ms: u64) {
         if self.event_batches == 0 {
             self.certify_origin();
@@ -364,6 +419,10 @@
             self.log_not_resumed("uncertain_origin");
             return None;
         };
+        if self.event_batches > 0 && self.last_event_id.is_none() {
+            self.log_not_resumed("no_event_id");
+            return None;
+        }
         if !self.gateway.try_retry(&self.request.requirements.service) {
             return None;
         }
@@ -394,11 +453,12 @@
             let opened = opening.await;
             self.log_resume(&upstream, &filter, &opened);
             let failure = match opened {
-                Ok(opened) => {
+                Ok(opened) if self.is_continued_by(&opened) => {
                     self.attempts.sent_to.push(upstream);
                     self.gateway.metrics.streams_resumed.inc();
                     return Some((in_flight, opened));
                 }
+                Ok(_) => AttemptFailure::Unknown,
                 Err(failure) => failure,
             };
             let is_unsent = failure.is_unsent();
@@ -416,6 +476,12 @@
         None
     }
 
+    /// True if a response may go on with the stream, by its head.
+    fn is_continued_by(&self, opened: &OpenStream) -> bool {
+        let next = StreamHead::new(opened.status, &opened.headers);
+        self.head.continues_with(&next)
+    }
+
     fn log_resume(
         &self,
         upstream: &UpstreamId,
@@ -467,11 +533,3 @@
     }
     Some(partial.split_to(end).freeze())
 }
-
-/// ID of the last event that has an ID.
-pub fn last_event_id(events: &[u8]) -> Option<String> {
-    let lines = events.rsplit(|&b| b == b'\n');
-    let id = lines.into_iter().find_map(|l| l.strip_prefix(ID_FIELD))?;
-    let text = std::str::from_utf8(id).ok()?;
-    Some(text.trim().to_owned())
-}
