Listen for signals from the start of the process to its end

Cause: a listener of the runtime ends with its signal. watch_settings created the next one only after it had read the settings, and the listeners for SIGTERM and SIGINT were dropped after the first of them.

Evidence: exit by signal 1.

Fix: edge::signals keeps two listeners for each signal and replaces them one after the other, so that one is always registered. The daemon of the product's own interface uses it as well.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -16,6 +16,7 @@
 
 use crate::core::timeline::{EventKind, Subject};
 use crate::edge::server;
+use crate::edge::signals::Signals;
 use crate::kernel::{Kernel, Service};
 use crate::services::callers::CallerService;
 use crate::services::claims::ClaimService;
@@ -181,6 +182,8 @@
 }
 
 async fn run(settings: Settings) -> Result<()> {
+    // Listened for until the process ends.
+    let mut stop_signals = Signals::listen(&STOP_SIGNALS).change_context(DaemonError::Start)?;
     let caller_listener = bind_listener("caller_addr", settings.caller_addr).await?;
     let operator_listener = bind_listener("operator_addr", settings.operator_addr).await?;
     let peer_listener = bind_listener("peer_addr", settings.peer_addr).await?;
@@ -209,11 +212,11 @@
             .change_context(DaemonError::Start)?
             .run(host.draining.clone()),
     );
-    wait_for_stop_request(&host).await;
+    wait_for_stop_request(&host, &mut stop_signals).await;
     host.drain();
     futures_util::select_biased! {
         _ = caller_server.fuse() => {}
-        () = wait_for_signal(&STOP_SIGNALS).fuse() =>
+        _ = stop_signals.next().fuse() =>
             tracing::warn!("second stop signal received; aborting the requests in progress"),
     }
     kernel.stop().await;
@@ -274,19 +277,10 @@
 }
 
 /// Waits for a stop signal or for an operator's drain request.
-async fn wait_for_stop_request(host: &Host) {
+async fn wait_for_stop_request(host: &Host, stop_signals: &mut Signals) {
     futures_util::select_biased! {
-        () = wait_for_signal(&STOP_SIGNALS).fuse() => {}
+        // An error ends the wait as well, so that the fault is visible.
+        _ = stop_signals.next().fuse() => {}
         () = host.draining.cancelled().fuse() => {}
     }
 }
-
-/// Waits for the first of the given signals.
-pub(crate) async fn wait_for_signal(numbers: &[i32]) {
-    let signals = numbers
-        .iter()
-        .map(|&n| Box::pin(compio::signal::unix::signal(n)));
-    // A signal whose handler cannot be installed also ends the wait: the process
-    // stops at once, which makes the fault visible.
-    let _ = futures_util::future::select_all(signals).await;
-}
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -15,3 +15,4 @@
 pub mod pool;
 pub mod response_reader;
 pub mod server;
+pub mod signals;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -33,8 +33,9 @@
 use super::shared_places::SharedPlaceService;
 use super::state::Gateway;
 use super::sync::StoreSync;
-use crate::daemon::{DaemonError, STOP_SIGNALS, report_exit, wait_for_signal};
+use crate::daemon::{DaemonError, STOP_SIGNALS, report_exit};
 use crate::edge::server;
+use crate::edge::signals::Signals;
 use crate::kernel::{Kernel, NotRegistered, Service};
 
 const USAGE: &str = "\
@@ -155,17 +156,22 @@
     platform: P,
     logs: LogBuffer,
 ) -> Result<()> {
+    // Listened for until the process ends.
+    let mut stop_signals = Signals::listen(&STOP_SIGNALS).change_context(DaemonError::Start)?;
+    let reload_signal = Signals::listen(&[SIGHUP]).change_context(DaemonError::Start)?;
     let host = RunningHost::start(settings, platform, logs.clone()).await?;
     let log_cancel = CancellationToken::new();
     let writer = compio::runtime::spawn(logs.clone().run(log_cancel.clone()));
-    let watcher = compio::runtime::spawn(watch_settings(Rc::clone(&host.gateway), file));
-    wait_for_signal(&STOP_SIGNALS).await;
+    let watching = watch_settings(Rc::clone(&host.gateway), file, reload_signal);
+    let watcher = compio::runtime::spawn(watching);
+    // An error ends the wait as well, so that the fault is visible.
+    let _ = stop_signals.next().await;
     host.stop().await;
-    drop(watcher);
     tracing::info!(event = "stop", "stopped");
     log_cancel.cancel();
     // The writer task ends after one last write.
     let _ = writer.await;
+    drop(watcher);
     Ok(())
 }
 
@@ -291,11 +297,21 @@
 }
 
 /// Reloads the settings on SIGHUP and when the file changes.
-async fn watch_settings<P: Platform>(gateway: Rc<Gateway<P>>, file: PathBuf) {
+async fn watch_settings<P: Platform>(
+    gateway: Rc<Gateway<P>>,
+    file: PathBuf,
+    mut reload_signal: Signals,
+) {
     let last_content = RefCell::new(std::fs::read(&file).ok());
     loop {
         let is_forced = futures_util::select_biased! {
-            () = wait_for_signal(&[SIGHUP]).fuse() => true,
+            received = reload_signal.next().fuse() => match received {
+                Ok(()) => true,
+                Err(error) => {
+                    tracing::error!(event = "reload", %error, "cannot listen for the signal");
+                    return;
+                }
+            },
             () = compio::time::sleep(SETTINGS_POLL_INTERVAL).fuse() => false,
         };
         reload_settings(&gateway, &file, &last_content, is_forced);
