--- a/src/core/stated.rs
+++ b/src/core/stated.rs
@@ -87,18 +87,6 @@
     }
 }
 
-impl SerializeAs<i64> for StatedMillis {
-    fn serialize_as<S: Serializer>(source: &i64, serializer: S) -> Result<S::Ok, S::Error> {
-        source.serialize(serializer)
-    }
-}
-
-impl SerializeAs<u64> for StatedMillis {
-    fn serialize_as<S: Serializer>(source: &u64, serializer: S) -> Result<S::Ok, S::Error> {
-        source.serialize(serializer)
-    }
-}
-
 /// Adapter of a time in seconds.
 #[derive(Clone, Copy, Debug)]
 pub struct StatedSeconds;
@@ -132,12 +120,6 @@
     }
 }
 
-impl SerializeAs<u64> for StatedNumber {
-    fn serialize_as<S: Serializer>(source: &u64, serializer: S) -> Result<S::Ok, S::Error> {
-        source.serialize(serializer)
-    }
-}
-
 /// Adapter of a size in whole units.
 #[derive(Clone, Copy, Debug)]
 pub struct StatedSize;
@@ -155,12 +137,6 @@
     }
 }
 
-impl SerializeAs<u64> for StatedSize {
-    fn serialize_as<S: Serializer>(source: &u64, serializer: S) -> Result<S::Ok, S::Error> {
-        source.serialize(serializer)
-    }
-}
-
 /// Adapter of a number of slots, places, requests or adapters.
 #[derive(Clone, Copy, Debug)]
 pub struct StatedCount;
@@ -171,12 +147,6 @@
     }
 }
 
-impl SerializeAs<u32> for StatedCount {
-    fn serialize_as<S: Serializer>(source: &u32, serializer: S) -> Result<S::Ok, S::Error> {
-        source.serialize(serializer)
-    }
-}
-
 /// Adapter of a total of tokens or requests in flight.
 #[derive(Clone, Copy, Debug)]
 pub struct StatedTotal;
@@ -187,8 +157,25 @@
     }
 }
 
-impl SerializeAs<u32> for StatedTotal {
-    fn serialize_as<S: Serializer>(source: &u32, serializer: S) -> Result<S::Ok, S::Error> {
-        source.serialize(serializer)
-    }
+/// Numbers are written as they are.
+macro_rules! serialize_unchanged {
+    ($($adapter:ty: $number:ty,)*) => {$(
+        impl SerializeAs<$number> for $adapter {
+            fn serialize_as<S: Serializer>(
+                source: &$number,
+                serializer: S,
+            ) -> Result<S::Ok, S::Error> {
+                source.serialize(serializer)
+            }
+        }
+    )*};
+}
+
+serialize_unchanged! {
+    StatedCount: u32,
+    StatedMillis: i64,
+    StatedMillis: u64,
+    StatedNumber: u64,
+    StatedSize: u64,
+    StatedTotal: u32,
 }
