--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -14,6 +14,7 @@
 use crate::proxy::Proxy;
 use crate::record::Record;
 use crate::store::Store;
+use crate::uploads::{self, Reader};
 use crate::upstream::{Arrival, Upstream};
 
 /// Bounds of ptgtm-courts.
@@ -315,3 +316,168 @@
         Verdict::Broken
     }
 }
+
+/// Memory of the machines of ptgtm-courts, in MB.
+const MEMORY_MB: u64 = 260;
+/// Largest body of a request, by the configuration.
+const MAX_BODY_BYTES: usize = 4_194_304;
+/// Clients of each host.
+const CLIENTS: u64 = 30;
+/// Clients of each host in a burst of 2.4 times the usual.
+const BURST_CLIENTS: u64 = 72;
+const BURST_MS: u64 = 5_000;
+const BURST_INTERVAL_MS: u64 = 10_000;
+const BURSTS: u64 = 9;
+/// Times that the processes of a machine may end by themselves in a day, less one.
+const MAX_ENDS: usize = 2;
+/// Time after which the platform starts a process again.
+const RESTART_MS: u64 = 500;
+
+/// Host whose memory the platform watches.
+struct Watched {
+    host: Host,
+    ended_ms: Option<u64>,
+    ends: usize,
+    peak_kib: u64,
+}
+
+impl Watched {
+    /// Kills the process if it exceeds its memory, and starts it again after a while.
+    fn watch(&mut self, record: &Record) {
+        if let Some(ended_ms) = self.ended_ms {
+            if now_ms() >= ended_ms + RESTART_MS {
+                self.host.run();
+                self.ended_ms = None;
+            }
+            return;
+        }
+        let memory = self.host.process_id().and_then(uploads::memory_kib);
+        let (now_kib, peak_kib) = memory.unwrap_or_default();
+        self.peak_kib = self.peak_kib.max(peak_kib);
+        let name = self.host.name.clone();
+        if now_kib > MEMORY_MB * 1024 {
+            record.line(format!("{name} holds {now_kib} KiB, over {MEMORY_MB} MB: it is killed"));
+        } else if self.host.has_ended() {
+            record.line(format!("{name} has ended"));
+        } else {
+            return;
+        }
+        self.host.kill();
+        self.ends += 1;
+        self.ended_ms = Some(now_ms());
+    }
+}
+
+/// Fault: clients send the largest bodies that the configuration allows, within the time
+/// that it allows and the speed of a host's link, and there are bursts of clients.
+pub fn burst_uploads(record: &Record, has_trouble: bool) -> Verdict {
+    let servers: Vec<Arc<Reader>> = (1..=3).map(|n| Reader::start(&format!("i-{n}"))).collect();
+    let folder = Folder::create();
+    let (store, store_addr) = Store::start();
+    store.put("op/config", &config_of_uploads());
+    let (beaten, announcing) = (Arc::clone(&store), servers.clone());
+    thread::spawn(move || {
+        for sequence in 1.. {
+            for server in &announcing {
+                beaten.put(&format!("servers/{}", server.id), &server.entry(sequence));
+            }
+            thread::sleep(HEARTBEAT);
+        }
+    });
+    let hosts = (1..=2).map(|number| Host::start(&folder, number, "kl-a", store_addr));
+    let mut hosts: Vec<Watched> = hosts
+        .map(|host| Watched {
+            host,
+            ended_ms: None,
+            ends: 0,
+            peak_kib: 0,
+        })
+        .collect();
+    if !wait_for(Duration::from_secs(10), || hosts.iter().all(|h| h.host.is_ready())) {
+        return Verdict::CouldNotRun;
+    }
+    thread::sleep(Duration::from_secs(2));
+    let stop = Arc::new(AtomicBool::new(false));
+    let is_burst = Arc::new(AtomicBool::new(false));
+    let body = Arc::new(vec![b'q'; MAX_BODY_BYTES]);
+    record.line(format!("{CLIENTS} clients of each host send bodies of {MAX_BODY_BYTES} bytes"));
+    let mut clients = Vec::new();
+    for (addr, client) in hosts
+        .iter()
+        .flat_map(|h| (1..=BURST_CLIENTS).map(|client| (h.host.caller_addr, client)))
+    {
+        let (stop, body) = (Arc::clone(&stop), Arc::clone(&body));
+        let is_on = (client > CLIENTS).then(|| Arc::clone(&is_burst));
+        let upload = move || uploads::upload(addr, client, &body, &stop, is_on.as_deref());
+        clients.push(thread::spawn(upload));
+    }
+    let started_ms = now_ms();
+    while now_ms() < started_ms + BURSTS * BURST_INTERVAL_MS {
+        let phase_ms = (now_ms() - started_ms) % BURST_INTERVAL_MS;
+        let is_on = has_trouble && phase_ms >= BURST_INTERVAL_MS - BURST_MS;
+        if is_burst.swap(is_on, Ordering::SeqCst) != is_on {
+            let clients = if is_on { BURST_CLIENTS } else { CLIENTS };
+            record.line(format!("{clients} clients of each host from now on"));
+        }
+        for host in &mut hosts {
+            host.watch(record);
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    stop.store(true, Ordering::SeqCst);
+    let mut counts = std::collections::BTreeMap::new();
+    for client in clients {
+        for (at_ms, status) in client.join().unwrap_or_default() {
+            record.at(at_ms, format!("a client was answered {status}"));
+            *counts.entry(status).or_insert(0) += 1;
+        }
+    }
+    let run: u64 = servers.iter().map(|s| s.has_run.load(Ordering::SeqCst)).sum();
+    record.line(format!("answers by status, 0 for none: {counts:?}; servers have run {run}"));
+    for Watched { host, ends, peak_kib, .. } in &hosts {
+        let name = &host.name;
+        record.line(format!("{name} ended {ends} times; its peak was {peak_kib} KiB"));
+    }
+    if run == 0 {
+        Verdict::CouldNotRun
+    } else if hosts.iter().all(|h| h.ends > MAX_ENDS) {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
+}
+
+fn config_of_uploads() -> Json {
+    let route = map([
+        ("name", text("draw-notes")),
+        ("host", text("courts.example")),
+        ("prefix", text("/notes/")),
+        ("type", text("unsafe")),
+        ("timeout_ms", number(15_000)),
+        ("target_latency_ms", number(8_000)),
+        ("priority", number(2)),
+        ("service", text("tempah-api")),
+        ("max_attempts", number(1)),
+        ("sticky", Json::Bool(false)),
+        ("resumable", Json::Bool(false)),
+    ]);
+    let service = map([
+        ("name", text("tempah-api")),
+        ("health_path", text("/healthz")),
+        ("max_connections", number(100)),
+        ("protocol", text("h1")),
+        ("tls", Json::Bool(false)),
+    ]);
+    let limits = map([
+        ("max_header_bytes", number(16_384)),
+        ("max_body_bytes", number(MAX_BODY_BYTES as u64)),
+        ("header_timeout_ms", number(3_000)),
+        ("idle_timeout_ms", number(15_000)),
+    ]);
+    map([
+        ("version", number(1)),
+        ("routes", Json::List(vec![route])),
+        ("services", Json::List(vec![service])),
+        ("limits", limits),
+    ])
+}
