Review: drop case 8, end the server of case 7 while it is used

Change: removes case 8 and its stand-ins; in case 7 the server goes on for 4.5 s and ends, and the record counts the requests that it loses. Unused code of the stand-ins is removed and the rest formatted.

--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -14,7 +14,6 @@
 use crate::proxy::Proxy;
 use crate::record::Record;
 use crate::store::Store;
-use crate::uploads::{self, Reader};
 use crate::upstream::{Arrival, Upstream};
 
 /// Bounds of ptgtm-courts.
@@ -68,7 +67,10 @@
     map([
         ("version", number(version)),
         ("routes", Json::List(vec![route])),
-        ("services", Json::List(vec![service("tempah-api"), service("tempah-new")])),
+        (
+            "services",
+            Json::List(vec![service("tempah-api"), service("tempah-new")]),
+        ),
         ("limits", limits),
     ])
 }
@@ -81,7 +83,8 @@
         store.put("op/config", &config(1, "tempah-api"));
         let silent: Vec<AtomicBool> = upstreams.iter().map(|_| AtomicBool::new(false)).collect();
         let silent = Arc::new(silent);
-        let (beaten, announcing, quiet) = (Arc::clone(&store), upstreams.clone(), Arc::clone(&silent));
+        let (beaten, announcing, quiet) =
+            (Arc::clone(&store), upstreams.clone(), Arc::clone(&silent));
         // Servers announce themselves one after the other, as they start at different times.
         let pause = HEARTBEAT / announcing.len() as u32;
         thread::spawn(move || {
@@ -111,7 +114,10 @@
             deployment.hosts.iter().all(Host::is_ready)
                 && deployment.store.count("currantcove/hosts/") == deployment.hosts.len()
         });
-        record.line(format!("{} hosts started, ready: {is_ready}", deployment.hosts.len()));
+        record.line(format!(
+            "{} hosts started, ready: {is_ready}",
+            deployment.hosts.len()
+        ));
         is_ready.then_some(deployment)
     }
 
@@ -125,7 +131,9 @@
                 thread::spawn(move || send_to(&host, addr, &next, until_ms))
             })
             .collect();
-        let sent = senders.into_iter().flat_map(|s| s.join().unwrap_or_default());
+        let sent = senders
+            .into_iter()
+            .flat_map(|s| s.join().unwrap_or_default());
         sent.collect()
     }
 
@@ -166,7 +174,14 @@
 impl Record {
     fn requests(&self, sent: &[Sent]) {
         for s in sent {
-            let Reply { sent_ms, ended_ms, status, is_whole, server, .. } = &s.reply;
+            let Reply {
+                sent_ms,
+                ended_ms,
+                status,
+                is_whole,
+                server,
+                ..
+            } = &s.reply;
             let (id, host) = (&s.id, &s.host);
             self.at(*sent_ms, format!("request {id} sent to {host}"));
             let line = format!("request {id} answered {status} (whole: {is_whole}) by {server:?}");
@@ -179,7 +194,10 @@
             let (id, service) = (&upstream.id, &upstream.service);
             let what = if a.has_run { "runs" } else { "rejects" };
             let cut = if a.is_cut { ", cut off by its end" } else { "" };
-            let line = format!("server {id} of {service} {what} request {}{cut}", a.request_id);
+            let line = format!(
+                "server {id} of {service} {what} request {}{cut}",
+                a.request_id
+            );
             self.at(a.at_ms, line);
         }
     }
@@ -192,7 +210,9 @@
         for (proxy, host) in deployment.proxies.iter().zip(&deployment.hosts) {
             let connections = proxy.silence();
             let name = &host.name;
-            record.line(format!("{connections} connections of {name} to the store fall silent"));
+            record.line(format!(
+                "{connections} connections of {name} to the store fall silent"
+            ));
         }
     }
     at_ms
@@ -206,17 +226,18 @@
     }
 }
 
-/// Servers of a service.
-fn start_servers(service: &str, count: u8) -> Vec<Arc<Upstream>> {
-    let work = Duration::from_millis(15);
+/// Servers of a service, each of whose requests takes a time.
+fn start_servers(service: &str, count: u8, work_ms: u64) -> Vec<Arc<Upstream>> {
+    let work = Duration::from_millis(work_ms);
     let ids = (1..=count).map(|n| format!("i-{service}-{n}"));
-    ids.map(|id| Upstream::start(&id, service, "kl-a", work)).collect()
+    ids.map(|id| Upstream::start(&id, service, "kl-a", work))
+        .collect()
 }
 
 /// CONFIG: a route moves to another service while open connections to the store are silent.
 pub fn silent_config(record: &Record, has_trouble: bool) -> Verdict {
-    let old = start_servers("tempah-api", 3);
-    let new = start_servers("tempah-new", 3);
+    let old = start_servers("tempah-api", 3, 15);
+    let new = start_servers("tempah-new", 3, 15);
     let upstreams = old.iter().chain(&new).map(Arc::clone).collect();
     let Some(mut deployment) = Deployment::start(record, 2, upstreams) else {
         return Verdict::CouldNotRun;
@@ -242,7 +263,11 @@
         .filter(|s| s.reply.sent_ms >= in_touch_ms.max(due_ms))
         .filter(|s| at_old.iter().any(|a| a.request_id == s.id && a.has_run))
         .collect();
-    let last_ms = late.iter().map(|s| s.reply.sent_ms).max().unwrap_or(acked_ms);
+    let last_ms = late
+        .iter()
+        .map(|s| s.reply.sent_ms)
+        .max()
+        .unwrap_or(acked_ms);
     record.line(format!(
         "{} requests sent more than contact_ms after the silence and config_apply_ms after the \
          acknowledgement were run by the old service; the last one was sent {} ms after the \
@@ -254,9 +279,12 @@
     verdict(&mut deployment, &sent, late.is_empty())
 }
 
+/// Time for which the server that leaves goes on serving: `drain_ms` and some seconds.
+const SERVES_ON_MS: u64 = 4_500;
+
 /// DRAIN: a server leaves just before open connections to the store fall silent.
 pub fn silent_drain(record: &Record, has_trouble: bool) -> Verdict {
-    let servers = start_servers("tempah-api", 6);
+    let servers = start_servers("tempah-api", 6, 100);
     let leaving = Arc::clone(&servers[0]);
     let Some(mut deployment) = Deployment::start(record, 3, servers) else {
         return Verdict::CouldNotRun;
@@ -266,18 +294,20 @@
     deployment.store.delete(&leaving.key());
     let acked_ms = now_ms();
     let id = &leaving.id;
-    record.line(format!("the entry of {id} is removed; it goes on serving for 7 s"));
+    record.line(format!(
+        "the entry of {id} is removed; it goes on serving for 4.5 s"
+    ));
     sleep_until(acked_ms + 200);
     let silenced_ms = silence(record, &deployment, has_trouble);
     let ending = Arc::clone(&leaving);
     let ends = thread::spawn(move || {
-        sleep_until(acked_ms + 7_000);
+        sleep_until(acked_ms + SERVES_ON_MS);
         ending.end();
     });
     sleep_until(silenced_ms + 2_500);
-    let sent = deployment.send_until(silenced_ms + 7_000);
+    let sent = deployment.send_until(silenced_ms + 6_500);
     let _ = ends.join();
-    record.at(acked_ms + 7_000, format!("{id} has ended"));
+    record.at(acked_ms + SERVES_ON_MS, format!("{id} has ended"));
     record.requests(&sent);
     for upstream in &deployment.upstreams {
         record.arrivals(upstream);
@@ -290,14 +320,22 @@
         .iter()
         .filter(|s| s.reply.sent_ms >= in_touch_ms)
         .filter_map(|s| {
-            let arrival = arrivals.iter().find(|a| a.request_id == s.id && a.has_run)?;
+            let arrival = arrivals
+                .iter()
+                .find(|a| a.request_id == s.id && a.has_run)?;
             (arrival.at_ms > due_ms).then_some((s, arrival.at_ms))
         })
         .collect();
-    let last_ms = late.iter().map(|(_, at_ms)| *at_ms).max().unwrap_or(acked_ms);
+    let last_ms = late
+        .iter()
+        .map(|(_, at_ms)| *at_ms)
+        .max()
+        .unwrap_or(acked_ms);
+    let lost = late.iter().filter(|(s, _)| s.reply.status != 200).count();
     record.line(format!(
         "{} requests sent more than contact_ms after the silence reached the server that had \
-         left, later than drain_ms after the acknowledgement; the last one {} ms after it",
+         left, later than drain_ms after the acknowledgement; the last one {} ms after it; {lost} \
+         of them were lost when it ended",
         late.len(),
         last_ms - acked_ms,
     ));
@@ -316,168 +354,3 @@
         Verdict::Broken
     }
 }
-
-/// Memory of the machines of ptgtm-courts, in MB.
-const MEMORY_MB: u64 = 260;
-/// Largest body of a request, by the configuration.
-const MAX_BODY_BYTES: usize = 4_194_304;
-/// Clients of each host.
-const CLIENTS: u64 = 30;
-/// Clients of each host in a burst of 2.4 times the usual.
-const BURST_CLIENTS: u64 = 72;
-const BURST_MS: u64 = 5_000;
-const BURST_INTERVAL_MS: u64 = 10_000;
-const BURSTS: u64 = 9;
-/// Times that the processes of a machine may end by themselves in a day, less one.
-const MAX_ENDS: usize = 2;
-/// Time after which the platform starts a process again.
-const RESTART_MS: u64 = 500;
-
-/// Host whose memory the platform watches.
-struct Watched {
-    host: Host,
-    ended_ms: Option<u64>,
-    ends: usize,
-    peak_kib: u64,
-}
-
-impl Watched {
-    /// Kills the process if it exceeds its memory, and starts it again after a while.
-    fn watch(&mut self, record: &Record) {
-        if let Some(ended_ms) = self.ended_ms {
-            if now_ms() >= ended_ms + RESTART_MS {
-                self.host.run();
-                self.ended_ms = None;
-            }
-            return;
-        }
-        let memory = self.host.process_id().and_then(uploads::memory_kib);
-        let (now_kib, peak_kib) = memory.unwrap_or_default();
-        self.peak_kib = self.peak_kib.max(peak_kib);
-        let name = self.host.name.clone();
-        if now_kib > MEMORY_MB * 1024 {
-            record.line(format!("{name} holds {now_kib} KiB, over {MEMORY_MB} MB: it is killed"));
-        } else if self.host.has_ended() {
-            record.line(format!("{name} has ended"));
-        } else {
-            return;
-        }
-        self.host.kill();
-        self.ends += 1;
-        self.ended_ms = Some(now_ms());
-    }
-}
-
-/// Fault: clients send the largest bodies that the configuration allows, within the time
-/// that it allows and the speed of a host's link, and there are bursts of clients.
-pub fn burst_uploads(record: &Record, has_trouble: bool) -> Verdict {
-    let servers: Vec<Arc<Reader>> = (1..=3).map(|n| Reader::start(&format!("i-{n}"))).collect();
-    let folder = Folder::create();
-    let (store, store_addr) = Store::start();
-    store.put("op/config", &config_of_uploads());
-    let (beaten, announcing) = (Arc::clone(&store), servers.clone());
-    thread::spawn(move || {
-        for sequence in 1.. {
-            for server in &announcing {
-                beaten.put(&format!("servers/{}", server.id), &server.entry(sequence));
-            }
-            thread::sleep(HEARTBEAT);
-        }
-    });
-    let hosts = (1..=2).map(|number| Host::start(&folder, number, "kl-a", store_addr));
-    let mut hosts: Vec<Watched> = hosts
-        .map(|host| Watched {
-            host,
-            ended_ms: None,
-            ends: 0,
-            peak_kib: 0,
-        })
-        .collect();
-    if !wait_for(Duration::from_secs(10), || hosts.iter().all(|h| h.host.is_ready())) {
-        return Verdict::CouldNotRun;
-    }
-    thread::sleep(Duration::from_secs(2));
-    let stop = Arc::new(AtomicBool::new(false));
-    let is_burst = Arc::new(AtomicBool::new(false));
-    let body = Arc::new(vec![b'q'; MAX_BODY_BYTES]);
-    record.line(format!("{CLIENTS} clients of each host send bodies of {MAX_BODY_BYTES} bytes"));
-    let mut clients = Vec::new();
-    for (addr, client) in hosts
-        .iter()
-        .flat_map(|h| (1..=BURST_CLIENTS).map(|client| (h.host.caller_addr, client)))
-    {
-        let (stop, body) = (Arc::clone(&stop), Arc::clone(&body));
-        let is_on = (client > CLIENTS).then(|| Arc::clone(&is_burst));
-        let upload = move || uploads::upload(addr, client, &body, &stop, is_on.as_deref());
-        clients.push(thread::spawn(upload));
-    }
-    let started_ms = now_ms();
-    while now_ms() < started_ms + BURSTS * BURST_INTERVAL_MS {
-        let phase_ms = (now_ms() - started_ms) % BURST_INTERVAL_MS;
-        let is_on = has_trouble && phase_ms >= BURST_INTERVAL_MS - BURST_MS;
-        if is_burst.swap(is_on, Ordering::SeqCst) != is_on {
-            let clients = if is_on { BURST_CLIENTS } else { CLIENTS };
-            record.line(format!("{clients} clients of each host from now on"));
-        }
-        for host in &mut hosts {
-            host.watch(record);
-        }
-        thread::sleep(Duration::from_millis(20));
-    }
-    stop.store(true, Ordering::SeqCst);
-    let mut counts = std::collections::BTreeMap::new();
-    for client in clients {
-        for (at_ms, status) in client.join().unwrap_or_default() {
-            record.at(at_ms, format!("a client was answered {status}"));
-            *counts.entry(status).or_insert(0) += 1;
-        }
-    }
-    let run: u64 = servers.iter().map(|s| s.has_run.load(Ordering::SeqCst)).sum();
-    record.line(format!("answers by status, 0 for none: {counts:?}; servers have run {run}"));
-    for Watched { host, ends, peak_kib, .. } in &hosts {
-        let name = &host.name;
-        record.line(format!("{name} ended {ends} times; its peak was {peak_kib} KiB"));
-    }
-    if run == 0 {
-        Verdict::CouldNotRun
-    } else if hosts.iter().all(|h| h.ends > MAX_ENDS) {
-        Verdict::Broken
-    } else {
-        Verdict::Held
-    }
-}
-
-fn config_of_uploads() -> Json {
-    let route = map([
-        ("name", text("draw-notes")),
-        ("host", text("courts.example")),
-        ("prefix", text("/notes/")),
-        ("type", text("unsafe")),
-        ("timeout_ms", number(15_000)),
-        ("target_latency_ms", number(8_000)),
-        ("priority", number(2)),
-        ("service", text("tempah-api")),
-        ("max_attempts", number(1)),
-        ("sticky", Json::Bool(false)),
-        ("resumable", Json::Bool(false)),
-    ]);
-    let service = map([
-        ("name", text("tempah-api")),
-        ("health_path", text("/healthz")),
-        ("max_connections", number(100)),
-        ("protocol", text("h1")),
-        ("tls", Json::Bool(false)),
-    ]);
-    let limits = map([
-        ("max_header_bytes", number(16_384)),
-        ("max_body_bytes", number(MAX_BODY_BYTES as u64)),
-        ("header_timeout_ms", number(3_000)),
-        ("idle_timeout_ms", number(15_000)),
-    ]);
-    map([
-        ("version", number(1)),
-        ("routes", Json::List(vec![route])),
-        ("services", Json::List(vec![service])),
-        ("limits", limits),
-    ])
-}
--- a/review/standins-2/host.rs
+++ b/review/standins-2/host.rs
@@ -50,21 +50,9 @@
 }
 
 impl Host {
-    /// Host of the deployment ptgtm-courts.
-    pub fn start(folder: &Folder, number_of_host: u8, zone: &str, store: SocketAddr) -> Self {
-        Self::start_with(folder, number_of_host, zone, store, 260, 4_200)
-    }
-
     /// Settings as the platform fills in `deploy/host.json`, with the bounds of the
     /// deployment ptgtm-courts, and a running process.
-    pub fn start_with(
-        folder: &Folder,
-        number_of_host: u8,
-        zone: &str,
-        store: SocketAddr,
-        memory_mb: u64,
-        max_descriptors: u64,
-    ) -> Self {
+    pub fn start(folder: &Folder, number_of_host: u8, zone: &str, store: SocketAddr) -> Self {
         let ip = IpAddr::V4(Ipv4Addr::new(127, 0, 1, number_of_host));
         let name = format!("edge-{zone}-{number_of_host}");
         let caller_addr = SocketAddr::new(ip, free_port(ip));
@@ -77,9 +65,9 @@
             ("ready_addr", text(ready_addr.to_string())),
             ("peer_port", number(u64::from(free_port(ip)))),
             ("store_addr", text(store.to_string())),
-            ("memory_mb", number(memory_mb)),
+            ("memory_mb", number(260)),
             ("cpu_share", Json::Number(0.25)),
-            ("max_descriptors", number(max_descriptors)),
+            ("max_descriptors", number(4200)),
             ("engines_check_fences", Json::Bool(true)),
             ("order_lease_ms", number(3000)),
             ("stop_grace_s", number(8)),
@@ -136,11 +124,6 @@
         process.is_some_and(|p| !matches!(p.try_wait(), Ok(None)))
     }
 
-    /// ID of the process.
-    pub fn process_id(&self) -> Option<u32> {
-        self.process.as_ref().map(Child::id)
-    }
-
     /// Kills the process.
     pub fn kill(&mut self) {
         if let Some(mut process) = self.process.take() {
@@ -148,15 +131,6 @@
             let _ = process.wait();
         }
     }
-
-    /// Sends a signal to the process.
-    #[allow(dead_code)]
-    pub fn signal(&self, name: &str) {
-        if let Some(process) = &self.process {
-            let id = process.id().to_string();
-            let _ = Command::new("kill").arg(format!("-{name}")).arg(id).status();
-        }
-    }
 }
 
 impl Drop for Host {
--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -40,7 +40,9 @@
     pub fn parameter(&self, name: &str) -> Option<String> {
         let query = self.target().split_once('?')?.1;
         let mut pairs = query.split('&').filter_map(|p| p.split_once('='));
-        pairs.find(|(n, _)| *n == name).map(|(_, v)| percent_decode(v))
+        pairs
+            .find(|(n, _)| *n == name)
+            .map(|(_, v)| percent_decode(v))
     }
 }
 
@@ -49,7 +51,9 @@
     let mut out = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
-        let hex = (bytes[at] == b'%').then(|| bytes.get(at + 1..at + 3)).flatten();
+        let hex = (bytes[at] == b'%')
+            .then(|| bytes.get(at + 1..at + 3))
+            .flatten();
         let code = hex.and_then(|h| u8::from_str_radix(std::str::from_utf8(h).ok()?, 16).ok());
         match code {
             Some(code) => {
@@ -119,7 +123,9 @@
             message.body.extend_from_slice(&chunk[..size]);
         }
     }
-    let length = message.header("content-length").and_then(|l| l.parse().ok());
+    let length = message
+        .header("content-length")
+        .and_then(|l| l.parse().ok());
     let mut body = vec![0; length.unwrap_or(0)];
     message.is_whole = reader.read_exact(&mut body).is_ok();
     message.body = body;
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -12,7 +12,6 @@
 mod proxy;
 mod record;
 mod store;
-mod uploads;
 mod upstream;
 
 use std::process::ExitCode;
@@ -42,7 +41,6 @@
     let verdict = match case.as_str() {
         "silent-config" => cases::silent_config(&record, has_trouble),
         "silent-drain" => cases::silent_drain(&record, has_trouble),
-        "burst-uploads" => cases::burst_uploads(&record, has_trouble),
         _ => Verdict::CouldNotRun,
     };
     let (code, result) = match verdict {
--- a/review/standins-2/record.rs
+++ b/review/standins-2/record.rs
@@ -31,6 +31,9 @@
         let mut lines = self.0.lock().expect("lock").clone();
         // Lines of the same time stay in their order.
         lines[1..].sort_by_key(|l| l[..7].trim().parse::<u64>().unwrap_or(0));
-        fs::write(Path::new(folder).join("record.txt"), lines.join("\n") + "\n")
+        fs::write(
+            Path::new(folder).join("record.txt"),
+            lines.join("\n") + "\n",
+        )
     }
 }
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -39,7 +39,8 @@
                     created,
                     lease,
                 };
-                self.log.push((self.revision, key.to_owned(), Some(item.clone())));
+                self.log
+                    .push((self.revision, key.to_owned(), Some(item.clone())));
                 self.items.insert(key.to_owned(), item);
             }
             None => {
@@ -83,14 +84,10 @@
     }
 }
 
-/// Called for each request with its kind (`watch` or `call`); false to leave it unanswered.
-type Gate = Box<dyn Fn(&Message) -> bool + Send + Sync>;
-
 /// The store.
 pub struct Store {
     data: Mutex<Data>,
     changed: Condvar,
-    gate: Mutex<Option<Gate>>,
 }
 
 fn item_json(key: &str, item: &Item) -> Json {
@@ -111,7 +108,6 @@
                 ..Data::default()
             }),
             changed: Condvar::new(),
-            gate: Mutex::new(None),
         });
         let listener = TcpListener::bind("127.0.0.1:0").expect("listen");
         let addr = listener.local_addr().expect("address");
@@ -134,12 +130,6 @@
         (store, addr)
     }
 
-    /// Sets what is asked before a call is handled.
-    #[allow(dead_code)]
-    pub fn set_gate(&self, gate: Option<Gate>) {
-        *self.gate.lock().expect("lock") = gate;
-    }
-
     /// Writes a key as the operator or a server does; the return is the acknowledgement.
     pub fn put(&self, key: &str, value: &Json) {
         let mut data = self.data.lock().expect("lock");
@@ -164,27 +154,11 @@
         data.items.keys().filter(|k| k.starts_with(prefix)).count()
     }
 
-    /// Value of a key.
-    #[allow(dead_code)]
-    pub fn get(&self, key: &str) -> Option<Json> {
-        let data = self.data.lock().expect("lock");
-        Json::parse(&data.items.get(key)?.value)
-    }
-
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut writer = stream.try_clone().expect("clone");
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = read_message(&mut reader, |_| {}) {
-            let is_answered = {
-                let gate = self.gate.lock().expect("lock");
-                gate.as_ref().is_none_or(|gate| gate(&request))
-            };
-            if !is_answered {
-                // A connection on which a response is lost returns nothing further.
-                thread::sleep(Duration::from_secs(600));
-                return;
-            }
             let (status, json) = self.respond(&request);
             let first = format!("HTTP/1.1 {status} X");
             let headers = [("Content-Type", "application/json")];
--- a/review/standins-2/upstream.rs
+++ b/review/standins-2/upstream.rs
@@ -71,7 +71,7 @@
             ("address", text(self.addr.to_string())),
             ("zone", text(self.zone.as_str())),
             ("version", text("v1")),
-            ("slots", number(64)),
+            ("slots", number(6)),
             ("state", text(state)),
             ("cold_remaining_ms", number(0)),
             ("born", number(self.born_ms)),
