Review case 6: LOST when a lone host exceeds its memory with streams

Cause: a stream takes about 115 KB, and connections of callers are limited by descriptors only, so that a host of 120 MB takes more streams than it has memory for when the others are lost; the platform then kills it. No code is changed.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/../.."
 program=target/review-2/review-2
 [ -x "$program" ] || { echo "run review/build-2.sh first" >&2; exit 2; }
-exec env TROUBLE="${TROUBLE:-1}" "$program" silent-drain review/7
+exec env TROUBLE="${TROUBLE:-1}" "$program" silent-config review/7
--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -14,6 +14,7 @@
 use crate::proxy::Proxy;
 use crate::record::Record;
 use crate::store::Store;
+use crate::streams::{self, Asked, Begun, Rotation, Seen, StreamServer};
 use crate::upstream::{Arrival, Upstream};
 
 /// Bounds of ptgtm-courts.
@@ -354,3 +355,183 @@
         Verdict::Broken
     }
 }
+
+/// Memory and descriptors of the smallest machines of crs-pampa-grown.
+const MEMORY_MB: u64 = 120;
+const MAX_DESCRIPTORS: u64 = 3_075;
+/// Servers of its service `modelos`, 16 slots each.
+const STREAM_SERVERS: u64 = 112;
+const STREAM_CLIENTS: u64 = 1_500;
+/// Requests without an answer that the rule allows.
+const MAX_UNANSWERED: usize = 3;
+
+/// LOST: two of three hosts are lost, and the platform kills the third one for its memory.
+pub fn lone_host(record: &Record, has_trouble: bool) -> Verdict {
+    let begun = Begun::default();
+    let servers: Vec<StreamServer> = (1..=STREAM_SERVERS)
+        .map(|n| StreamServer::start(&format!("i-{n}"), &begun))
+        .collect();
+    let folder = Folder::create();
+    let (store, store_addr) = Store::start();
+    store.put("op/config", &config_of_streams());
+    thread::spawn(move || {
+        for sequence in 1.. {
+            for server in &servers {
+                store.put(&format!("servers/{}", server.id), &server.entry(sequence));
+                thread::sleep(HEARTBEAT / STREAM_SERVERS as u32);
+            }
+        }
+    });
+    let mut hosts: Vec<Host> = (1..=3)
+        .map(|n| {
+            Host::start_with(
+                &folder,
+                n,
+                "rosario-a",
+                store_addr,
+                MEMORY_MB,
+                MAX_DESCRIPTORS,
+            )
+        })
+        .collect();
+    if !wait_for(Duration::from_secs(10), || hosts.iter().all(Host::is_ready)) {
+        return Verdict::CouldNotRun;
+    }
+    thread::sleep(Duration::from_secs(3));
+    let rotation = Rotation::default();
+    *rotation.lock().expect("lock") = hosts.iter().map(|h| h.caller_addr).collect();
+    let (seen, stop) = (Arc::new(Seen::default()), Arc::new(AtomicBool::new(false)));
+    record.line(format!(
+        "{STREAM_CLIENTS} clients ask three hosts for streams"
+    ));
+    let clients: Vec<_> = (1..=STREAM_CLIENTS)
+        .map(|client| {
+            thread::sleep(Duration::from_millis(4));
+            let (rotation, seen, stop) =
+                (Arc::clone(&rotation), Arc::clone(&seen), Arc::clone(&stop));
+            streams::spawn(move || streams::ask(client, &rotation, &seen, &stop))
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(8));
+    let mut lost_ms = None;
+    let mut killed_ms = None;
+    let until_ms = now_ms() + 40_000;
+    let mut next_line_ms = 0;
+    while now_ms() < until_ms {
+        let memory: Vec<u64> = hosts.iter().map(Host::anonymous_kib).collect();
+        if now_ms() >= next_line_ms {
+            next_line_ms = now_ms() + 2_000;
+            record.line(format!("anonymous memory of the hosts in KiB: {memory:?}"));
+        }
+        if memory[0] > MEMORY_MB * 1024 {
+            killed_ms = Some(now_ms());
+            hosts[0].kill();
+            let (name, kib) = (&hosts[0].name, memory[0]);
+            record.line(format!(
+                "{name} holds {kib} KiB, over {MEMORY_MB} MB: it is killed"
+            ));
+            break;
+        }
+        if has_trouble && lost_ms.is_none() {
+            hosts[1].kill();
+            hosts[2].kill();
+            lost_ms = Some(now_ms());
+            record.line("two hosts are lost for good");
+        }
+        // Two failed probes, one a second, take a host out.
+        if lost_ms.is_some_and(|at| now_ms() >= at + 2_000) {
+            *rotation.lock().expect("lock") = vec![hosts[0].caller_addr];
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    thread::sleep(Duration::from_millis(500));
+    stop.store(true, Ordering::SeqCst);
+    let lone = hosts[0].caller_addr;
+    drop(hosts);
+    for client in clients {
+        let _ = client.join();
+    }
+    let begun = begun.lock().expect("lock");
+    let asked = seen.lock().expect("lock");
+    for a in asked.iter() {
+        let Asked {
+            id,
+            host,
+            is_kept,
+            sent_ms,
+            ended_ms,
+            status,
+            is_whole,
+        } = a;
+        let has_begun = begun.contains(id);
+        record.at(
+            *sent_ms,
+            format!(
+                "request {id} to {host}, kept connection: {is_kept}; begun at a server: \
+                 {has_begun}; at {ended_ms} status {status}, whole: {is_whole}"
+            ),
+        );
+    }
+    // Only what the last host had passed on to a server as it was killed counts.
+    let is_killed = |at: u64| killed_ms.is_some_and(|killed| at >= killed && at <= killed + 400);
+    let lost = asked.iter().filter(|a| {
+        let is_unanswered = a.status == 0 && a.is_kept && begun.contains(&a.id);
+        is_unanswered && a.host == lone && is_killed(a.ended_ms)
+    });
+    let lost = lost.count();
+    let count = |is_counted: fn(&Asked) -> bool| asked.iter().filter(|a| is_counted(a)).count();
+    let whole = count(|a| a.status == 200 && a.is_whole);
+    record.line(format!(
+        "{whole} whole streams, {} broken off, {} refused, {} without an answer",
+        count(|a| a.status == 200 && !a.is_whole),
+        count(|a| a.status > 200),
+        count(|a| a.status == 0),
+    ));
+    record.line(format!(
+        "{lost} requests on kept connections that the last host had passed on to sound servers \
+         were closed without an answer"
+    ));
+    if whole == 0 {
+        Verdict::CouldNotRun
+    } else if lost > MAX_UNANSWERED {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
+}
+
+fn config_of_streams() -> Json {
+    let route = map([
+        ("name", text("delay-notice")),
+        ("host", text("cargo.example")),
+        ("prefix", text("/notice/")),
+        ("type", text("stream")),
+        ("timeout_ms", number(15_000)),
+        ("target_latency_ms", number(1_500)),
+        ("gap_target_ms", number(300)),
+        ("priority", number(1)),
+        ("service", text("modelos")),
+        ("max_attempts", number(1)),
+        ("sticky", Json::Bool(false)),
+        ("resumable", Json::Bool(false)),
+    ]);
+    let service = map([
+        ("name", text("modelos")),
+        ("health_path", text("/healthz")),
+        ("max_connections", number(670)),
+        ("protocol", text("h1")),
+        ("tls", Json::Bool(false)),
+    ]);
+    let limits = map([
+        ("max_header_bytes", number(16_384)),
+        ("max_body_bytes", number(4_194_304)),
+        ("header_timeout_ms", number(3_000)),
+        ("idle_timeout_ms", number(15_000)),
+    ]);
+    map([
+        ("version", number(1)),
+        ("routes", Json::List(vec![route])),
+        ("services", Json::List(vec![service])),
+        ("limits", limits),
+    ])
+}
--- a/review/standins-2/host.rs
+++ b/review/standins-2/host.rs
@@ -50,9 +50,21 @@
 }
 
 impl Host {
+    /// Host of the deployment ptgtm-courts.
+    pub fn start(folder: &Folder, number_of_host: u8, zone: &str, store: SocketAddr) -> Self {
+        Self::start_with(folder, number_of_host, zone, store, 260, 4_200)
+    }
+
     /// Settings as the platform fills in `deploy/host.json`, with the bounds of the
     /// deployment ptgtm-courts, and a running process.
-    pub fn start(folder: &Folder, number_of_host: u8, zone: &str, store: SocketAddr) -> Self {
+    pub fn start_with(
+        folder: &Folder,
+        number_of_host: u8,
+        zone: &str,
+        store: SocketAddr,
+        memory_mb: u64,
+        max_descriptors: u64,
+    ) -> Self {
         let ip = IpAddr::V4(Ipv4Addr::new(127, 0, 1, number_of_host));
         let name = format!("edge-{zone}-{number_of_host}");
         let caller_addr = SocketAddr::new(ip, free_port(ip));
@@ -65,9 +77,9 @@
             ("ready_addr", text(ready_addr.to_string())),
             ("peer_port", number(u64::from(free_port(ip)))),
             ("store_addr", text(store.to_string())),
-            ("memory_mb", number(260)),
+            ("memory_mb", number(memory_mb)),
             ("cpu_share", Json::Number(0.25)),
-            ("max_descriptors", number(4200)),
+            ("max_descriptors", number(max_descriptors)),
             ("engines_check_fences", Json::Bool(true)),
             ("order_lease_ms", number(3000)),
             ("stop_grace_s", number(8)),
@@ -124,6 +136,15 @@
         process.is_some_and(|p| !matches!(p.try_wait(), Ok(None)))
     }
 
+    /// Anonymous memory of the process in KiB: without program code and kernel buffers.
+    pub fn anonymous_kib(&self) -> u64 {
+        let id = self.process.as_ref().map_or(0, Child::id);
+        let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let line = status.lines().find(|l| l.starts_with("RssAnon:"));
+        let kib = line.and_then(|l| l.split_whitespace().nth(1)?.parse().ok());
+        kib.unwrap_or(0)
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         if let Some(mut process) = self.process.take() {
--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -148,3 +148,24 @@
     bytes.extend_from_slice(body);
     writer.write_all(&bytes)
 }
+
+/// Reads the body that follows a head and drops it; false if it breaks off.
+pub fn read_body(reader: &mut impl BufRead, head: &Message) -> io::Result<bool> {
+    if head.header("transfer-encoding").is_none() {
+        let length = head.header("content-length").and_then(|l| l.parse().ok());
+        let mut body = vec![0; length.unwrap_or(0)];
+        return Ok(reader.read_exact(&mut body).is_ok());
+    }
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line)?;
+        let Ok(size) = usize::from_str_radix(line.trim(), 16) else {
+            return Ok(false);
+        };
+        let mut chunk = vec![0; size + 2];
+        reader.read_exact(&mut chunk)?;
+        if size == 0 {
+            return Ok(true);
+        }
+    }
+}
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -12,6 +12,7 @@
 mod proxy;
 mod record;
 mod store;
+mod streams;
 mod upstream;
 
 use std::process::ExitCode;
@@ -41,6 +42,7 @@
     let verdict = match case.as_str() {
         "silent-config" => cases::silent_config(&record, has_trouble),
         "silent-drain" => cases::silent_drain(&record, has_trouble),
+        "lone-host" => cases::lone_host(&record, has_trouble),
         _ => Verdict::CouldNotRun,
     };
     let (code, result) = match verdict {
