Charge connections, requests and bodies to one account of the process

Cause: connections were limited by descriptors alone and streams not at all; a body counted with the bytes that had arrived, while its whole stated length was allocated with the second frame. Responses that slow callers do not read, events that wait for them and idle connections had no bound.

Change: core::resource_account has the memory and the descriptors of the process; what grows with callers, streams, connections and bytes is charged before it is taken and refused with 503 at once if there is no room. edge::wire reads sockets without buffers of its own, in turns, and counts the bytes that frame a body, so that neither an upstream nor a caller keeps the thread busy with an endless run of zeros as a chunk's size.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -32,6 +32,7 @@
 pub mod load;
 pub mod log_trace;
 pub mod membership;
+
 pub mod open_places;
 pub mod organisations;
 pub mod outcome;
@@ -52,7 +53,7 @@
 pub mod registry;
 pub mod rendezvous;
 pub mod request_traits;
-pub mod response_memory;
+pub mod resource_account;
 pub mod retry;
 pub mod routing;
 pub mod shared_account;
--- a/src/edge/body.rs
+++ b/src/edge/body.rs
@@ -1,19 +1,23 @@
 //! HTTP bodies: reads with a size and a time limit, and complete or streamed
 //! responses.
 
+use std::cell::Cell;
 use std::fmt;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Channel, Either, Full, LengthLimitError, Limited};
 use hyper::Response;
-use hyper::body::{Body, Frame, Incoming};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use serde::Serialize;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
+use super::resources::Hold;
+
 /// Error that aborts a streamed response.
 ///
 /// It closes the connection before the end of the body, so that the receiver
@@ -38,7 +42,9 @@
 /// receiver has disconnected.
 #[derive(Debug)]
 pub struct StreamedBody {
-    channel: Channel<Bytes, Truncated>,
+    source: Either<Full<Bytes>, Channel<Bytes, Truncated>>,
+    queued: Option<Rc<QueuedBytes>>,
+    holds: Vec<Rc<Hold>>,
     _drop_guard: Option<DropGuard>,
 }
 
@@ -46,16 +52,61 @@
     /// Creates a body that cancels `closed` when it is dropped.
     pub fn new(channel: Channel<Bytes, Truncated>, closed: CancellationToken) -> Self {
         Self {
-            channel,
             _drop_guard: Some(closed.drop_guard()),
+            ..Self::from(channel)
         }
     }
+
+    /// Counts what is taken from the channel.
+    pub fn with_queue(mut self, queued: Rc<QueuedBytes>) -> Self {
+        self.queued = Some(queued);
+        self
+    }
+}
+
+/// Bytes in the channel of a streamed body.
+#[derive(Debug, Default)]
+pub struct QueuedBytes(Cell<usize>);
+
+impl QueuedBytes {
+    /// Counts bytes that are sent to the channel.
+    pub fn add(&self, bytes: usize) {
+        self.0.set(self.0.get() + bytes);
+    }
+
+    /// Number of bytes in the channel.
+    pub fn get(&self) -> usize {
+        self.0.get()
+    }
+
+    fn remove(&self, bytes: usize) {
+        self.0.set(self.0.get().saturating_sub(bytes));
+    }
+}
+
+/// Keeps memory taken until the body of a response was sent or dropped.
+pub fn hold_until_sent(response: ServerResponse, hold: Rc<Hold>) -> ServerResponse {
+    response.map(|body| {
+        let mut body = match body {
+            Either::Left(full) => StreamedBody {
+                source: Either::Left(full),
+                queued: None,
+                holds: Vec::new(),
+                _drop_guard: None,
+            },
+            Either::Right(streamed) => streamed,
+        };
+        body.holds.push(hold);
+        Either::Right(body)
+    })
 }
 
 impl From<Channel<Bytes, Truncated>> for StreamedBody {
     fn from(channel: Channel<Bytes, Truncated>) -> Self {
         Self {
-            channel,
+            source: Either::Right(channel),
+            queued: None,
+            holds: Vec::new(),
             _drop_guard: None,
         }
     }
@@ -69,7 +120,32 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
-        Pin::new(&mut self.channel).poll_frame(cx)
+        match &mut self.source {
+            Either::Left(full) => Pin::new(full)
+                .poll_frame(cx)
+                .map_err(|never| match never {}),
+            Either::Right(channel) => {
+                let frame = ready!(Pin::new(channel).poll_frame(cx));
+                if let (Some(Ok(frame)), Some(queued)) = (&frame, &self.queued) {
+                    queued.remove(frame.data_ref().map_or(0, Bytes::len));
+                }
+                Poll::Ready(frame)
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.source {
+            Either::Left(full) => full.is_end_stream(),
+            Either::Right(channel) => channel.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.source {
+            Either::Left(full) => full.size_hint(),
+            Either::Right(channel) => channel.size_hint(),
+        }
     }
 }
 
@@ -105,7 +181,7 @@
 }
 
 /// Maximum size of an unwanted body that is read and discarded.
-const MAX_DISCARDED_BYTES: usize = 64 * 1024 * 1024;
+pub(super) const MAX_DISCARDED_BYTES: usize = 64 * 1024 * 1024;
 /// Maximum time for reading an unwanted body.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
 
--- a/src/edge/connection.rs
+++ b/src/edge/connection.rs
@@ -9,21 +9,23 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-use compio::io::util::Splittable;
 use compio::net::TcpStream;
-use cyper_core::HyperStream;
 use hyper::client::conn::http1::{self, SendRequest};
 use socket2::SockRef;
 
-use super::head_limit::{HeadLimit, HeadLimitedReader};
 use super::pool::{RequestBody, USER_TIMEOUT, connect_tcp, set_timeouts};
+use super::wire::{WireMeter, WireStream};
 use crate::core::rendezvous::hash;
 
 /// Maximum size of a response head, and of the read buffer of a connection.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Largest number of bytes between two parts of a body that only frame it.
+const MAX_FRAMING_BYTES: usize = 32 * 1024;
+
 /// Refused requests that a connection remembers; an extra refusal is of a recent one.
 const MAX_REFUSED: usize = 32;
 
@@ -43,8 +45,8 @@
 pub struct Connection {
     /// Sends requests.
     pub sender: SendRequest<RequestBody>,
-    /// Limits the response head that is expected.
-    pub head_limit: Rc<HeadLimit>,
+    /// Counts and limits the bytes of the response that is expected.
+    pub meter: Arc<WireMeter>,
     /// Empty once the connection has ended.
     socket: Rc<RefCell<Option<TcpStream>>>,
     user_timeout: Cell<Duration>,
@@ -61,10 +63,8 @@
             .set_linger(Some(Duration::ZERO))
             .ok()?;
         let socket = Rc::new(RefCell::new(Some(stream.clone())));
-        let head_limit = Rc::new(HeadLimit::new(MAX_HEAD_BYTES));
-        let (reader, writer) = stream.split();
-        let reader = HeadLimitedReader::new(reader, Rc::clone(&head_limit));
-        let io = HyperStream::new_plain((reader, writer));
+        let meter = Arc::new(WireMeter::default());
+        let io = WireStream::new(stream, Arc::clone(&meter)).ok()?;
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(io);
@@ -79,13 +79,24 @@
         .detach();
         Some(Self {
             sender,
-            head_limit,
+            meter,
             socket,
             user_timeout: Cell::new(USER_TIMEOUT),
             refused: RefCell::default(),
         })
     }
 
+    /// Limits the bytes up to the end of the next response head, interim responses included.
+    pub fn expect_head(&self) {
+        self.meter.allow(MAX_HEAD_BYTES);
+    }
+
+    /// Limits the bytes up to the next part of the response body; the library may have read
+    /// ahead.
+    pub fn expect_body_part(&self) {
+        self.meter.allow(MAX_HEAD_BYTES + MAX_FRAMING_BYTES);
+    }
+
     /// Records that a request was refused on this connection.
     pub fn record_refusal(&self, tag: RequestTag) {
         let mut refused = self.refused.borrow_mut();
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -8,11 +8,13 @@
 pub mod chat;
 pub mod connection;
 pub mod engine;
-pub mod head_limit;
 pub mod kv;
 pub mod kv_wire;
+
 pub mod path_check;
 pub mod pool;
+pub mod resources;
 pub mod response_reader;
 pub mod server;
 pub mod signals;
+pub mod wire;
--- a/src/edge/pool.rs
+++ b/src/edge/pool.rs
@@ -26,13 +26,17 @@
 use super::connection::Connection;
 pub use super::connection::RequestTag;
 use super::path_check::until_held_up;
+use super::resources::{Hold, NoRoom, Resources};
 use crate::core::execution::NotRunEvidence;
+use crate::core::resource_account::Purpose;
 use crate::core::stated;
 
 /// Timeout of a connection attempt.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum number of idle connections per address.
 const MAX_IDLE_PER_ADDR: usize = 1024;
+/// Memory of an idle connection.
+const IDLE_CONNECTION_BYTES: usize = 20 * 1024;
 /// Idle time after which a connection is not reused, unless the server's
 /// `Keep-Alive` header states a timeout; servers commonly close idle connections
 /// after five seconds or more.
@@ -87,6 +91,7 @@
 struct IdleConnection {
     connection: Connection,
     usable_until: Instant,
+    _hold: Option<Hold>,
 }
 
 /// Connection pool; clones share their connections.
@@ -94,11 +99,21 @@
 pub struct Pool {
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
     connections: Rc<Cell<u64>>,
+    /// Account of the idle connections, if they are many.
+    resources: Option<Resources>,
     /// Time at which an address last sent something.
     heard: Rc<RefCell<HashMap<SocketAddr, Instant>>>,
 }
 
 impl Pool {
+    /// Pool whose idle connections are charged to an account, and closed if it has no room.
+    pub fn charged_to(resources: Resources) -> Self {
+        Self {
+            resources: Some(resources),
+            ..Self::default()
+        }
+    }
+
     /// Sends a request and waits for the head of the response.
     pub async fn send(
         &self,
@@ -160,12 +175,12 @@
                 }
             };
             let mut held_up = pin!(held_up.fuse());
-            connection.head_limit.start();
+            connection.expect_head();
             let sent = futures_util::select_biased! {
                 sent = connection.sender.try_send_request(request).fuse() => sent,
                 () = held_up => return Err(SendError::HeldUp),
             };
-            connection.head_limit.stop();
+            connection.expect_body_part();
             match sent {
                 Ok(response) => {
                     if response.body().size_hint().exact().is_none() {
@@ -254,6 +269,7 @@
         response.map(|body| PooledBody {
             body,
             addr,
+            head_bytes: connection.meter.received_bytes(),
             connection: Some(connection),
             idle_timeout,
             pool: self.clone(),
@@ -261,6 +277,14 @@
     }
 
     fn check_in(&self, addr: SocketAddr, connection: Connection, idle_timeout: Duration) {
+        let hold = match &self.resources {
+            Some(resources) => match resources.hold(Purpose::IdleConnection, IDLE_CONNECTION_BYTES)
+            {
+                Ok(hold) => Some(hold),
+                Err(NoRoom) => return,
+            },
+            None => None,
+        };
         let mut idle_connections = self.idle.borrow_mut();
         let connections = idle_connections.entry(addr).or_default();
         if connections.len() < MAX_IDLE_PER_ADDR {
@@ -268,6 +292,7 @@
             connections.push(IdleConnection {
                 connection,
                 usable_until: Instant::now() + idle_timeout,
+                _hold: hold,
             });
         }
     }
@@ -344,6 +369,8 @@
     body: Incoming,
     addr: SocketAddr,
     connection: Option<Connection>,
+    /// Bytes that the connection had received when the head was complete.
+    head_bytes: u64,
     idle_timeout: Duration,
     pool: Pool,
 }
@@ -354,6 +381,12 @@
         self.connection = None;
     }
 
+    /// Bytes received since the head of the response, including those that frame the body.
+    pub fn received_bytes(&self) -> u64 {
+        let connection = self.connection.as_ref();
+        connection.map_or(0, |c| c.meter.received_bytes() - self.head_bytes)
+    }
+
     /// Records that the response refuses the request with a tag.
     pub fn record_refusal(&self, tag: RequestTag) {
         if let Some(connection) = &self.connection {
@@ -396,6 +429,9 @@
             self.connection = None;
         } else {
             self.pool.record_heard(self.addr);
+            if let Some(connection) = &self.connection {
+                connection.expect_body_part();
+            }
         }
         if !is_failed && (frame.is_none() || self.body.is_end_stream()) {
             self.release();
--- a/src/edge/response_reader.rs
+++ b/src/edge/response_reader.rs
@@ -1,7 +1,6 @@
-//! Reads the responses of upstreams within a size limit, a time limit and a memory
-//! budget that all responses share.
+//! Reads the responses of upstreams within a size limit, a time limit and the memory of the
+//! host.
 
-use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,42 +10,36 @@
 
 use super::body::ReadError;
 use super::pool::PooledBody;
-use crate::core::response_memory::ResponseMemory;
+use super::resources::{Hold, Resources};
+use crate::core::resource_account::Purpose;
 
-/// Reader of responses with a shared memory budget.
+/// Part of a response that the memory of its request covers, so that usual responses can
+/// always be read.
+pub const COVERED_BYTES: usize = 16 * 1024;
+/// Divisor of the largest response that gives the bytes that may frame it.
+const FRAMING_DIVISOR: usize = 8;
+/// Bytes that may frame a small response.
+const MIN_FRAMING_BYTES: usize = 64 * 1024;
+
+/// Reader of responses that takes memory from an account.
 #[derive(Clone, Debug)]
 pub struct ResponseReader {
-    memory: Rc<RefCell<ResponseMemory>>,
-}
-
-/// Memory held by one response that is being read, released when dropped.
-struct HeldMemory<'a> {
-    memory: &'a RefCell<ResponseMemory>,
-    bytes: usize,
-}
-
-impl HeldMemory<'_> {
-    fn grow(&mut self, more_bytes: usize) -> Result<(), ReadError> {
-        if !self.memory.borrow_mut().grow(self.bytes, more_bytes) {
-            return Err(ReadError::NoMemory);
-        }
-        self.bytes += more_bytes;
-        Ok(())
-    }
+    resources: Resources,
 }
 
-impl Drop for HeldMemory<'_> {
-    fn drop(&mut self) {
-        self.memory.borrow_mut().release(self.bytes);
-    }
+/// Complete body of a response, and the memory that it takes.
+#[derive(Clone, Debug)]
+pub struct HeldBytes {
+    /// Body.
+    pub bytes: Bytes,
+    /// Memory beyond what that of its request covers.
+    pub hold: Rc<Hold>,
 }
 
 impl ResponseReader {
-    /// Creates a reader with a memory budget for all responses together.
-    pub fn new(budget_bytes: usize) -> Self {
-        Self {
-            memory: Rc::new(RefCell::new(ResponseMemory::new(budget_bytes))),
-        }
+    /// Creates a reader that takes memory from an account.
+    pub fn new(resources: Resources) -> Self {
+        Self { resources }
     }
 
     /// Reads a complete body.
@@ -55,7 +48,7 @@
         body: PooledBody,
         max_bytes: usize,
         timeout: Duration,
-    ) -> Result<Bytes, ReadError> {
+    ) -> Result<HeldBytes, ReadError> {
         if body.size_hint().lower() > max_bytes as u64 {
             return Err(ReadError::TooLarge);
         }
@@ -64,31 +57,47 @@
         read.unwrap_or(Err(ReadError::Timeout))
     }
 
-    async fn collect(&self, mut body: PooledBody, max_bytes: usize) -> Result<Bytes, ReadError> {
-        let mut held = HeldMemory {
-            memory: &self.memory,
-            bytes: 0,
-        };
+    async fn collect(
+        &self,
+        mut body: PooledBody,
+        max_bytes: usize,
+    ) -> Result<HeldBytes, ReadError> {
+        let mut hold = self.resources.empty_hold(Purpose::Response);
+        let framing_bytes = (max_bytes / FRAMING_DIVISOR).max(MIN_FRAMING_BYTES);
+        let max_wire_bytes = (max_bytes + framing_bytes) as u64;
+        let content_length = body.size_hint().lower() as usize;
         let mut first_frame = Bytes::new();
         let mut buffer = BytesMut::new();
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| ReadError::Incomplete)?;
             let data = frame.into_data().unwrap_or_default();
-            if held.bytes + data.len() > max_bytes {
+            let length = first_frame.len() + buffer.len() + data.len();
+            if length > max_bytes || body.received_bytes() > max_wire_bytes {
                 return Err(ReadError::TooLarge);
             }
-            held.grow(data.len())?;
             if first_frame.is_empty() && buffer.is_empty() {
                 // Most bodies arrive in one frame, which is returned without a copy.
                 first_frame = data;
-            } else {
-                buffer.extend_from_slice(&std::mem::take(&mut first_frame));
-                buffer.extend_from_slice(&data);
+                continue;
             }
+            if buffer.capacity() < length {
+                let capacity = content_length.max(length.saturating_mul(2).min(max_bytes));
+                let beyond_covered = capacity.saturating_sub(COVERED_BYTES);
+                hold.grow_to(beyond_covered)
+                    .map_err(|_| ReadError::NoMemory)?;
+                buffer.reserve(capacity - buffer.len());
+            }
+            buffer.extend_from_slice(&std::mem::take(&mut first_frame));
+            buffer.extend_from_slice(&data);
         }
-        if buffer.is_empty() {
-            return Ok(first_frame);
-        }
-        Ok(buffer.freeze())
+        let bytes = if buffer.is_empty() {
+            first_frame
+        } else {
+            buffer.freeze()
+        };
+        Ok(HeldBytes {
+            bytes,
+            hold: Rc::new(hold),
+        })
     }
 }
--- a/src/edge/server.rs
+++ b/src/edge/server.rs
@@ -9,18 +9,23 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use compio::net::{TcpListener, TcpSocket, TcpStream};
-use cyper_core::{CompioTimer, HyperStream};
+use cyper_core::CompioTimer;
 use futures_util::FutureExt;
 use hyper::Request;
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue, UPGRADE};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
-use super::body::ServerResponse;
+use super::body::{self, MAX_DISCARDED_BYTES, ServerResponse};
+use super::resources::{Hold, NoRoom};
+use super::wire::{WireMeter, WireStream};
 
 /// Timeout for reading the headers of a request.
 pub const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
@@ -28,6 +33,12 @@
 pub const MAX_HEADER_BYTES: usize = 16 * 1024;
 /// Minimum size of a connection buffer that the HTTP library allows.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
+/// Largest number of bytes before the head of the first request, or after a body.
+pub(super) const LEADING_BYTES: usize = 64 * 1024;
+/// Connections beyond the limit whose first requests are refused; others are closed.
+const MAX_REFUSED_CONNECTIONS: usize = 64;
+/// Timeout for reading the headers of a request that is refused.
+const REFUSAL_HEADER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -72,8 +83,19 @@
         ConnectionLimits::default()
     }
 
+    /// Takes what a new connection needs, if that is limited.
+    fn hold_connection(&self) -> Result<Option<Hold>, NoRoom> {
+        Ok(None)
+    }
+
     /// Handles one request.
     fn handle(&self, request: Request<Incoming>) -> impl Future<Output = ServerResponse>;
+
+    /// Refuses a request on a connection that there is no room for.
+    fn refuse(&self, request: Request<Incoming>) -> ServerResponse {
+        body::discard(request.into_body());
+        body::text(503, "no room for the connection\n")
+    }
 }
 
 /// Serves until cancelled, and then until the last connection has closed.
@@ -84,7 +106,8 @@
     cancel: CancellationToken,
 ) {
     let open_connections = Rc::new(Cell::new(0_usize));
-    let drained = CancellationToken::new();
+    let refused_connections = Rc::new(Cell::new(0_usize));
+    let drained = Rc::new(Notify::new());
     loop {
         let accepted = futures_util::select_biased! {
             () = cancel.cancelled().fuse() => break,
@@ -94,42 +117,75 @@
             compio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        if open_connections.get() >= max_connections {
+        let has_room = open_connections.get() < max_connections;
+        let hold = if has_room {
+            handler.hold_connection()
+        } else {
+            Err(NoRoom)
+        };
+        if hold.is_err() && refused_connections.get() >= MAX_REFUSED_CONNECTIONS {
             continue;
         }
-        let guard = ConnectionGuard::new(&open_connections, &drained, &cancel);
+        let counter = match &hold {
+            Ok(_) => &open_connections,
+            Err(NoRoom) => &refused_connections,
+        };
+        let guard = ConnectionGuard::new(counter, &drained);
         let handler = Rc::clone(&handler);
         let cancel = cancel.clone();
         compio::runtime::spawn(async move {
-            serve_connection(stream, handler, cancel).await;
+            serve_connection(stream, handler, hold, cancel).await;
             drop(guard);
         })
         .detach();
     }
     drop(listener);
-    if open_connections.get() > 0 {
-        drained.cancelled().await;
+    while open_connections.get() + refused_connections.get() > 0 {
+        drained.notified().await;
     }
 }
 
 async fn serve_connection<H: Handler>(
     stream: TcpStream,
     handler: Rc<H>,
+    hold: Result<Option<Hold>, NoRoom>,
     cancel: CancellationToken,
 ) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let limits = handler.limits();
-    let service = service_fn(|request| {
+    let mut limits = handler.limits();
+    let is_refused = hold.is_err();
+    if is_refused {
+        limits.header_timeout = limits.header_timeout.min(REFUSAL_HEADER_TIMEOUT);
+    }
+    let meter = Arc::new(WireMeter::default());
+    let Ok(io) = WireStream::new(stream, Arc::clone(&meter)) else {
+        return;
+    };
+    meter.allow(limits.max_header_bytes + LEADING_BYTES);
+    let service = service_fn(|mut request: Request<Incoming>| {
+        if request.headers().contains_key(UPGRADE) {
+            meter.allow_any();
+        } else {
+            meter.allow(MAX_DISCARDED_BYTES);
+        }
+        request.extensions_mut().insert(Arc::clone(&meter));
         let handler = Rc::clone(&handler);
-        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+        // A connection keeps the room of its handler's future between requests.
+        Box::pin(async move {
+            Ok::<_, Infallible>(if is_refused {
+                closing(handler.refuse(request))
+            } else {
+                handler.handle(request).await
+            })
+        })
     });
     let connection = http1::Builder::new()
         .timer(CompioTimer)
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(HyperStream::new_plain(stream), service)
+        .serve_connection(io, service)
         .with_upgrades();
     let mut connection = std::pin::pin!(connection);
     futures_util::select_biased! {
@@ -141,24 +197,25 @@
     let _ = connection.await;
 }
 
+/// Closes the connection after a response.
+fn closing(mut response: ServerResponse) -> ServerResponse {
+    let value = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, value);
+    response
+}
+
 /// Counts an open connection until it is dropped.
 struct ConnectionGuard {
     open_connections: Rc<Cell<usize>>,
-    drained: CancellationToken,
-    cancel: CancellationToken,
+    drained: Rc<Notify>,
 }
 
 impl ConnectionGuard {
-    fn new(
-        open_connections: &Rc<Cell<usize>>,
-        drained: &CancellationToken,
-        cancel: &CancellationToken,
-    ) -> Self {
+    fn new(open_connections: &Rc<Cell<usize>>, drained: &Rc<Notify>) -> Self {
         open_connections.set(open_connections.get() + 1);
         Self {
             open_connections: Rc::clone(open_connections),
-            drained: drained.clone(),
-            cancel: cancel.clone(),
+            drained: Rc::clone(drained),
         }
     }
 }
@@ -166,8 +223,8 @@
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
         self.open_connections.set(self.open_connections.get() - 1);
-        if self.open_connections.get() == 0 && self.cancel.is_cancelled() {
-            self.drained.cancel();
+        if self.open_connections.get() == 0 {
+            self.drained.notify_one();
         }
     }
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use futures_util::FutureExt;
-use hyper::header::{HOST, HeaderMap};
+use hyper::header::{HOST, HeaderMap, HeaderValue};
 use hyper::{Method, StatusCode};
 
 use super::exchange::{AttemptFailure, BufferedResponse};
@@ -34,7 +34,7 @@
 use crate::core::peer_selection::NotAccepted;
 use crate::core::request_traits::{RequestContent, RequestTraits};
 use crate::edge::body::{self, ServerResponse};
-use crate::edge::body_reader::BodyReservation;
+use crate::edge::resources::Hold;
 
 /// Largest number of times that a request is resent after upstreams refused it
 /// without running it.
@@ -110,8 +110,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
-    /// Share of the memory budget for bodies, released on drop.
-    pub body_reservation: Rc<BodyReservation>,
+    /// Memory of its body.
+    pub body_memory: Rc<Hold>,
     /// Version of the configuration that supplied the route.
     pub config_version: u64,
     /// True if it is in quarantine and is sent once to try it.
@@ -182,6 +182,16 @@
     name
 }
 
+/// Copies headers, which would keep the whole buffer that they were read into.
+fn compacted(headers: &HeaderMap) -> HeaderMap {
+    let mut compacted = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let copy = HeaderValue::from_bytes(value.as_bytes()).unwrap_or_else(|_| value.clone());
+        compacted.append(name, copy);
+    }
+    compacted
+}
+
 /// Longest uninterrupted prefill that the streams of a service bear.
 fn max_prefill_ms(catalog: &Catalog, service: &ServiceId) -> f64 {
     let gap = catalog.min_event_gap(service);
@@ -238,7 +248,7 @@
         route: &Route,
         head: RequestHead,
         parts: hyper::http::request::Parts,
-        (body, body_reservation): (Bytes, BodyReservation),
+        (body, body_memory): (Bytes, Hold),
         caller: Caller,
     ) -> Option<RoutedRequest> {
         let Caller {
@@ -304,9 +314,9 @@
             route_timeout: route.timeout,
             target: target.to_owned(),
             method: parts.method,
-            headers: parts.headers,
+            headers: compacted(&parts.headers),
             body,
-            body_reservation: Rc::new(body_reservation),
+            body_memory: Rc::new(body_memory),
             config_version: catalog.version,
             is_trial: false,
             received: arrival.received,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -19,8 +19,9 @@
 use crate::core::execution::{Attempt, LocalStatus, NotRunEvidence, NotRunPromise, is_promise};
 use crate::core::load::AttemptOutcome;
 use crate::core::stream_origin::StreamOrigin;
-use crate::edge::body::{ReadError, ServerResponse};
+use crate::edge::body::{ReadError, ServerResponse, hold_until_sent};
 use crate::edge::pool::{PooledBody, RequestTag, SendError};
+use crate::edge::response_reader::HeldBytes;
 
 /// Largest response that is read completely before it is forwarded, in bytes.
 pub(super) const MAX_BUFFERED_BYTES: usize = 1024 * 1024;
@@ -112,7 +113,7 @@
     /// Status.
     pub status: u16,
     pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
+    pub(super) body: HeldBytes,
 }
 
 impl BufferedResponse {
@@ -142,10 +143,11 @@
     }
 
     fn build(self) -> ServerResponse {
-        let mut response = Response::new(http_body_util::Either::Left(Full::new(self.body)));
+        let HeldBytes { bytes, hold } = self.body;
+        let mut response = Response::new(http_body_util::Either::Left(Full::new(bytes)));
         *response.status_mut() = StatusCode::from_u16(self.status).unwrap_or_default();
         *response.headers_mut() = self.headers;
-        response
+        hold_until_sent(response, hold)
     }
 }
 
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -17,23 +17,30 @@
 
 use super::metrics::OutcomeLabels;
 use super::peer_protocol;
-use super::peer_server::{MAX_PEER_CONNECTIONS, Received};
+use super::peer_server::Received;
 use super::platform::{Platform, RequestHead, StatedTokens};
 use super::state::Gateway;
 use crate::core::catalog::{Catalog, Route};
 use crate::core::execution::{Execution, LocalStatus, is_promise};
 use crate::core::ids::OrganisationId;
 use crate::core::organisations::{Organisation, QuotaUnit};
-use crate::edge::body::{self, ServerResponse};
+use crate::core::peer_selection::NotAccepted;
+use crate::core::resource_account::Purpose;
+use crate::edge::body::{self, ServerResponse, hold_until_sent};
 use crate::edge::body_reader::{BodyLimits, BodyReader};
+use crate::edge::resources::{Hold, NoRoom};
 use crate::edge::server::{ConnectionLimits, Handler, serve};
 use crate::kernel::Service;
 
 /// Retry delay of the 503 responses sent here, mainly by a host that has no
 /// configuration yet, in milliseconds.
 const UNAVAILABLE_RETRY_AFTER_MS: u64 = 500;
-/// Divisor of the process memory that gives the budget for request bodies.
-const BODY_MEMORY_DIVISOR: usize = 4;
+/// Memory of a caller's connection.
+pub(super) const CONNECTION_BYTES: usize = 16 * 1024;
+/// Memory of a request in progress, with its connection to an upstream and a usual response.
+const REQUEST_BYTES: usize = 56 * 1024;
+/// Retry delay of a request that is refused for want of memory; streams take seconds to end.
+const NO_ROOM_RETRY_AFTER_MS: u64 = 1_000;
 /// Largest request head before a configuration is loaded.
 const UNCONFIGURED_HEADER_BYTES: usize = 16 * 1024;
 /// Idle timeout of a connection before a configuration is loaded.
@@ -43,9 +50,6 @@
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(2);
 /// Shortest timeout for the arrival of a body.
 const MIN_BODY_TIMEOUT: Duration = Duration::from_secs(5);
-/// File descriptors reserved for files, listeners and connections to upstreams;
-/// the rest is available for callers' connections.
-const RESERVED_DESCRIPTORS: usize = 600;
 
 /// How a request has reached this host.
 #[derive(Debug)]
@@ -120,10 +124,9 @@
 impl<P: Platform> CallerServer<P> {
     /// Server on a bound listener.
     pub fn new(gateway: Rc<Gateway<P>>, listener: TcpListener) -> Self {
-        let memory_bytes = (gateway.settings().memory_mb * 1024.0 * 1024.0) as usize;
         Self {
+            body_reader: BodyReader::new(gateway.resources.clone()),
             gateway,
-            body_reader: BodyReader::new(memory_bytes / BODY_MEMORY_DIVISOR),
             listener: RefCell::new(Some(listener)),
         }
     }
@@ -163,15 +166,22 @@
                 return self.reject(status, reason, Some(&head), &route.name, None);
             }
         };
+        let Ok(memory) = gateway.resources.hold(Purpose::Request, REQUEST_BYTES) else {
+            body::discard(incoming);
+            let retry_after_ms = Some(NO_ROOM_RETRY_AFTER_MS);
+            let mut response =
+                self.reject(503, "no_room", Some(&head), &route.name, retry_after_ms);
+            if arrival.received.is_some() {
+                response.extensions_mut().insert(NotAccepted::Busy);
+            }
+            return response;
+        };
+        let memory = Rc::new(memory);
         if catalog.organisations.is_some() {
             gateway.platform.remove_credentials(&mut parts.headers);
         }
         let limits = body_limits(&catalog);
-        let body = match self
-            .body_reader
-            .read(&parts.headers, incoming, limits)
-            .await
-        {
+        let body = match self.body_reader.read(&parts, incoming, limits).await {
             Ok(body) => body,
             Err(refusal) => {
                 let status = refusal.reason.status();
@@ -186,7 +196,7 @@
             organisation,
         };
         match gateway.prepare_request(&catalog, route, head, parts, body, caller) {
-            Some(request) => gateway.serve(request).await,
+            Some(request) => hold_until_sent(gateway.serve(request).await, memory),
             None => {
                 let retry_after_ms = Some(UNAVAILABLE_RETRY_AFTER_MS);
                 let status = unsent_status(503);
@@ -264,6 +274,23 @@
         }
     }
 
+    fn hold_connection(&self) -> Result<Option<Hold>, NoRoom> {
+        let resources = &self.0.gateway.resources;
+        resources
+            .hold(Purpose::Connection, CONNECTION_BYTES)
+            .map(Some)
+    }
+
+    fn refuse(&self, request: Request<Incoming>) -> ServerResponse {
+        let (parts, incoming) = request.into_parts();
+        body::discard(incoming);
+        let head = self.0.gateway.platform.parse_request_head(&parts).ok();
+        let detail = "no room for the connection";
+        let retry_after_ms = Some(NO_ROOM_RETRY_AFTER_MS);
+        self.0
+            .reject(503, "no_room", head.as_ref(), detail, retry_after_ms)
+    }
+
     async fn handle(&self, mut request: Request<Incoming>) -> ServerResponse {
         peer_protocol::strip(request.headers_mut());
         let arrival = Arrival {
@@ -288,11 +315,8 @@
         let Some(listener) = self.listener.take() else {
             return;
         };
-        let descriptors = self.gateway.settings().max_descriptors as usize;
-        let reserved = RESERVED_DESCRIPTORS + MAX_PEER_CONNECTIONS;
-        let max_connections = descriptors.saturating_sub(reserved).max(64);
         let handler = Rc::new(CallerHandler(Rc::clone(&self)));
-        serve(listener, max_connections, handler, cancel).await;
+        serve(listener, usize::MAX, handler, cancel).await;
     }
 }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -65,4 +65,5 @@
 pub mod store_facts;
 pub mod store_relay;
 pub mod stream_origins;
+pub mod stream_queue;
 pub mod sync;
--- a/src/gateway/peer_requests.rs
+++ b/src/gateway/peer_requests.rs
@@ -9,11 +9,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures_util::FutureExt;
-use http_body_util::channel::Sender;
-use http_body_util::{BodyExt, Channel, Either, Full};
-use hyper::body::Frame;
+use http_body_util::{BodyExt, Either, Full};
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, Response};
 use tokio_util::sync::CancellationToken;
@@ -24,27 +21,37 @@
 use super::peer_protocol::{self, Envelope};
 use super::platform::Platform;
 use super::state::Gateway;
+use super::stream_queue::StreamQueue;
 use crate::core::execution::{NotRunEvidence, is_promise};
 use crate::core::features::Feature;
 use crate::core::ids::HostId;
 use crate::core::peer_selection::{Candidate, MAX_HOSTS, NotAccepted, PeerSelector};
-use crate::edge::body::{self, ServerResponse, StreamedBody, Truncated};
+use crate::edge::body::{ReadError, ServerResponse};
 use crate::edge::pool::{Pool, PooledBody};
+use crate::edge::resources::Resources;
 
 /// Time after a request's deadline within which the other host responds to it.
 const REPLY_MARGIN: Duration = Duration::from_millis(150);
-/// Frames buffered between the other host and the caller.
-const MAX_BUFFERED_FRAMES: usize = 8;
 /// Reason of the outcomes of requests that another host has served.
 const THROUGH_PEER: &str = "through_peer";
 
 /// Connections to other hosts, and what is known of them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PeerDesk {
     selector: RefCell<PeerSelector>,
     pool: Pool,
 }
 
+impl PeerDesk {
+    /// Nothing is known yet; connections are charged to an account.
+    pub fn new(resources: Resources) -> Self {
+        Self {
+            selector: RefCell::default(),
+            pool: Pool::charged_to(resources),
+        }
+    }
+}
+
 /// Host that a request is sent to.
 struct SelectedPeer {
     candidate: Candidate,
@@ -236,14 +243,15 @@
         }
         let (parts, body) = response.into_parts();
         let timeout = request.time_left(self.now_ms()) + REPLY_MARGIN;
-        match body::read(body, MAX_BUFFERED_BYTES, timeout).await {
+        let reading = self.response_reader.read(body, MAX_BUFFERED_BYTES, timeout);
+        match reading.await {
             Ok(body) => PeerReply::Complete(BufferedResponse {
                 status: parts.status.as_u16(),
                 headers: self.peer_response_headers(&parts.headers),
                 body,
             }),
             Err(error) => PeerReply::Lost {
-                is_timeout: error == body::ReadError::Timeout,
+                is_timeout: error == ReadError::Timeout,
             },
         }
     }
@@ -323,10 +331,9 @@
         response: Response<PooledBody>,
         in_flight: InFlightAtPeer<P>,
     ) -> ServerResponse {
-        let (sender, channel) = Channel::new(MAX_BUFFERED_FRAMES);
         let disconnected = CancellationToken::new();
         let (parts, body) = response.into_parts();
-        let streamed = StreamedBody::new(channel, disconnected.clone());
+        let (queue, streamed) = StreamQueue::open(&self.resources, disconnected.clone());
         let mut response = Response::new(Either::Right(streamed));
         *response.status_mut() = parts.status;
         *response.headers_mut() = self.peer_response_headers(&parts.headers);
@@ -334,7 +341,7 @@
         let attempts = attempts.clone();
         compio::runtime::spawn(async move {
             let outcome = gateway
-                .copy_stream(&request, body, sender, disconnected)
+                .copy_stream(&request, body, queue, disconnected)
                 .await;
             drop(in_flight);
             let status = parts.status.as_u16();
@@ -349,7 +356,7 @@
         &self,
         request: &RoutedRequest,
         mut body: PooledBody,
-        mut sender: Sender<Bytes, Truncated>,
+        mut queue: StreamQueue,
         disconnected: CancellationToken,
     ) -> &'static str {
         loop {
@@ -362,11 +369,11 @@
                 Ok(None) => return "served",
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(Some(Err(_))) | Err(_) => {
-                    sender.abort(Truncated);
+                    queue.abort();
                     return "broken";
                 }
             };
-            if sender.send(Frame::data(data)).await.is_err() {
+            if queue.send(data).await.is_err() {
                 return "caller_gone";
             }
         }
--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -13,14 +13,16 @@
 use hyper::body::Incoming;
 use tokio_util::sync::CancellationToken;
 
-use super::front::{Arrival, CallerServer};
+use super::front::{Arrival, CONNECTION_BYTES, CallerServer};
 use super::peer_protocol::{self, Envelope};
 use super::platform::Platform;
 use super::state::Gateway;
 use crate::core::catalog::Catalog;
 use crate::core::execution::NotRunPromise;
 use crate::core::peer_selection::{MAX_RECEIVED, NotAccepted};
+use crate::core::resource_account::Purpose;
 use crate::edge::body::{self, ServerResponse};
+use crate::edge::resources::{Hold, NoRoom};
 use crate::edge::server::{ConnectionLimits, Handler, serve};
 use crate::kernel::Service;
 
@@ -146,6 +148,18 @@
         }
     }
 
+    fn hold_connection(&self) -> Result<Option<Hold>, NoRoom> {
+        let resources = &self.0.gateway.resources;
+        resources
+            .hold(Purpose::Connection, CONNECTION_BYTES)
+            .map(Some)
+    }
+
+    fn refuse(&self, request: Request<Incoming>) -> ServerResponse {
+        body::discard(request.into_body());
+        peer_protocol::not_accepted_response(NotAccepted::Busy)
+    }
+
     async fn handle(&self, request: Request<Incoming>) -> ServerResponse {
         self.0.respond(request).await
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -15,8 +15,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::FutureExt;
-use http_body_util::channel::Sender;
-use http_body_util::{BodyExt, Channel, Either};
+use http_body_util::{BodyExt, Either};
 use hyper::Response;
 use hyper::body::Frame;
 use tokio_util::sync::CancellationToken;
@@ -28,15 +27,14 @@
 use super::place::InFlightAttempt;
 use super::platform::Platform;
 use super::state::Gateway;
+use super::stream_queue::StreamQueue;
 use crate::core::event_progress::EventProgress;
 use crate::core::load::AttemptOutcome;
 use crate::core::stream_continuation::{Continuation, last_event_id};
 use crate::core::stream_origin::StreamOrigin;
-use crate::edge::body::{ServerResponse, StreamedBody, Truncated};
+use crate::edge::body::ServerResponse;
 use crate::edge::pool::PooledBody;
 
-/// Frames buffered between upstream and caller.
-const MAX_BUFFERED_FRAMES: usize = 8;
 /// Largest event in bytes; a larger one is treated as invalid data.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 /// Delimiter of events.
@@ -65,9 +63,8 @@
     in_flight: InFlightAttempt<P>,
     opened: OpenStream,
 ) -> ServerResponse {
-    let (sender, channel) = Channel::new(MAX_BUFFERED_FRAMES);
     let disconnected = CancellationToken::new();
-    let body = StreamedBody::new(channel, disconnected.clone());
+    let (queue, body) = StreamQueue::open(&gateway.resources, disconnected.clone());
     let head = StreamHead::new(opened.status, &opened.headers);
     let mut response = Response::new(Either::Right(body));
     *response.status_mut() = opened.status;
@@ -76,7 +73,7 @@
         gateway: Rc::clone(gateway),
         request,
         attempts,
-        sender,
+        queue,
         head,
         continuation: None,
         disconnected,
@@ -108,7 +105,7 @@
     gateway: Rc<Gateway<P>>,
     request: RoutedRequest,
     attempts: Attempts,
-    sender: Sender<Bytes, Truncated>,
+    queue: StreamQueue,
     head: StreamHead,
     /// Check of the present response, unless it is the one that began the stream.
     continuation: Option<Continuation>,
@@ -151,7 +148,8 @@
             if end != SegmentEnd::Interrupted {
                 break end;
             }
-            match self.resume().await {
+            // Most streams are not resumed, and have no room for it.
+            match Box::pin(self.resume()).await {
                 Some((next, opened)) => {
                     let last_id = self.last_event_id.as_ref();
                     let last_id = last_id.or(self.request.last_event_id.as_ref());
@@ -200,7 +198,7 @@
             Some(&upstream),
         );
         if end != SegmentEnd::Complete && end != SegmentEnd::CallerDisconnected {
-            self.sender.abort(Truncated);
+            self.queue.abort();
         }
     }
 
@@ -242,6 +240,9 @@
                 return SegmentEnd::Interrupted;
             };
             progress.on_data(now_ms, !events.is_empty(), !partial.is_empty());
+            if self.queue.hold_partial(partial.capacity()).is_err() {
+                return SegmentEnd::Interrupted;
+            }
             let has_foreign_events = self.cut_foreign_events(&mut events);
             if events.is_empty() {
                 if has_foreign_events {
@@ -250,7 +251,7 @@
                 continue;
             }
             self.record_events(in_flight, &events, now_ms);
-            let sending = self.sender.send(Frame::data(events));
+            let sending = self.queue.send(events);
             let sent = futures_util::select_biased! {
                 () = self.disconnected.cancelled().fuse() => return SegmentEnd::CallerDisconnected,
                 sent = compio::time::timeout(time_left, sending).fuse() => sent,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -94,6 +94,13 @@
     pub learned_speed: bool,
 }
 
+impl GatewaySettings {
+    /// Memory available to the process.
+    pub fn memory_bytes(&self) -> usize {
+        (self.memory_mb * 1024.0 * 1024.0) as usize
+    }
+}
+
 /// Second attempts for requests whose first response is late.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 pub struct HedgingSettings {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -31,12 +31,14 @@
 use crate::core::peer_list::{MAX_SMALL_FLEET, Peer, PeerList};
 use crate::core::peer_loads::PeerLoads;
 use crate::core::registry::{Entry, Registry, RegistryChange};
+use crate::core::resource_account::ResourceAccount;
 use crate::core::retry::RetryBudget;
 use crate::core::routing::Rng;
 use crate::core::software::SoftwareHistory;
 use crate::core::store_relay::{Follower, Position};
 use crate::core::upstream_rate::KnownRates;
 use crate::edge::pool::Pool;
+use crate::edge::resources::Resources;
 use crate::edge::response_reader::ResponseReader;
 use crate::kernel::Service;
 use crate::services::clock::Clock;
@@ -48,8 +50,6 @@
 const MAX_LOGGED_FINDINGS: usize = 20;
 /// Number of hosts assumed before any is known.
 const ASSUMED_HOST_COUNT: usize = 8;
-/// Divisor of the process memory that gives the budget for unfinished responses.
-const RESPONSE_MEMORY_DIVISOR: usize = 8;
 
 /// Host that sends orders to engines.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -71,6 +71,8 @@
     pub platform: P,
     /// Clock.
     pub clock: Clock,
+    /// Memory and descriptors of the process.
+    pub resources: Resources,
     /// Connection pool for upstreams.
     pub pool: Pool,
     /// Reader of upstreams' responses.
@@ -156,12 +158,14 @@
     /// State at the start of a process.
     pub fn new(settings: GatewaySettings, platform: P, logs: LogBuffer) -> Self {
         let clock = Clock::default();
-        let memory_bytes = (settings.memory_mb * 1024.0 * 1024.0) as usize;
+        let account =
+            ResourceAccount::of_process(settings.memory_bytes(), settings.max_descriptors as usize);
+        let resources = Resources::new(account);
         let seed = crate::core::rendezvous::hash(settings.host.as_str()) ^ clock.started_ms();
         Self {
             platform,
-            pool: Pool::default(),
-            response_reader: ResponseReader::new(memory_bytes / RESPONSE_MEMORY_DIVISOR),
+            pool: Pool::charged_to(resources.clone()),
+            response_reader: ResponseReader::new(resources.clone()),
             catalog: RefCell::default(),
             catalog_since_ms: Cell::new(0),
             registry: RefCell::default(),
@@ -188,7 +192,8 @@
             origins: OriginDesk::default(),
             reported_incarnations: RefCell::default(),
             software: RefCell::default(),
-            peer_requests: PeerDesk::default(),
+            peer_requests: PeerDesk::new(resources.clone()),
+            resources,
             reach: ReachDesk::default(),
             room: RoomDesk::default(),
             peer_sender: PeerSender::default(),
--- a/src/services/callers.rs
+++ b/src/services/callers.rs
@@ -26,19 +26,23 @@
 use crate::core::admission::AdmissionPermit;
 use crate::core::ids::{TeamId, UpstreamId};
 use crate::core::outcome::{Outcome, Reason, Refusal};
+use crate::core::resource_account::ResourceAccount;
 use crate::core::timeline::{EventKind, Subject};
 use crate::edge::body::{self, ReadError, ServerResponse};
-use crate::edge::body_reader::{BODY_BUDGET_BYTES, BodyLimits, BodyReader};
+use crate::edge::body_reader::{BodyLimits, BodyReader};
 use crate::edge::caller::{
     BufferedResponse, bearer_token, deadline, idempotency_key, refusal_response, set_outcome,
     sha256, unauthorized,
 };
 use crate::edge::chat::ChatRequest;
+use crate::edge::resources::Resources;
 use crate::edge::server::{Handler, serve};
 use crate::kernel::Service;
 
 /// Largest buffered response of an upstream in bytes.
 pub const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
+/// Memory for the bodies of all callers' requests, and for the program itself.
+const CALLER_MEMORY_BYTES: usize = 640 * 1024 * 1024;
 const DRAINING_RETRY_AFTER_MS: u64 = 200;
 
 /// Service that handles the requests of callers.
@@ -89,7 +93,10 @@
             claims,
             listener: RefCell::new(Some(listener)),
             last_request_number: Cell::new(0),
-            body_reader: BodyReader::new(BODY_BUDGET_BYTES),
+            body_reader: BodyReader::new(Resources::new(ResourceAccount::of_process(
+                CALLER_MEMORY_BYTES,
+                usize::MAX,
+            ))),
             host,
         }
     }
@@ -193,9 +200,7 @@
         request: Request<Incoming>,
     ) -> Result<ServerResponse, Box<(RequestContext, Refusal)>> {
         let (head, incoming) = request.into_parts();
-        let read = self
-            .body_reader
-            .read(&head.headers, incoming, self.body_limits());
+        let read = self.body_reader.read(&head, incoming, self.body_limits());
         let (bytes, _reservation) = match read.await {
             Ok(body) => body,
             Err(refusal) => return Err(Box::new((context, refusal))),
@@ -325,9 +330,7 @@
             }
         };
         let (head, incoming) = request.into_parts();
-        let read = self
-            .body_reader
-            .read(&head.headers, incoming, self.body_limits());
+        let read = self.body_reader.read(&head, incoming, self.body_limits());
         let (bytes, _reservation) = read.await?;
         call.body = bytes;
         let Some(key) = key.filter(|_| !call.is_idempotent) else {
