Derive the times of calls to the store from the contact bound

Cause: the pause between two watches (0.67 s), the wait of a watch (2.5 s) and the time-out of its response (1 s) added up to more than the bound.

A request without an answer in time closes the idle connections to that upstream or host, as orders and the store did.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -58,6 +58,7 @@
 pub mod routing;
 pub mod shared_account;
 pub mod shared_places;
+pub mod silence;
 pub mod slots;
 pub mod software;
 pub mod sound_responses;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -5,7 +5,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -290,7 +290,7 @@
             }
             is_accepting
         };
-        let sent_ms = self.now_ms();
+        let (sent_ms, sent) = (self.now_ms(), Instant::now());
         let tag = RequestTag::of(&request.request_id);
         let attempt = request.execution.begin_attempt();
         let sending =
@@ -298,7 +298,13 @@
                 .send_watched(addr, forwarded, tag, is_accepting_requests, is_in_service);
         let result = match compio::time::timeout(timeout, sending).await {
             Ok(result) => result,
-            Err(_) if may_be_sent.get() => return Err(AttemptFailure::TimedOut),
+            Err(_) if may_be_sent.get() => {
+                // The connection may have fallen silent, and others with it.
+                if !self.pool.has_heard_from(addr, sent) {
+                    self.pool.close_idle(addr);
+                }
+                return Err(AttemptFailure::TimedOut);
+            }
             Err(_) => {
                 attempt.settle(NotRunEvidence::nothing_sent());
                 return Err(AttemptFailure::NotSentInTime);
--- a/src/gateway/peer_requests.rs
+++ b/src/gateway/peer_requests.rs
@@ -216,7 +216,11 @@
         let pool = &self.peer_requests.pool;
         let sending = pool.send_if(peer.addr, message, on_sending);
         let response = match compio::time::timeout(timeout, sending).await {
-            Err(_) if may_be_sent.get() => return PeerReply::Lost { is_timeout: true },
+            Err(_) if may_be_sent.get() => {
+                // Its other idle connections may have fallen silent as well.
+                pool.close_idle(peer.addr);
+                return PeerReply::Lost { is_timeout: true };
+            }
             Err(_) => {
                 attempt.settle(NotRunEvidence::nothing_sent());
                 return PeerReply::NotAccepted(NotAccepted::Unreachable);
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -13,6 +13,7 @@
 use crate::core::hedge::MAX_SHARE;
 use crate::core::ids::{HostId, ZoneId};
 use crate::core::quota_account::Overage;
+use crate::core::silence::{DEFAULT_CONTACT, SilenceBounds};
 use crate::core::stated::StatedMillis;
 use crate::core::waiting::WaitingRules;
 use crate::settings::{self, SettingsError};
@@ -63,7 +64,7 @@
     /// Time after a disruption within which the limits on upstreams that have left do
     /// not apply.
     #[serde_as(as = "StatedMillis")]
-    #[serde(rename = "contact_within_ms", default)]
+    #[serde(rename = "contact_within_ms", default = "contact_within")]
     pub contact_within: Duration,
     /// Time within which a new configuration must be in force.
     #[serde_as(as = "StatedMillis")]
@@ -117,6 +118,10 @@
     }
 }
 
+fn contact_within() -> Duration {
+    DEFAULT_CONTACT
+}
+
 fn whole_core() -> f64 {
     1.0
 }
@@ -141,6 +146,16 @@
         findings.into_result(settings)
     }
 
+    /// Shortest time within which changes of the store must apply.
+    pub fn change_bound(&self) -> Duration {
+        self.drain_within.min(self.config_within)
+    }
+
+    /// Time limits of calls to the store.
+    pub fn silence_bounds(&self) -> SilenceBounds {
+        SilenceBounds::within(self.contact_within, self.change_bound())
+    }
+
     /// CPU of this machine, in thousandths of a core.
     pub fn cpu_milli(&self) -> u32 {
         (self.cpu_share * 1000.0) as u32
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -23,19 +23,8 @@
 use crate::edge::kv::KvError;
 use crate::kernel::Service;
 
-/// Longest time for which the store holds a watch without changes; short enough
-/// to detect a lost response before requests to a draining upstream must stop.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Changes are batched for the shortest time within which they must apply,
-/// divided by this, so that one call returns several. The rest of that time is
-/// left for the calls and for a slow event loop.
-const BATCH_DIVISOR: u32 = 3;
 /// Time between two checks of a follower whether it must read the store.
 const FOLLOW_INTERVAL: Duration = Duration::from_millis(50);
-/// Delay after the first error; doubles with each further one.
-const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Limit of the delay after errors.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 
 /// Service that mirrors the store.
 #[derive(Debug)]
@@ -134,7 +123,8 @@
         let (wait, pause) = if is_relaying {
             (times.watch_wait, times.batch_pause)
         } else {
-            (WATCH_TIMEOUT, gateway.change_bound() / BATCH_DIVISOR)
+            let bounds = gateway.settings().silence_bounds();
+            (bounds.watch_wait(), bounds.batch_pause())
         };
         let response = futures_util::select_biased! {
             () = store.until_era_after(era).fuse() => return Ok(false),
@@ -177,15 +167,9 @@
 }
 
 impl<P: Platform> Gateway<P> {
-    /// Shortest time within which changes of the store must apply.
-    pub fn change_bound(&self) -> Duration {
-        let settings = self.settings();
-        settings.drain_within.min(settings.config_within)
-    }
-
     /// Time limits of relaying.
     pub fn relay_times(&self) -> RelayTimes {
-        RelayTimes::within(self.change_bound())
+        RelayTimes::within(self.settings().change_bound())
     }
 }
 
@@ -193,30 +177,33 @@
     const NAME: &'static str = "gateway-sync";
 
     async fn run(self: Rc<Self>, cancel: CancellationToken) {
-        let mut pause = MIN_RETRY_DELAY;
+        let mut pause = Duration::ZERO;
         loop {
             let started_ms = self.gateway.now_ms();
             let result = futures_util::select_biased! {
                 () = cancel.cancelled().fuse() => return,
                 result = self.mirror().fuse() => result,
             };
+            let bounds = self.gateway.settings().silence_bounds();
+            let min_pause = bounds.min_retry_delay();
             pause = match result {
-                Ok(()) => MIN_RETRY_DELAY,
+                Ok(()) => min_pause,
                 Err(error) => {
                     let was_up = self.gateway.is_store_up.get();
                     self.gateway.on_store_unreached(started_ms);
                     self.gateway.record_store_state(false, error.as_str());
                     if was_up {
-                        MIN_RETRY_DELAY
+                        min_pause
                     } else {
-                        (pause * 2).min(MAX_RETRY_DELAY)
+                        (pause * 2).min(bounds.max_retry_delay())
                     }
                 }
             };
             // Jitter spreads the retries of hosts that lost the store at the
             // same time.
-            let jitter = self.gateway.rng.borrow_mut().below(100) as u64;
-            compio::time::sleep(pause + Duration::from_millis(jitter)).await;
+            let max_jitter_ms = min_pause.as_millis() as usize;
+            let jitter_ms = self.gateway.rng.borrow_mut().below(max_jitter_ms.max(1)) as u64;
+            compio::time::sleep(pause + Duration::from_millis(jitter_ms)).await;
         }
     }
 }
