End the grace of missing entries by the last evidence of an outage

Cause: the connections of all hosts to the store fell silent just after the removal. They took that for an outage, in which entries may lapse, and kept the missing entry for 1.75 s after they had read the store again, whenever that was.

Change: the grace period ends within contact_within_ms of the last evidence that the store could not be reached: the start of the last call that failed, or the last response before the first one.

--- a/src/core/departures.rs
+++ b/src/core/departures.rs
@@ -110,17 +110,19 @@
 }
 
 /// Time until which an upstream that was missing at the end of an outage stays in use.
+///
+/// What this host takes for an outage may be its own connections that fell silent after the
+/// upstream had left. The grace period therefore counts from the last evidence that the store
+/// could not be reached, and not from its return.
 pub fn missing_until_ms(outage: &Outage, evidence: Evidence, bounds: DepartureBounds) -> u64 {
-    let by_drain_ms = outage.returned_ms + lapse_grace_ms(bounds.drain_within_ms);
-    match evidence {
-        Evidence::StoreWasUp => outage.returned_ms,
-        Evidence::None => by_drain_ms,
-        Evidence::StoreWasLost => {
-            let in_contact_ms = outage.unreached_ms + bounds.contact_within_ms;
-            let latest_ms = outage.returned_ms + LAPSE_GRACE_MS;
-            by_drain_ms.max(in_contact_ms.saturating_sub(DRAIN_MARGIN_MS).min(latest_ms))
-        }
-    }
+    let grace_ms = match evidence {
+        Evidence::StoreWasUp => return outage.returned_ms,
+        Evidence::None => lapse_grace_ms(bounds.drain_within_ms),
+        Evidence::StoreWasLost => LAPSE_GRACE_MS,
+    };
+    let in_contact_ms = outage.unreached_ms + bounds.contact_within_ms;
+    let latest_ms = outage.returned_ms + grace_ms;
+    latest_ms.min(in_contact_ms.saturating_sub(DRAIN_MARGIN_MS))
 }
 
 /// Time until which an upstream stays in use whose entry was deleted after the outage, as
--- a/tests/core_silence.rs
+++ b/tests/core_silence.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use currantcove::core::departures::{
+    DepartureBounds, Evidence, Outage, deleted_until_ms, missing_until_ms,
+};
 use currantcove::core::silence::SilenceBounds;
 use currantcove::core::store_relay::RelayTimes;
 
@@ -54,3 +57,30 @@
         assert!(known_again < contact, "{contact:?}: {known_again:?}");
     }
 }
+
+/// Guards against a grace period for lapsed entries that begins when the store is read
+/// again, and not with the last evidence of an outage.
+#[test]
+fn entries_stay_no_longer_than_the_contact_bound_after_the_last_evidence() {
+    for (contact_ms, drain_ms) in SETTINGS_MS {
+        for found_after_ms in (100..contact_ms).step_by(100) {
+            let outage = Outage {
+                lost_ms: 50_000,
+                unreached_ms: 50_000,
+                returned_ms: 50_000 + found_after_ms,
+            };
+            let bounds = DepartureBounds {
+                drain_within_ms: drain_ms,
+                contact_within_ms: contact_ms,
+            };
+            for seen in [Evidence::None, Evidence::StoreWasLost, Evidence::StoreWasUp] {
+                let missing_ms = missing_until_ms(&outage, seen, bounds);
+                let deleted_ms = deleted_until_ms(&outage, seen, bounds, outage.returned_ms);
+
+                let due_ms = outage.unreached_ms + contact_ms;
+                assert!(missing_ms.min(deleted_ms) < due_ms || missing_ms <= outage.returned_ms);
+                assert!(missing_ms < due_ms || missing_ms <= outage.returned_ms);
+            }
+        }
+    }
+}
