Answer the requests in progress before a stopping host exits

Callers saw (the report of another operator, reproduced): requests that came late in the grace period of a planned stop were passed on and cut with no answer at its end, 13 of 57 in the test.

Cause: a stopping host takes requests for up to half of the grace period whatever their deadlines, and exits at its end.

The memory account has metrics.

Evidence: planned_stop is red with the host before (44 answers for 57 requests at the upstream) and passes now.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -10,11 +10,13 @@
 use std::time::Duration;
 
 use compio::net::TcpListener;
+use futures_util::FutureExt;
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use tokio_util::sync::CancellationToken;
 
+use super::call::RoutedRequest;
 use super::metrics::OutcomeLabels;
 use super::peer_protocol;
 use super::peer_server::Received;
@@ -166,6 +168,11 @@
                 return self.reject(status, reason, Some(&head), &route.name, None);
             }
         };
+        if self.cannot_end_before_stop(route, &head, &arrival) {
+            body::discard(incoming);
+            let retry_after_ms = Some(UNAVAILABLE_RETRY_AFTER_MS);
+            return self.reject(503, "stopping", Some(&head), &route.name, retry_after_ms);
+        }
         let Ok(memory) = gateway.resources.hold(Purpose::Request, REQUEST_BYTES) else {
             body::discard(incoming);
             let retry_after_ms = Some(NO_ROOM_RETRY_AFTER_MS);
@@ -196,7 +203,7 @@
             organisation,
         };
         match gateway.prepare_request(&catalog, route, head, parts, body, caller) {
-            Some(request) => hold_until_sent(gateway.serve(request).await, memory),
+            Some(request) => hold_until_sent(self.serve(request).await, memory),
             None => {
                 let retry_after_ms = Some(UNAVAILABLE_RETRY_AFTER_MS);
                 let status = unsent_status(503);
@@ -205,6 +212,38 @@
         }
     }
 
+    /// True if a request that must not run twice may still run when this process ends.
+    fn cannot_end_before_stop(&self, route: &Route, head: &RequestHead, arrival: &Arrival) -> bool {
+        let may_run_again = route.kind.is_repeatable() || route.kind.is_stream();
+        let timeout = head
+            .deadline
+            .map_or(route.timeout, |d| d.min(route.timeout));
+        let deadline_ms = arrival.at_ms + timeout.as_millis() as u64;
+        let stop_ends_ms = self.gateway.stop_ends_ms.get();
+        !may_run_again && stop_ends_ms.is_some_and(|at_ms| deadline_ms > at_ms)
+    }
+
+    /// Serves a request until this process stops; then it is answered, as an answer that
+    /// leaves open whether it ran is better than none.
+    async fn serve(&self, request: RoutedRequest) -> ServerResponse {
+        let gateway = &self.gateway;
+        let request_id = request.request_id.clone();
+        let execution = Rc::clone(&request.execution);
+        let response = futures_util::select_biased! {
+            response = gateway.serve(request).fuse() => Some(response),
+            () = gateway.stop_ended.cancelled().fuse() => None,
+        };
+        response.unwrap_or_else(|| {
+            tracing::info!(event = "request", request = request_id, reason = "stopped");
+            let retry_after_ms = Some(UNAVAILABLE_RETRY_AFTER_MS);
+            let (status, retry_after_ms) = match execution.promise() {
+                Some(promise) => (LocalStatus::refused(503, promise), retry_after_ms),
+                None => (LocalStatus::other(502), None),
+            };
+            gateway.local_response(status, "stopped", Some(&request_id), retry_after_ms)
+        })
+    }
+
     fn reject(
         &self,
         status: u16,
@@ -351,6 +390,7 @@
             metrics.store_era.set(era.0.cast_signed());
             let upstreams = gateway.registry.borrow().len().cast_signed() as i64;
             metrics.upstreams.set(upstreams);
+            metrics.resources.record(&gateway.resources);
             let dropped_lines = gateway.logs.dropped_lines().cast_signed();
             metrics.dropped_log_lines.set(dropped_lines);
             body::text(200, metrics.encode())
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -9,6 +9,7 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use super::quotas::QuotaMetrics;
+use super::resource_metrics::ResourceMetrics;
 use super::shared_places::metrics::SharedPlaceMetrics;
 
 /// Labels of an ended request.
@@ -141,6 +142,8 @@
     pub shared_places: SharedPlaceMetrics,
     /// Requests of organisations with quotas.
     pub quotas: QuotaMetrics,
+    /// Memory and descriptors.
+    pub resources: ResourceMetrics,
     /// Era of the store.
     pub store_era: Gauge,
     /// Log lines dropped because the reader was too slow.
@@ -193,6 +196,7 @@
             invalid_brittleness: Counter::default(),
             shared_places: SharedPlaceMetrics::default(),
             quotas: QuotaMetrics::default(),
+            resources: ResourceMetrics::default(),
             store_era: Gauge::default(),
             dropped_log_lines: Gauge::default(),
         };
@@ -206,6 +210,7 @@
         metrics.shared_places.register(&mut metrics.registry);
         metrics.register_waiting();
         metrics.quotas.register(&mut metrics.registry);
+        metrics.resources.register(&mut metrics.registry);
         metrics
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -54,6 +54,7 @@
 pub mod quotas;
 pub mod reach;
 pub mod relay;
+pub mod resource_metrics;
 mod response_limits;
 pub mod room;
 pub mod run;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -69,6 +69,9 @@
 /// Time before that at which requests that still wait are refused, so that the refusals
 /// reach their callers.
 const REFUSAL_MARGIN: Duration = Duration::from_millis(500);
+/// Time before that at which requests in progress are answered, so that the answers reach
+/// their callers.
+const ANSWER_MARGIN: Duration = Duration::from_millis(250);
 /// Time between two checks of the settings file for changes.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -249,6 +252,15 @@
         let until_refusal = grace.saturating_sub(EXIT_MARGIN + REFUSAL_MARGIN);
         let refuses_ms = gateway.now_ms() + until_refusal.as_millis() as u64;
         gateway.admission_queue.borrow_mut().close_at(refuses_ms);
+        let until_answer = grace.saturating_sub(EXIT_MARGIN + ANSWER_MARGIN);
+        let answers_ms = gateway.now_ms() + until_answer.as_millis() as u64;
+        gateway.stop_ends_ms.set(Some(answers_ms));
+        let stop_ended = gateway.stop_ended.clone();
+        compio::runtime::spawn(async move {
+            compio::time::sleep(until_answer).await;
+            stop_ended.cancel();
+        })
+        .detach();
         let drain_time = READINESS_DRAIN_TIME.min(grace / 2);
         compio::time::sleep(drain_time).await;
         self.server_cancel.cancel();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -144,6 +144,10 @@
     pub is_synced: Cell<bool>,
     /// Cancelled when the process receives a stop signal.
     pub stopping: CancellationToken,
+    /// Time at which requests in progress are answered as the process stops.
+    pub stop_ends_ms: Cell<Option<u64>>,
+    /// Cancelled at that time.
+    pub stop_ended: CancellationToken,
 }
 
 fn loads_at_start(settings: &GatewaySettings) -> LoadTable {
@@ -206,6 +210,8 @@
             departures: DepartureDesk::default(),
             is_synced: Cell::new(false),
             stopping: CancellationToken::new(),
+            stop_ends_ms: Cell::new(None),
+            stop_ended: CancellationToken::new(),
             clock,
         }
     }
