Judge by its latency objective whether a request outlasts a stop

A request now needs twice its latency objective; what is in progress at the end is answered as before. planned_stop and serving pass.

--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -53,6 +53,10 @@
 /// Shortest timeout for the arrival of a body.
 const MIN_BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time that a request must have before this process ends, as a multiple of its latency
+/// objective.
+const OBJECTIVES_TO_STOP: u32 = 2;
+
 /// How a request has reached this host.
 #[derive(Debug)]
 pub struct Arrival {
@@ -168,7 +172,7 @@
                 return self.reject(status, reason, Some(&head), &route.name, None);
             }
         };
-        if self.cannot_end_before_stop(route, &head, &arrival) {
+        if self.may_outlast_stop(route, &arrival) {
             body::discard(incoming);
             let retry_after_ms = Some(UNAVAILABLE_RETRY_AFTER_MS);
             return self.reject(503, "stopping", Some(&head), &route.name, retry_after_ms);
@@ -212,15 +216,14 @@
         }
     }
 
-    /// True if a request that must not run twice may still run when this process ends.
-    fn cannot_end_before_stop(&self, route: &Route, head: &RequestHead, arrival: &Arrival) -> bool {
-        let may_run_again = route.kind.is_repeatable() || route.kind.is_stream();
-        let timeout = head
-            .deadline
-            .map_or(route.timeout, |d| d.min(route.timeout));
-        let deadline_ms = arrival.at_ms + timeout.as_millis() as u64;
+    /// True if a request that must not run twice is likely to run still when this process
+    /// ends: it may take some times its latency objective.
+    fn may_outlast_stop(&self, route: &Route, arrival: &Arrival) -> bool {
+        let may_be_cut = route.kind.is_repeatable() || route.kind.is_stream();
+        let run_time = route.objective * OBJECTIVES_TO_STOP;
+        let ends_ms = arrival.at_ms + run_time.as_millis() as u64;
         let stop_ends_ms = self.gateway.stop_ends_ms.get();
-        !may_run_again && stop_ends_ms.is_some_and(|at_ms| deadline_ms > at_ms)
+        !may_be_cut && stop_ends_ms.is_some_and(|at_ms| ends_ms > at_ms)
     }
 
     /// Serves a request until this process stops; then it is answered, as an answer that
