Stop waiting for room once a caller has disconnected

A stream passed on from another host waited for ever for room if its caller disconnected while its events waited. The limit of the bytes after a body no longer depends on the size of the next head.

--- a/src/edge/body_reader.rs
+++ b/src/edge/body_reader.rs
@@ -72,11 +72,9 @@
                 Err(Refusal::not_run(Reason::BodyTimeout, message))
             })
         };
-        if result.is_ok() {
-            // The rest is the head of the next request.
-            allow(LEADING_BYTES);
-        } else {
-            allow(MAX_DISCARDED_BYTES);
+        // What follows is the rest of an unwanted body, or the head of the next request.
+        allow(MAX_DISCARDED_BYTES);
+        if result.is_err() {
             body::discard(incoming);
         }
         result
--- a/src/gateway/stream_queue.rs
+++ b/src/gateway/stream_queue.rs
@@ -34,6 +34,7 @@
 pub struct StreamQueue {
     sender: Sender<Bytes, Truncated>,
     queued: Rc<QueuedBytes>,
+    disconnected: CancellationToken,
     hold: Hold,
     partial_bytes: usize,
 }
@@ -47,6 +48,7 @@
         let queue = Self {
             sender,
             queued: Rc::clone(&queued),
+            disconnected: disconnected.clone(),
             hold: resources.empty_hold(Purpose::Response),
             partial_bytes: 0,
         };
@@ -69,6 +71,9 @@
         };
         // A single part waits within what the memory of the request covers.
         while self.queued.get() > 0 && self.resize(data.len()).is_err() {
+            if self.disconnected.is_cancelled() {
+                return Err(Disconnected);
+            }
             compio::time::sleep(ROOM_POLL_INTERVAL).await;
         }
         self.queued.add(data.len());
