Count and log the requests that a stop answers; one place for connections' charge

Read-through: the line of a request that is answered at the end of a stop has its outcome and counts in requests_ended; callers and other hosts charge connections in one place.

--- a/src/edge/body.rs
+++ b/src/edge/body.rs
@@ -38,8 +38,8 @@
 /// Response of one of this process's HTTP servers.
 pub type ServerResponse = Response<ResponseBody>;
 
-/// Streamed body that can notify its sender when it is dropped, such as after the
-/// receiver has disconnected.
+/// Streamed body, or a complete one that keeps memory taken until it was sent. It can
+/// notify its sender when it is dropped, such as after the receiver has disconnected.
 #[derive(Debug)]
 pub struct StreamedBody {
     source: Either<Full<Bytes>, Channel<Bytes, Truncated>>,
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -37,8 +37,6 @@
 /// Retry delay of the 503 responses sent here, mainly by a host that has no
 /// configuration yet, in milliseconds.
 const UNAVAILABLE_RETRY_AFTER_MS: u64 = 500;
-/// Memory of a caller's connection.
-pub(super) const CONNECTION_BYTES: usize = 16 * 1024;
 /// Memory of a request in progress, with its connection to an upstream and a usual response.
 const REQUEST_BYTES: usize = 56 * 1024;
 /// Retry delay of a request that is refused for want of memory; streams take seconds to end.
@@ -237,13 +235,24 @@
             () = gateway.stop_ended.cancelled().fuse() => None,
         };
         response.unwrap_or_else(|| {
-            tracing::info!(event = "request", request = request_id, reason = "stopped");
-            let retry_after_ms = Some(UNAVAILABLE_RETRY_AFTER_MS);
-            let (status, retry_after_ms) = match execution.promise() {
-                Some(promise) => (LocalStatus::refused(503, promise), retry_after_ms),
-                None => (LocalStatus::other(502), None),
+            let (outcome, status, retry_after_ms) = match execution.promise() {
+                Some(promise) => {
+                    let status = LocalStatus::refused(503, promise);
+                    ("not_run", status, Some(UNAVAILABLE_RETRY_AFTER_MS))
+                }
+                None => ("unknown", LocalStatus::other(502), None),
             };
-            gateway.local_response(status, "stopped", Some(&request_id), retry_after_ms)
+            let (status_code, reason) = (status.code(), "stopped");
+            tracing::info!(
+                event = "request",
+                request = request_id,
+                outcome,
+                reason,
+                status = status_code
+            );
+            let labels = OutcomeLabels { outcome, reason };
+            gateway.metrics.requests_ended.get_or_create(&labels).inc();
+            gateway.local_response(status, reason, Some(&request_id), retry_after_ms)
         })
     }
 
@@ -317,10 +326,7 @@
     }
 
     fn hold_connection(&self) -> Result<Option<Hold>, NoRoom> {
-        let resources = &self.0.gateway.resources;
-        resources
-            .hold(Purpose::Connection, CONNECTION_BYTES)
-            .map(Some)
+        self.0.gateway.hold_connection().map(Some)
     }
 
     fn refuse(&self, request: Request<Incoming>) -> ServerResponse {
--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -13,14 +13,13 @@
 use hyper::body::Incoming;
 use tokio_util::sync::CancellationToken;
 
-use super::front::{Arrival, CONNECTION_BYTES, CallerServer};
+use super::front::{Arrival, CallerServer};
 use super::peer_protocol::{self, Envelope};
 use super::platform::Platform;
 use super::state::Gateway;
 use crate::core::catalog::Catalog;
 use crate::core::execution::NotRunPromise;
 use crate::core::peer_selection::{MAX_RECEIVED, NotAccepted};
-use crate::core::resource_account::Purpose;
 use crate::edge::body::{self, ServerResponse};
 use crate::edge::resources::{Hold, NoRoom};
 use crate::edge::server::{ConnectionLimits, Handler, serve};
@@ -149,10 +148,7 @@
     }
 
     fn hold_connection(&self) -> Result<Option<Hold>, NoRoom> {
-        let resources = &self.0.gateway.resources;
-        resources
-            .hold(Purpose::Connection, CONNECTION_BYTES)
-            .map(Some)
+        self.0.gateway.hold_connection().map(Some)
     }
 
     fn refuse(&self, request: Request<Incoming>) -> ServerResponse {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -148,7 +148,7 @@
             if end != SegmentEnd::Interrupted {
                 break end;
             }
-            // Most streams are not resumed, and have no room for it.
+            // Allocated apart, as most streams are not resumed.
             match Box::pin(self.resume()).await {
                 Some((next, opened)) => {
                     let last_id = self.last_event_id.as_ref();
--- a/src/gateway/resource_metrics.rs
+++ b/src/gateway/resource_metrics.rs
@@ -52,10 +52,11 @@
             let label = PurposeLabel {
                 purpose: purpose.as_str(),
             };
-            let bytes = account.memory_bytes(purpose) as i64;
+            let bytes = account.memory_bytes(purpose).cast_signed() as i64;
             self.charged_bytes.get_or_create(&label).set(bytes);
         }
-        self.budget_bytes.set(account.memory_budget_bytes() as i64);
+        self.budget_bytes
+            .set(account.memory_budget_bytes().cast_signed() as i64);
         self.refusals.set(resources.refusals().cast_signed());
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -31,14 +31,14 @@
 use crate::core::peer_list::{MAX_SMALL_FLEET, Peer, PeerList};
 use crate::core::peer_loads::PeerLoads;
 use crate::core::registry::{Entry, Registry, RegistryChange};
-use crate::core::resource_account::ResourceAccount;
+use crate::core::resource_account::{Purpose, ResourceAccount};
 use crate::core::retry::RetryBudget;
 use crate::core::routing::Rng;
 use crate::core::software::SoftwareHistory;
 use crate::core::store_relay::{Follower, Position};
 use crate::core::upstream_rate::KnownRates;
 use crate::edge::pool::Pool;
-use crate::edge::resources::Resources;
+use crate::edge::resources::{Hold, NoRoom, Resources};
 use crate::edge::response_reader::ResponseReader;
 use crate::kernel::Service;
 use crate::services::clock::Clock;
@@ -48,6 +48,8 @@
 const RETRY_SAFETY_FACTOR: f64 = 0.7;
 /// Findings of one configuration that are logged.
 const MAX_LOGGED_FINDINGS: usize = 20;
+/// Memory of a connection of a caller or of another host.
+const CONNECTION_BYTES: usize = 16 * 1024;
 /// Number of hosts assumed before any is known.
 const ASSUMED_HOST_COUNT: usize = 8;
 
@@ -247,6 +249,11 @@
         }
     }
 
+    /// Takes what a connection of a caller or of another host needs.
+    pub fn hold_connection(&self) -> Result<Hold, NoRoom> {
+        self.resources.hold(Purpose::Connection, CONNECTION_BYTES)
+    }
+
     /// True if the fleet is too large for every host to watch the store and to send its
     /// loads to all others.
     pub fn is_large_fleet(&self) -> bool {
