Name the incarnation that sends a stream by its connection

Cause: an announcement counted only if it was read 500 ms or more after the head of the stream had arrived. Upstreams announce themselves every 1.2 s, so that a stream of 1.6 s was hardly ever certain before it ended, and no other host was told where it began.

A connection belongs to one process, so that evidence that is younger than the connection names the process of all streams on it (core/process_span). Connections to an address with a moment in common belong to one process. An announcement counts as written after the read of the store that has not shown it (core/write_times) in place of 500 ms before it was read, which did not hold for batches, followers and frozen hosts. A host that is not certain after 150 ms reads the store's revision once, so that the next announcement counts.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod adapters;
 pub mod admission;
+pub mod attestation;
 pub mod balance;
 pub mod brittle_notice;
 pub mod catalog;
@@ -43,6 +44,7 @@
 pub mod peer_selection;
 pub mod place_account;
 pub mod placement;
+pub mod process_span;
 pub mod quarantine;
 pub mod quota_account;
 pub mod quota_credit;
@@ -73,3 +75,4 @@
 pub mod upstream_rate;
 pub mod view;
 pub mod waiting;
+pub mod write_times;
--- a/src/core/registry.rs
+++ b/src/core/registry.rs
@@ -80,7 +80,8 @@
         WeightSource::of(self.in_memory.contains(model), self.on_disk.contains(model))
     }
 
-    fn order(&self) -> AnnouncementOrder {
+    /// Order of this announcement among all of the upstream.
+    pub fn order(&self) -> AnnouncementOrder {
         (self.started_ms, self.sequence)
     }
 
@@ -131,7 +132,7 @@
 
 /// Start and sequence number of an announcement, by which the announcements of an upstream
 /// are ordered.
-type AnnouncementOrder = (u64, u64);
+pub type AnnouncementOrder = (u64, u64);
 
 /// Announcements of one upstream that count as outdated, without any other since.
 #[derive(Clone, Copy, Debug)]
--- a/src/core/stream_origin.rs
+++ b/src/core/stream_origin.rs
@@ -72,6 +72,16 @@
     }
 }
 
+/// Incarnation that was listed for the upstream of a stream when its request was sent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OriginClaim {
+    /// Incarnation.
+    pub origin: StreamOrigin,
+    /// Time since which the process that sent the stream is known to run, in milliseconds.
+    /// If the incarnation has run after it, that process is the incarnation.
+    pub running_since_ms: u64,
+}
+
 /// What a host knows of the origin of a stream.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum OriginKnowledge {
--- a/src/edge/connection.rs
+++ b/src/edge/connection.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use compio::net::TcpStream;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -52,12 +52,15 @@
     user_timeout: Cell<Duration>,
     /// Requests that were refused on this connection, the latest last.
     refused: RefCell<VecDeque<RequestTag>>,
+    /// Time at which it was open; the process at its other end runs since then or longer.
+    pub opened: Instant,
 }
 
 impl Connection {
     /// Opens a connection that is reset when it is closed.
     pub async fn open(addr: SocketAddr) -> Option<Self> {
         let stream = connect_tcp(addr).await?;
+        let opened = Instant::now();
         // Bytes of a request that was given up in a partition do not arrive when it heals.
         SockRef::from(&stream)
             .set_linger(Some(Duration::ZERO))
@@ -83,6 +86,7 @@
             socket,
             user_timeout: Cell::new(USER_TIMEOUT),
             refused: RefCell::default(),
+            opened,
         })
     }
 
--- a/src/edge/pool.rs
+++ b/src/edge/pool.rs
@@ -28,6 +28,7 @@
 use super::path_check::until_held_up;
 use super::resources::{Hold, NoRoom, Resources};
 use crate::core::execution::NotRunEvidence;
+use crate::core::process_span::ProcessSpans;
 use crate::core::resource_account::Purpose;
 use crate::core::stated;
 
@@ -103,6 +104,17 @@
     resources: Option<Resources>,
     /// Time at which an address last sent something.
     heard: Rc<RefCell<HashMap<SocketAddr, Instant>>>,
+    processes: Rc<RefCell<ProcessSpans>>,
+}
+
+/// What a response shows of the process that sent it.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessTrace {
+    addr: SocketAddr,
+    /// Opening of the connection.
+    opened: Instant,
+    /// Time from which the request was sent.
+    sent: Instant,
 }
 
 impl Pool {
@@ -176,6 +188,11 @@
             };
             let mut held_up = pin!(held_up.fuse());
             connection.expect_head();
+            let trace = ProcessTrace {
+                addr,
+                opened: connection.opened,
+                sent: Instant::now(),
+            };
             let sent = futures_util::select_biased! {
                 sent = connection.sender.try_send_request(request).fuse() => sent,
                 () = held_up => return Err(SendError::HeldUp),
@@ -186,7 +203,7 @@
                     if response.body().size_hint().exact().is_none() {
                         connection.expect_response_body();
                     }
-                    return Ok(self.wrap_response(addr, connection, response));
+                    return Ok(self.wrap_response(trace, connection, response));
                 }
                 Err(mut error) => match error.take_message() {
                     Some(message) if is_reused => request = message,
@@ -237,9 +254,17 @@
         heard.get(&addr).is_some_and(|at| *at > since)
     }
 
+    /// Time since which the process that sent a response is known to run, where the
+    /// response is to the request that was sent.
+    pub fn running_since(&self, trace: &ProcessTrace) -> Instant {
+        let mut processes = self.processes.borrow_mut();
+        processes.record(trace.addr, trace.opened, trace.sent)
+    }
+
     /// Closes the idle connections that have expired.
     pub fn close_expired(&self) {
         let now = Instant::now();
+        self.processes.borrow_mut().forget_silent(now);
         self.idle.borrow_mut().retain(|_, idle| {
             idle.retain(|i| now < i.usable_until && !i.connection.sender.is_closed());
             !idle.is_empty()
@@ -260,15 +285,15 @@
 
     fn wrap_response(
         &self,
-        addr: SocketAddr,
+        trace: ProcessTrace,
         connection: Connection,
         response: Response<Incoming>,
     ) -> Response<PooledBody> {
-        self.record_heard(addr);
+        self.record_heard(trace.addr);
         let idle_timeout = idle_timeout(response.headers());
         response.map(|body| PooledBody {
             body,
-            addr,
+            trace,
             head_bytes: connection.meter.received_bytes(),
             connection: Some(connection),
             idle_timeout,
@@ -367,7 +392,7 @@
 #[derive(Debug)]
 pub struct PooledBody {
     body: Incoming,
-    addr: SocketAddr,
+    trace: ProcessTrace,
     connection: Option<Connection>,
     /// Bytes that the connection had received when the head was complete.
     head_bytes: u64,
@@ -381,6 +406,11 @@
         self.connection = None;
     }
 
+    /// What the response shows of the process that sent it.
+    pub fn trace(&self) -> ProcessTrace {
+        self.trace
+    }
+
     /// Bytes received since the head of the response, including those that frame the body.
     pub fn received_bytes(&self) -> u64 {
         let connection = self.connection.as_ref();
@@ -402,7 +432,8 @@
 
     fn release(&mut self) {
         if let Some(connection) = self.connection.take() {
-            self.pool.check_in(self.addr, connection, self.idle_timeout);
+            self.pool
+                .check_in(self.trace.addr, connection, self.idle_timeout);
         }
     }
 }
@@ -428,7 +459,7 @@
         if is_failed {
             self.connection = None;
         } else {
-            self.pool.record_heard(self.addr);
+            self.pool.record_heard(self.trace.addr);
             if let Some(connection) = &self.connection {
                 connection.expect_body_part();
             }
--- a/src/gateway/acting.rs
+++ b/src/gateway/acting.rs
@@ -324,6 +324,7 @@
         let is_plan_due = self.pacer.borrow().due_in_ms(now_ms) == 0;
         if is_plan_due {
             gateway.pool.close_expired();
+            gateway.attestations.borrow_mut().forget_old(now_ms);
             let expired = gateway.registry.borrow_mut().expire_lapsed(now_ms);
             for change in &expired {
                 gateway.on_registry_change(change, 0);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -20,7 +20,7 @@
 use crate::core::load::AttemptOutcome;
 use crate::core::stream_origin::StreamOrigin;
 use crate::edge::body::{ReadError, ServerResponse, hold_until_sent};
-use crate::edge::pool::{PooledBody, RequestTag, SendError};
+use crate::edge::pool::{PooledBody, ProcessTrace, RequestTag, SendError};
 use crate::edge::response_reader::HeldBytes;
 
 /// Largest response that is read completely before it is forwarded, in bytes.
@@ -165,8 +165,8 @@
     /// Listed incarnation of the upstream, if its software version is known; it may have
     /// restarted without this host knowing.
     pub origin: Option<StreamOrigin>,
-    /// Arrival of the head.
-    pub opened_ms: u64,
+    /// What the response shows of the process that sends it.
+    pub trace: ProcessTrace,
 }
 
 impl<P: Platform> Gateway<P> {
@@ -235,9 +235,9 @@
             status: parts.status,
             headers,
             read_ahead: Bytes::new(),
+            trace: body.trace(),
             body,
             origin: origin.filter(|o| self.is_listed(o)),
-            opened_ms: self.now_ms(),
         })
     }
 
@@ -353,7 +353,10 @@
             self.apply_notice(upstream, sent_ms, notice);
         }
         match kind {
-            ResponseKind::Valid => Ok(response),
+            ResponseKind::Valid => {
+                self.pool.running_since(&response.body().trace());
+                Ok(response)
+            }
             ResponseKind::NotRun {
                 is_misdirected,
                 evidence,
--- a/src/gateway/incarnations.rs
+++ b/src/gateway/incarnations.rs
@@ -1,10 +1,8 @@
 //! Makes certain which incarnation of an upstream sends or takes a stream.
 //!
-//! A listing may be out of date: an upstream starts again under its ID, with another software
-//! version, while it or this host is cut off from the store. What was known before a
-//! connection was opened says nothing about the process at its other end. A report that is
-//! requested afterwards does, and so does an announcement: an incarnation that was listed
-//! before and still runs has been there all the while.
+//! A stream is sent by one process, which has run since its connection was opened, or longer
+//! (`core::process_span`). The process is the listed incarnation if that one is known to have
+//! run after this time (`core::attestation`), however long ago the connection was opened.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,25 +10,36 @@
 use super::call::RoutedRequest;
 use super::exchange::{AttemptFailure, OpenStream};
 use super::place::InFlightAttempt;
-use super::platform::Platform;
+use super::platform::{FleetStore, Platform, WatchResponse};
 use super::state::Gateway;
 use crate::core::ids::{SoftwareVersion, UpstreamId};
-use crate::core::registry::Entry;
-use crate::core::stream_origin::StreamOrigin;
+use crate::core::registry::{AnnouncementOrder, Entry};
+use crate::core::store_relay::Position;
+use crate::core::stream_origin::{OriginClaim, StreamOrigin};
+use crate::edge::pool::ProcessTrace;
 
 /// Time for which an announcement vouches for an incarnation that does not report, in
 /// milliseconds; upstreams announce themselves about once a second.
 const ANNOUNCEMENT_VALID_MS: u64 = 1_500;
-/// Time from an announcement until this host reads it at the latest, in milliseconds.
-const ANNOUNCEMENT_LAG_MS: u64 = 500;
-/// Age of a stream at which its upstream is asked for a report, which serves all streams
-/// opened there until then; many end before.
+/// Age of a stream at which its upstream is asked for a report, or the store for its
+/// revision; one serves all streams that were opened until then, and many end before.
 const CERTIFY_DELAY: Duration = Duration::from_millis(150);
-/// Time between two looks for an announcement.
+/// Time between two looks for an announcement while a stream goes on.
 const ANNOUNCEMENT_POLL: Duration = Duration::from_millis(250);
 /// Time after which an engine counts as unable to report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// What an engine reports of its incarnation.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReportEvidence {
+    /// It did not report.
+    None,
+    /// It is another one than the one that was asked about.
+    Other,
+    /// It is the one that was asked about.
+    Same,
+}
+
 impl<P: Platform> Gateway<P> {
     /// Listed incarnation of an upstream, unless its software version is unknown.
     pub fn listed_origin(&self, upstream: &UpstreamId) -> Option<StreamOrigin> {
@@ -55,23 +64,66 @@
         self.is_listed_with(origin, |_| true)
     }
 
-    /// True if the incarnation has announced itself after a time.
-    fn has_announced_since(&self, origin: &StreamOrigin, since_ms: u64) -> bool {
-        self.is_listed_with(origin, |e| e.read_ms >= since_ms + ANNOUNCEMENT_LAG_MS)
+    /// Records that an upstream ran when it wrote an announcement, unless that is outdated.
+    pub fn attest_announced(
+        &self,
+        upstream: &UpstreamId,
+        announced: AnnouncementOrder,
+        written: Position,
+    ) {
+        let registry = self.registry.borrow();
+        let entry = registry.get(upstream.as_str());
+        if let Some(entry) = entry.filter(|e| e.order() == announced) {
+            let write_times = self.write_times.borrow();
+            let ran_at_ms = write_times.written_after_ms(written.era, written.revision);
+            let mut attestations = self.attestations.borrow_mut();
+            attestations.record(self.now_ms(), upstream, entry.started_ms, ran_at_ms);
+        }
     }
 
-    /// True if the incarnation has reported to a question that was asked after a time.
-    fn has_reported_since(&self, origin: &StreamOrigin, since_ms: u64) -> bool {
-        let reported = self.reported_incarnations.borrow();
-        let reported = reported.get(&origin.upstream);
-        reported.is_some_and(|(started_ms, asked_ms)| {
-            *started_ms == origin.started_ms && *asked_ms >= since_ms
-        })
+    /// Learns the store's present revision, unless that was requested after a time, so that
+    /// announcements from now on count as written after it.
+    async fn read_revision_after(&self, time_ms: u64) {
+        if self.revision_requested_ms.get() > time_ms {
+            return;
+        }
+        let requested_ms = self.now_ms();
+        self.revision_requested_ms.set(requested_ms);
+        let Position { era, revision } = self.position.get();
+        let store = self.platform.store();
+        let reading = store.poll_changes(P::UPSTREAM_PREFIX, revision, Duration::ZERO);
+        match reading.await {
+            Ok(WatchResponse::Changes { revision, .. }) if store.era() == era => {
+                let shown = Position { era, revision };
+                let mut write_times = self.write_times.borrow_mut();
+                write_times.record_read(shown, requested_ms);
+            }
+            Ok(_) => {}
+            Err(error) => {
+                tracing::debug!(event = "evidence", error = error.as_str(), "no revision");
+            }
+        }
+    }
+
+    /// True if it is certain that the incarnation of a claim has sent the stream.
+    pub fn is_certain(&self, claim: &OriginClaim) -> bool {
+        let attestations = self.attestations.borrow();
+        let origin = &claim.origin;
+        attestations.has_run_after(&origin.upstream, origin.started_ms, claim.running_since_ms)
+    }
+
+    /// Claim that the listed incarnation has sent a response.
+    pub fn claim(&self, origin: StreamOrigin, trace: &ProcessTrace) -> OriginClaim {
+        let running_since = self.pool.running_since(trace);
+        OriginClaim {
+            origin,
+            running_since_ms: self.clock.at_ms(running_since),
+        }
     }
 
     /// True if an upstream can be asked for a report: engines that do not state how many
     /// requests they take.
-    fn can_report(&self, origin: &StreamOrigin) -> bool {
+    pub fn can_report(&self, origin: &StreamOrigin) -> bool {
         let catalog = self.catalog();
         let services = catalog.as_ref().map(|c| &c.services);
         let spec = services.and_then(|s| s.get(&origin.service));
@@ -79,54 +131,58 @@
         is_engine && self.stated_rate(&origin.upstream).is_none()
     }
 
-    /// Waits until it is certain that an incarnation sends the stream that was opened at a
-    /// time; false if it is another one.
-    pub async fn certify(&self, origin: &StreamOrigin, opened_ms: u64) -> bool {
+    /// Waits until it is certain whether the listed incarnation sends a stream; false if it
+    /// will not become certain.
+    pub async fn certify(&self, origin: &StreamOrigin, trace: &ProcessTrace) -> bool {
+        let is_certain = || self.is_certain(&self.claim(origin.clone(), trace));
+        if is_certain() {
+            return true;
+        }
         compio::time::sleep(CERTIFY_DELAY).await;
-        loop {
-            if self.has_announced_since(origin, opened_ms)
-                || self.has_reported_since(origin, opened_ms)
-            {
-                return true;
-            }
+        while !is_certain() {
             if self.can_report(origin) {
-                return self.confirm_by_report(origin).await;
+                return self.confirm_by_report(origin).await == ReportEvidence::Same;
             }
             if !self.is_listed(origin) {
                 return false;
             }
+            let running_since_ms = self.claim(origin.clone(), trace).running_since_ms;
+            self.read_revision_after(running_since_ms).await;
             compio::time::sleep(ANNOUNCEMENT_POLL).await;
         }
+        true
     }
 
     /// Asks an engine whether it is an incarnation.
-    pub async fn confirm_by_report(&self, origin: &StreamOrigin) -> bool {
+    pub async fn confirm_by_report(&self, origin: &StreamOrigin) -> ReportEvidence {
         let addr = {
             let registry = self.registry.borrow();
             registry.get(origin.upstream.as_str()).map(|e| e.addr)
         };
         let Some(addr) = addr.filter(|_| self.can_report(origin)) else {
-            return false;
+            return ReportEvidence::None;
         };
         let asked_ms = self.now_ms();
         let asking = self.platform.fetch_report(addr);
         let Ok(response) = compio::time::timeout(REPORT_TIMEOUT, asking).await else {
-            return false;
+            return ReportEvidence::None;
         };
-        let started_ms = response.report.map(|r| r.started_ms);
-        let is_same = started_ms == Some(origin.started_ms);
-        if is_same {
-            self.apply_notice(&origin.upstream, asked_ms, response.notice);
-            let mut reported = self.reported_incarnations.borrow_mut();
-            reported.insert(origin.upstream.clone(), (origin.started_ms, asked_ms));
+        match response.report.map(|r| r.started_ms) {
+            Some(started_ms) if started_ms == origin.started_ms => {
+                self.apply_notice(&origin.upstream, asked_ms, response.notice);
+                let mut attestations = self.attestations.borrow_mut();
+                attestations.record(self.now_ms(), &origin.upstream, started_ms, asked_ms);
+                ReportEvidence::Same
+            }
+            Some(_) => ReportEvidence::Other,
+            None => ReportEvidence::None,
         }
-        is_same
     }
 
     /// True if an upstream still is a listed incarnation.
     async fn confirm_listed(&self, origin: &StreamOrigin) -> bool {
         if self.can_report(origin) {
-            return self.confirm_by_report(origin).await;
+            return self.confirm_by_report(origin).await == ReportEvidence::Same;
         }
         let now_ms = self.now_ms();
         self.is_listed_with(origin, |e| now_ms < e.read_ms + ANNOUNCEMENT_VALID_MS)
--- a/src/gateway/peer_requests.rs
+++ b/src/gateway/peer_requests.rs
@@ -90,7 +90,7 @@
     /// Complete response.
     Complete(BufferedResponse),
     /// Event stream whose head has arrived.
-    Stream(Response<PooledBody>, InFlightAtPeer<P>),
+    Stream(Box<Response<PooledBody>>, InFlightAtPeer<P>),
 }
 
 impl<P: Platform> PeerReply<P> {
@@ -142,7 +142,7 @@
                     return Some(self.pass_on_response(request, attempts, response));
                 }
                 PeerReply::Stream(response, in_flight) => {
-                    return Some(self.pass_on_stream(request, attempts, response, in_flight));
+                    return Some(self.pass_on_stream(request, attempts, *response, in_flight));
                 }
             }
         }
@@ -243,7 +243,7 @@
             attempt.settle(evidence);
         }
         if request.kind.is_stream() && response.status().is_success() {
-            return PeerReply::Stream(response, in_flight);
+            return PeerReply::Stream(Box::new(response), in_flight);
         }
         let (parts, body) = response.into_parts();
         let timeout = request.time_left(self.now_ms()) + REPLY_MARGIN;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -24,6 +24,7 @@
 use super::call::{Attempts, RoutedRequest};
 use super::crashes::SOUND_AFTER_MS;
 use super::exchange::OpenStream;
+use super::incarnations::ReportEvidence;
 use super::place::InFlightAttempt;
 use super::platform::Platform;
 use super::state::Gateway;
@@ -33,7 +34,7 @@
 use crate::core::stream_continuation::{Continuation, last_event_id};
 use crate::core::stream_origin::StreamOrigin;
 use crate::edge::body::ServerResponse;
-use crate::edge::pool::PooledBody;
+use crate::edge::pool::{PooledBody, ProcessTrace};
 
 /// Largest event in bytes; a larger one is treated as invalid data.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
@@ -79,7 +80,7 @@
         disconnected,
         ended: CancellationToken::new(),
         origin: opened.origin,
-        opened_ms: opened.opened_ms,
+        trace: opened.trace,
         began: None,
         last_event_id: None,
         event_batches: 0,
@@ -97,6 +98,8 @@
 #[derive(Clone, Debug)]
 struct Began {
     origin: StreamOrigin,
+    /// What its response shows of the process that sent it.
+    trace: ProcessTrace,
     /// True once it is certain that this incarnation sent it.
     is_certain: Rc<Cell<bool>>,
 }
@@ -114,7 +117,8 @@
     ended: CancellationToken,
     /// Listed incarnation of the upstream that sends the present response.
     origin: Option<StreamOrigin>,
-    opened_ms: u64,
+    /// What the present response shows of the process that sends it.
+    trace: ProcessTrace,
     began: Option<Began>,
     last_event_id: Option<String>,
     event_batches: u64,
@@ -157,7 +161,7 @@
                     self.responding_since_ms = None;
                     self.is_sound = false;
                     self.origin = opened.origin;
-                    self.opened_ms = opened.opened_ms;
+                    self.trace = opened.trace;
                     in_flight = next;
                     body = opened.body;
                 }
@@ -319,7 +323,7 @@
         }
     }
 
-    /// Lets the origin of the stream be recorded as soon as it is certain.
+    /// Records the origin of the stream, and lets it become certain.
     fn certify_origin(&mut self) {
         let Some(origin) = self.origin.clone() else {
             return;
@@ -327,16 +331,23 @@
         if !self.request.kind.is_repeatable() {
             return;
         }
-        let is_certain = Rc::new(Cell::new(false));
+        let gateway = Rc::clone(&self.gateway);
+        let stream = gateway.stream_of(&self.request);
+        let trace = self.trace;
+        let claim = gateway.claim(origin.clone(), &trace);
+        let is_certain = Rc::new(Cell::new(gateway.is_certain(&claim)));
         self.began = Some(Began {
             origin: origin.clone(),
+            trace,
             is_certain: Rc::clone(&is_certain),
         });
-        let gateway = Rc::clone(&self.gateway);
-        let stream = gateway.stream_of(&self.request);
-        let (opened_ms, ended) = (self.opened_ms, self.ended.clone());
+        if is_certain.get() {
+            gateway.record_origin(stream, origin);
+            return;
+        }
+        let ended = self.ended.clone();
         compio::runtime::spawn(async move {
-            let certifying = gateway.certify(&origin, opened_ms);
+            let certifying = gateway.certify(&origin, &trace);
             let is_certified = futures_util::select_biased! {
                 () = ended.cancelled().fuse() => false,
                 is_certified = certifying.fuse() => is_certified,
@@ -355,11 +366,20 @@
         let Some(began) = self.began.as_ref().filter(|b| !b.is_certain.get()) else {
             return;
         };
-        if self.gateway.confirm_by_report(&began.origin).await {
-            began.is_certain.set(true);
-            let stream = self.gateway.stream_of(&self.request);
-            self.gateway.record_origin(stream, began.origin.clone());
-            self.gateway.publish_origins();
+        let stream = self.gateway.stream_of(&self.request);
+        let claim = self.gateway.claim(began.origin.clone(), &began.trace);
+        let evidence = if self.gateway.is_certain(&claim) {
+            ReportEvidence::Same
+        } else {
+            self.gateway.confirm_by_report(&began.origin).await
+        };
+        match evidence {
+            ReportEvidence::Same => {
+                began.is_certain.set(true);
+                self.gateway.record_origin(stream, began.origin.clone());
+                self.gateway.publish_origins();
+            }
+            ReportEvidence::None | ReportEvidence::Other => {}
         }
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -25,6 +25,7 @@
 use super::settings::GatewaySettings;
 use super::shared_places::SharedPlaceDesk;
 use super::stream_origins::OriginDesk;
+use crate::core::attestation::Attestations;
 use crate::core::catalog::Catalog;
 use crate::core::ids::{HostId, ServiceId, UpstreamId};
 use crate::core::load::LoadTable;
@@ -37,6 +38,7 @@
 use crate::core::software::SoftwareHistory;
 use crate::core::store_relay::{Follower, Position};
 use crate::core::upstream_rate::KnownRates;
+use crate::core::write_times::WriteTimes;
 use crate::edge::pool::Pool;
 use crate::edge::resources::{Hold, NoRoom, Resources};
 use crate::edge::response_reader::ResponseReader;
@@ -115,9 +117,8 @@
     pub hedges: HedgeDesk,
     /// Where recent streams began.
     pub origins: OriginDesk,
-    /// Incarnations that engines have reported, each with its start and the time at which
-    /// the report was requested, in milliseconds since the epoch.
-    pub reported_incarnations: RefCell<HashMap<UpstreamId, (u64, u64)>>,
+    /// Incarnations of upstreams that are known to have run.
+    pub attestations: RefCell<Attestations>,
     /// Software versions that were listed.
     pub software: RefCell<SoftwareHistory>,
     /// Requests that other hosts serve for this one.
@@ -138,6 +139,10 @@
     pub is_store_up: Cell<bool>,
     /// State of the store up to which this host knows all changes.
     pub position: Cell<Position>,
+    /// Times after which changes of the store were written.
+    pub write_times: RefCell<WriteTimes>,
+    /// Time of the last request for the store's present revision.
+    pub revision_requested_ms: Cell<u64>,
     /// What watching hosts have passed on.
     pub follower: Cell<Follower>,
     /// What is known of the last outage of the store.
@@ -196,7 +201,7 @@
             crashes: CrashDesk::default(),
             hedges: HedgeDesk::default(),
             origins: OriginDesk::default(),
-            reported_incarnations: RefCell::default(),
+            attestations: RefCell::default(),
             software: RefCell::default(),
             peer_requests: PeerDesk::new(resources.clone()),
             resources,
@@ -208,6 +213,8 @@
             logs,
             is_store_up: Cell::new(false),
             position: Cell::default(),
+            write_times: RefCell::default(),
+            revision_requested_ms: Cell::new(0),
             follower: Cell::default(),
             departures: DepartureDesk::default(),
             is_synced: Cell::new(false),
@@ -349,7 +356,6 @@
             }
         }
         if let RegistryChange::Removed(id) = change {
-            self.reported_incarnations.borrow_mut().remove(id);
             let now_ms = self.now_ms();
             self.brittle.known.borrow_mut().on_removed(now_ms, id);
             self.shared_places.remove(id);
--- a/src/gateway/store_facts.rs
+++ b/src/gateway/store_facts.rs
@@ -17,6 +17,7 @@
 use crate::core::quarantine::Quarantine;
 use crate::core::registry::Entry;
 use crate::core::store_era::{Era, term_number};
+use crate::core::store_relay::Position;
 use crate::edge::kv::{Change, KeyValue};
 
 /// Prefix of a host's key, after the prefix of the gateway's keys.
@@ -204,7 +205,9 @@
             StoreFact::Catalog(catalog) => self.apply_catalog(*catalog),
             StoreFact::Upstream(entry) => {
                 self.software.borrow_mut().record(now_ms, &entry);
+                let (id, announced) = (entry.id.clone(), entry.order());
                 let change = self.registry.borrow_mut().upsert(*entry, now_ms);
+                self.attest_announced(&id, announced, Position { era, revision });
                 if let Some(change) = change {
                     self.on_registry_change(&change, revision);
                 }
--- a/src/gateway/store_relay.rs
+++ b/src/gateway/store_relay.rs
@@ -19,6 +19,8 @@
 /// Limit of the changes in one datagram; keeps it within a packet of the usual
 /// size.
 const MAX_FACTS_PER_DATAGRAM: usize = 4;
+/// Time after which a datagram has been read at the latest, in milliseconds.
+const MAX_DATAGRAM_AGE_MS: u64 = 500;
 
 /// Entry of an upstream as passed on; leaves out what only the acting host uses.
 #[serde_as]
@@ -101,6 +103,11 @@
     #[serde_as(as = "StatedMillis")]
     #[serde(rename = "g", default)]
     pub lapse_left_ms: u64,
+    /// Time since the read was requested that has shown `until`, in milliseconds; absent if
+    /// other changes follow that it has shown, and from hosts of older releases.
+    #[serde_as(as = "Option<StatedMillis>")]
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+    pub read_ago_ms: Option<u64>,
     /// Changes with their revisions, oldest first.
     #[serde(rename = "c")]
     pub facts: Vec<(u64, RelayedFact)>,
@@ -150,6 +157,7 @@
         parts.push(StoreChanges {
             after,
             until: last,
+            read_ago_ms: None,
             facts: facts.to_vec(),
             ..*changes
         });
@@ -180,9 +188,13 @@
     }
 
     /// Records that all changes up to a position are known, as the store has
-    /// confirmed.
-    pub fn confirm_position(&self, position: Position) {
+    /// confirmed to a read that was requested at a time, if that is known.
+    pub fn confirm_position(&self, position: Position, requested_ms: Option<u64>) {
         self.position.set(position);
+        if let Some(requested_ms) = requested_ms {
+            let mut write_times = self.write_times.borrow_mut();
+            write_times.record_read(position, requested_ms);
+        }
         self.software.borrow_mut().confirm(self.now_ms());
         self.update_follower(|follower| follower.on_confirmed(self.now_ms()));
     }
@@ -195,7 +207,13 @@
 
     /// Passes changes on to the other hosts of the zone; without changes, only the
     /// position.
-    pub fn relay_changes(&self, from: Position, until: Position, facts: &[RevisedFact]) {
+    pub fn relay_changes(
+        &self,
+        from: Position,
+        until: Position,
+        requested_ms: u64,
+        facts: &[RevisedFact],
+    ) {
         let settings = self.settings();
         let mut relayed: Vec<(u64, RelayedFact)> = facts
             .iter()
@@ -209,6 +227,7 @@
             lapse_left_ms: self
                 .lapse_until_ms()
                 .map_or(0, |until_ms| until_ms - self.now_ms()),
+            read_ago_ms: Some(self.now_ms() - requested_ms),
             facts: relayed,
         };
         let addrs = self.other_hosts(|peer| peer.zone() == Some(settings.zone.as_str()));
@@ -232,8 +251,11 @@
             era: Era(changes.era),
             revision: changes.until,
         };
+        let requested_ms = changes
+            .read_ago_ms
+            .and_then(|ago_ms| now_ms.checked_sub(ago_ms + MAX_DATAGRAM_AGE_MS));
         match position.fit(changes.after, until) {
-            Fit::Known if until == position => self.confirm_position(position),
+            Fit::Known if until == position => self.confirm_position(position, requested_ms),
             // This host has confirmed a later position than the watching host.
             Fit::Known => {}
             Fit::Gap => self.update_follower(|follower| follower.on_gap(now_ms)),
@@ -250,7 +272,7 @@
                         self.apply_relayed_fact(revision, fact, until.era, relayed_until_ms);
                     }
                 }
-                self.confirm_position(until);
+                self.confirm_position(until, requested_ms);
                 self.admission_queue.borrow().wake();
             }
         }
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -77,6 +77,7 @@
     async fn list(&self) -> Result<(), KvError> {
         let gateway = &self.gateway;
         let store = gateway.platform.store();
+        let requested_ms = gateway.now_ms();
         let snapshot = store.list(P::WATCH_PREFIX).await?;
         gateway.on_store_response();
         // Before the first listing there are no entries that could have lapsed.
@@ -88,10 +89,11 @@
             gateway.on_store_restored();
         }
         gateway.apply_snapshot(&snapshot.kvs, era, gateway.lapse_until_ms());
-        gateway.confirm_position(Position {
+        let position = Position {
             era,
             revision: snapshot.revision,
-        });
+        };
+        gateway.confirm_position(position, Some(requested_ms));
         Ok(())
     }
 
@@ -126,6 +128,7 @@
             let bounds = gateway.settings().silence_bounds();
             (bounds.watch_wait(), bounds.batch_pause())
         };
+        let requested_ms = gateway.now_ms();
         let response = futures_util::select_biased! {
             () = store.until_era_after(era).fuse() => return Ok(false),
             response = store.poll_changes(P::WATCH_PREFIX, revision, wait).fuse() => response?,
@@ -151,13 +154,13 @@
             revision: confirmed.max(revision),
         };
         if is_relaying && gateway.is_store_watcher() {
-            gateway.relay_changes(position, until, &facts);
+            gateway.relay_changes(position, until, requested_ms, &facts);
         }
         let is_idle = facts.is_empty();
         for fact in facts {
             gateway.apply_fact(fact, era, None);
         }
-        gateway.confirm_position(until);
+        gateway.confirm_position(until, Some(requested_ms));
         gateway.admission_queue.borrow().wake();
         if !is_idle {
             compio::time::sleep(pause).await;
--- a/src/services/clock.rs
+++ b/src/services/clock.rs
@@ -24,7 +24,13 @@
 impl Clock {
     /// Current time in milliseconds since the Unix epoch.
     pub fn now_ms(&self) -> u64 {
-        (self.started_since_epoch + self.started.elapsed()).as_millis() as u64
+        self.at_ms(Instant::now())
+    }
+
+    /// A moment in milliseconds since the Unix epoch.
+    pub fn at_ms(&self, moment: Instant) -> u64 {
+        (self.started_since_epoch + moment.saturating_duration_since(self.started)).as_millis()
+            as u64
     }
 
     /// Start of the process in milliseconds since the Unix epoch.
--- a/tests/gateway_store_relay.rs
+++ b/tests/gateway_store_relay.rs
@@ -117,6 +117,7 @@
         after: 9,
         until: 30,
         lapse_left_ms: 0,
+        read_ago_ms: None,
         facts: facts.to_vec(),
     };
 
