Tell hosts of streams whose origin is not certain

Cause: the host that began the streams was rightly not certain of their incarnation and did not resume them, but told nobody, so that for all other hosts the streams were unknown, and an unknown stream went on at the only listed version. Any incarnation that was never listed can have begun it.

Hosts are now told at once of the listed incarnation and for how long the process that sent the stream is known to run. Each can find out by itself, also after the first host has died, and a host that takes such a stream up waits for evidence, for half of the time that callers wait at most. Known, claimed, contradictory and unknown are four states of one type with one rule to join them. The only listed version counts at engines alone, which hold no weights after a restart. Hosts of older releases are sent no claims.

--- a/src/core/features.rs
+++ b/src/core/features.rs
@@ -15,11 +15,18 @@
     Quotas,
     /// Keeps and uses accounts of places at ordinary upstreams.
     SharedPlaces,
+    /// Understands origins of streams that are not certain.
+    OriginClaims,
 }
 
 impl Feature {
     /// All features of this release.
-    pub const ALL: [Self; 3] = [Self::Organisations, Self::Quotas, Self::SharedPlaces];
+    pub const ALL: [Self; 4] = [
+        Self::Organisations,
+        Self::Quotas,
+        Self::SharedPlaces,
+        Self::OriginClaims,
+    ];
 
     /// Name in entries of hosts.
     pub fn as_str(self) -> &'static str {
@@ -27,6 +34,7 @@
             Self::Organisations => "organisations",
             Self::Quotas => "quotas",
             Self::SharedPlaces => "shared_places",
+            Self::OriginClaims => "origin_claims",
         }
     }
 }
--- a/src/core/stream_origin.rs
+++ b/src/core/stream_origin.rs
@@ -8,6 +8,10 @@
 //! off. The host that begins a stream tells a small number of others, which all hosts find
 //! by hashing, in several availability zones; a host that is asked to take the stream up
 //! asks them.
+//!
+//! Fault: the host dies, or the upstream does, before it is certain which incarnation sent the
+//! stream. Hosts are told of the listed one at once, with what would make it certain, so that
+//! each of them can find out by itself, and none takes the stream for an unknown one.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -83,19 +87,49 @@
 }
 
 /// What a host knows of the origin of a stream.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub enum OriginKnowledge {
     /// Nothing.
-    #[serde(rename = "n")]
     Unknown,
-    /// It began at more than one version, as its ID was used again.
-    #[serde(rename = "c")]
+    /// It began elsewhere than at the listed incarnation, or, as its ID was used again, at
+    /// more than one.
     Contradictory,
+    /// Where it began if the listing was not out of date.
+    Claimed(OriginClaim),
     /// Where it began.
-    #[serde(rename = "k")]
     Known(StreamOrigin),
 }
 
+impl OriginKnowledge {
+    /// What is known once a stream is also known to have begun at an incarnation.
+    fn with_origin(&self, origin: StreamOrigin) -> Self {
+        let is_confirmed = match self {
+            Self::Unknown => true,
+            Self::Contradictory => false,
+            Self::Claimed(claim) => claim.origin.is_compatible(&origin),
+            Self::Known(known) => known.is_compatible(&origin),
+        };
+        if is_confirmed {
+            Self::Known(origin)
+        } else {
+            Self::Contradictory
+        }
+    }
+
+    /// What is known once a stream is also claimed to have begun at an incarnation.
+    pub fn with_claim(&self, claim: OriginClaim) -> Self {
+        match self {
+            Self::Unknown => Self::Claimed(claim),
+            Self::Known(known) if known.is_compatible(&claim.origin) => self.clone(),
+            Self::Claimed(known) if known.origin == claim.origin => Self::Claimed(OriginClaim {
+                running_since_ms: known.running_since_ms.max(claim.running_since_ms),
+                ..claim
+            }),
+            Self::Contradictory | Self::Claimed(_) | Self::Known(_) => Self::Contradictory,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Remembered {
     knowledge: OriginKnowledge,
@@ -113,19 +147,34 @@
 impl StreamOrigins {
     /// Records where a stream began.
     pub fn record(&mut self, now_ms: u64, stream: Fingerprint, origin: StreamOrigin) {
+        self.update(now_ms, stream, |known| known.with_origin(origin));
+    }
+
+    /// Records where a stream began if the listing was not out of date.
+    pub fn record_claim(&mut self, now_ms: u64, stream: Fingerprint, claim: OriginClaim) {
+        self.update(now_ms, stream, |known| known.with_claim(claim));
+    }
+
+    /// Records that a stream began elsewhere than at the listed incarnation.
+    pub fn record_refuted(&mut self, now_ms: u64, stream: Fingerprint) {
+        self.update(now_ms, stream, |_| OriginKnowledge::Contradictory);
+    }
+
+    fn update(
+        &mut self,
+        now_ms: u64,
+        stream: Fingerprint,
+        change: impl FnOnce(&OriginKnowledge) -> OriginKnowledge,
+    ) {
         self.forget_old(now_ms);
         if let Some(remembered) = self.remembered.get_mut(&stream) {
-            let is_confirmed = matches!(&remembered.knowledge,
-                OriginKnowledge::Known(known) if known.is_compatible(&origin));
-            if !is_confirmed {
-                remembered.knowledge = OriginKnowledge::Contradictory;
-            }
+            remembered.knowledge = change(&remembered.knowledge);
             remembered.told_ms = now_ms;
             return;
         }
         self.order.push_back((now_ms, stream));
         let remembered = Remembered {
-            knowledge: OriginKnowledge::Known(origin),
+            knowledge: change(&OriginKnowledge::Unknown),
             told_ms: now_ms,
         };
         self.remembered.insert(stream, remembered);
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -52,6 +52,9 @@
 /// Shortest timeout of an attempt that a retry can follow.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Share of the caller's timeout for which a stream that goes on waits for evidence.
+const EVIDENCE_TIME_SHARE: f64 = 0.5;
+
 /// Share of the longest gap between the events of a stream that prefill may
 /// take; the rest covers the decoding of the next event and requests of other
 /// hosts that this host has not observed yet.
@@ -164,6 +167,12 @@
         self.model_spec = model.and_then(|m| engine?.models.get(m).cloned());
     }
 
+    /// Time until which a stream that broke off, or is taken up, at `from_ms` waits for
+    /// evidence of software versions.
+    pub fn evidence_by_ms(&self, from_ms: u64) -> u64 {
+        from_ms + self.caller_timeout.mul_f64(EVIDENCE_TIME_SHARE).as_millis() as u64
+    }
+
     /// Time from `now_ms` to the deadline.
     pub fn time_left(&self, now_ms: u64) -> Duration {
         Duration::from_millis(self.deadline_ms.saturating_sub(now_ms))
--- a/src/gateway/incarnations.rs
+++ b/src/gateway/incarnations.rs
@@ -26,6 +26,8 @@
 const CERTIFY_DELAY: Duration = Duration::from_millis(150);
 /// Time between two looks for an announcement while a stream goes on.
 const ANNOUNCEMENT_POLL: Duration = Duration::from_millis(250);
+/// Time between two looks for evidence while a caller waits for it.
+const EVIDENCE_POLL: Duration = Duration::from_millis(50);
 /// Time after which an engine counts as unable to report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -153,6 +155,22 @@
         true
     }
 
+    /// Waits until `by_ms` for evidence that the incarnation of a claim has sent the stream.
+    pub async fn settle_claim(&self, claim: &OriginClaim, by_ms: u64) -> bool {
+        if !self.is_certain(claim) && self.can_report(&claim.origin) {
+            return self.confirm_by_report(&claim.origin).await == ReportEvidence::Same;
+        }
+        while !self.is_certain(claim) {
+            if !self.is_listed(&claim.origin) || self.now_ms() >= by_ms {
+                return false;
+            }
+            // One read serves all streams that came to wait meanwhile.
+            compio::time::sleep(EVIDENCE_POLL).await;
+            self.read_revision_after(claim.running_since_ms).await;
+        }
+        true
+    }
+
     /// Asks an engine whether it is an incarnation.
     pub async fn confirm_by_report(&self, origin: &StreamOrigin) -> ReportEvidence {
         let addr = {
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -6,7 +6,7 @@
 use super::demand::ModelCounts;
 use super::quotas::messages::{QuotaMessage, QuotaReply};
 use super::store_relay::StoreChanges;
-use super::stream_origins::KnownOrigin;
+use super::stream_origins::{KnownOrigin, StatedClaim, StatedOrigin};
 use crate::core::brittle_notice::BrittleStatement;
 use crate::core::crash_ledger::LostRequest;
 use crate::core::ids::{AdapterId, HostId, ModelId, ServiceId, UpstreamId, ZoneId};
@@ -20,7 +20,6 @@
 use crate::core::shared_account::SharedReport;
 use crate::core::speed::{PaceKind, PaceSum};
 use crate::core::stated::{StatedCount, StatedMillis};
-use crate::core::stream_origin::OriginKnowledge;
 
 /// Holdings of one engine.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -422,6 +421,14 @@
         #[serde(rename = "s")]
         streams: Vec<KnownOrigin>,
     },
+    /// Streams whose origins are not certain yet; only for hosts that state that they know
+    /// of such.
+    #[serde(rename = "sl")]
+    OriginClaims {
+        /// Streams and where they are claimed to have begun.
+        #[serde(rename = "s")]
+        streams: Vec<(Fingerprint, StatedClaim)>,
+    },
     /// A host has to take up a stream and asks where it began.
     #[serde(rename = "sa")]
     AskOrigin {
@@ -446,7 +453,7 @@
         stream: Fingerprint,
         /// What the sender knows of it.
         #[serde(rename = "o")]
-        known: OriginKnowledge,
+        known: StatedOrigin,
     },
     /// Delegation of a share of all quotas, and questions on accounts; only for hosts that
     /// state that they know quotas.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -206,6 +206,7 @@
                 gateway.apply_relayed_notice(&message);
             }
             PeerMessage::Origins { .. }
+            | PeerMessage::OriginClaims { .. }
             | PeerMessage::AskOrigin { .. }
             | PeerMessage::Origin { .. } => gateway.handle_origin_message(message),
             PeerMessage::AskStoreContact { host, ticket } => {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -345,6 +345,10 @@
             gateway.record_origin(stream, origin);
             return;
         }
+        // What a stream goes on with says nothing of where it began.
+        if self.request.software.is_none() {
+            gateway.record_claim(stream, claim);
+        }
         let ended = self.ended.clone();
         compio::runtime::spawn(async move {
             let certifying = gateway.certify(&origin, &trace);
@@ -379,7 +383,8 @@
                 self.gateway.record_origin(stream, began.origin.clone());
                 self.gateway.publish_origins();
             }
-            ReportEvidence::None | ReportEvidence::Other => {}
+            ReportEvidence::Other => self.gateway.refute_origin(stream),
+            ReportEvidence::None => {}
         }
     }
 }
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -1,8 +1,9 @@
 //! Tells other hosts where the streams of this host began, and finds out where a stream
 //! began that a caller takes up (`core::stream_origin`).
 //!
-//! A host that neither knows nor learns where a stream began, and cannot tell since the
-//! service has several software versions, refuses to take it up.
+//! A host that neither knows nor learns where a stream began refuses to take it up. At
+//! engines it tells by the software version if their service has had only one: an engine that
+//! has started again without being listed holds no weights, and begins no stream.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -10,6 +11,8 @@
 use std::time::Duration;
 
 use hyper::header::HOST;
+use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
 
 use super::call::RoutedRequest;
 use super::metrics::ResumeLabels;
@@ -18,10 +21,14 @@
 use super::questions::Questions;
 use super::state::Gateway;
 use crate::core::catalog::{Catalog, Route};
+use crate::core::features::Feature;
 use crate::core::ids::{HostId, ServiceId, SoftwareVersion};
+use crate::core::peer_list::Peer;
 use crate::core::request_traits::Fingerprint;
+use crate::core::stated::StatedMillis;
 use crate::core::stream_origin::{
-    OriginKnowledge, StreamOrigin, StreamOrigins, lookup_hosts, replica_hosts, stream_key,
+    OriginClaim, OriginKnowledge, StreamOrigin, StreamOrigins, lookup_hosts, replica_hosts,
+    stream_key,
 };
 
 /// Time after which other hosts count as unable to answer; several times the round trip
@@ -40,15 +47,86 @@
 /// Stream with its origin, as sent to other hosts.
 pub type KnownOrigin = (Fingerprint, StreamOrigin);
 
+/// Claim on the origin of a stream, as sent to other hosts.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StatedClaim {
+    /// Listed incarnation.
+    #[serde(rename = "o")]
+    pub origin: StreamOrigin,
+    /// Time for which the process that sent the stream is known to have run, in
+    /// milliseconds.
+    #[serde_as(as = "StatedMillis")]
+    #[serde(rename = "a")]
+    pub running_for_ms: u64,
+}
+
+impl StatedClaim {
+    fn of(claim: &OriginClaim, now_ms: u64) -> Self {
+        Self {
+            origin: claim.origin.clone(),
+            running_for_ms: now_ms.saturating_sub(claim.running_since_ms),
+        }
+    }
+
+    /// The claim by the clock of the host that reads it. What passes until it is read makes
+    /// the process seem to run for less long than it does.
+    fn read(self, now_ms: u64) -> OriginClaim {
+        OriginClaim {
+            origin: self.origin,
+            running_since_ms: now_ms.saturating_sub(self.running_for_ms),
+        }
+    }
+}
+
+/// What a host states of the origin of a stream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum StatedOrigin {
+    /// Nothing.
+    #[serde(rename = "n")]
+    Unknown,
+    /// It began elsewhere than at the listed incarnation, or at more than one.
+    #[serde(rename = "c")]
+    Contradictory,
+    /// Where it began.
+    #[serde(rename = "k")]
+    Known(StreamOrigin),
+    /// Where it began if the listing was not out of date; only for hosts that understand it.
+    #[serde(rename = "u")]
+    Claimed(StatedClaim),
+}
+
+impl StatedOrigin {
+    fn of(known: &OriginKnowledge, now_ms: u64) -> Self {
+        match known {
+            OriginKnowledge::Unknown => Self::Unknown,
+            OriginKnowledge::Contradictory => Self::Contradictory,
+            OriginKnowledge::Known(origin) => Self::Known(origin.clone()),
+            OriginKnowledge::Claimed(claim) => Self::Claimed(StatedClaim::of(claim, now_ms)),
+        }
+    }
+
+    fn read(self, now_ms: u64) -> OriginKnowledge {
+        match self {
+            Self::Unknown => OriginKnowledge::Unknown,
+            Self::Contradictory => OriginKnowledge::Contradictory,
+            Self::Known(origin) => OriginKnowledge::Known(origin),
+            Self::Claimed(claim) => OriginKnowledge::Claimed(claim.read(now_ms)),
+        }
+    }
+}
+
 type SelectHosts =
     for<'a> fn(Fingerprint, &HostId, &str, &[(&'a HostId, &'a str)]) -> Vec<&'a HostId>;
 
 /// Question that other hosts have to answer.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Awaited {
     stream: Fingerprint,
     /// Hosts that have not answered yet.
     left: usize,
+    /// What the others know, unless one has settled the question.
+    known: OriginKnowledge,
 }
 
 /// Origins of streams that this host knows, and its questions.
@@ -56,6 +134,7 @@
 pub struct OriginDesk {
     origins: RefCell<StreamOrigins>,
     unpublished: RefCell<Vec<KnownOrigin>>,
+    unpublished_claims: RefCell<Vec<(Fingerprint, OriginClaim)>>,
     questions: Questions<OriginKnowledge>,
     awaited: RefCell<HashMap<u64, Awaited>>,
 }
@@ -119,32 +198,73 @@
         self.origins.unpublished.borrow_mut().push((stream, origin));
     }
 
+    /// Records where a stream began if the listing was not out of date, and tells other
+    /// hosts within a moment, unless its upstream is asked for a report instead.
+    pub fn record_claim(&self, stream: Fingerprint, claim: OriginClaim) {
+        let mut origins = self.origins.origins.borrow_mut();
+        origins.record_claim(self.now_ms(), stream, claim.clone());
+        drop(origins);
+        if !self.can_report(&claim.origin) {
+            let mut unpublished = self.origins.unpublished_claims.borrow_mut();
+            unpublished.push((stream, claim));
+        }
+    }
+
+    /// Records that a stream began elsewhere than at the listed incarnation.
+    pub fn refute_origin(&self, stream: Fingerprint) {
+        let mut origins = self.origins.origins.borrow_mut();
+        origins.record_refuted(self.now_ms(), stream);
+    }
+
     /// Tells other hosts of the origins recorded since the last call.
     pub fn publish_origins(&self) {
         let unpublished = self.origins.unpublished.take();
-        if unpublished.is_empty() {
-            return;
-        }
-        let mut by_host: HashMap<SocketAddr, Vec<KnownOrigin>> = HashMap::new();
-        for known in unpublished {
-            for addr in self.responsible_hosts(known.0, replica_hosts) {
-                by_host.entry(addr).or_default().push(known.clone());
+        self.publish_to_replicas(
+            unpublished,
+            |_| true,
+            |streams| PeerMessage::Origins { streams },
+        );
+        let now_ms = self.now_ms();
+        let claims = self.origins.unpublished_claims.take().into_iter();
+        let claims = claims.map(|(stream, claim)| (stream, StatedClaim::of(&claim, now_ms)));
+        self.publish_to_replicas(
+            claims.collect(),
+            |peer| peer.has(Feature::OriginClaims),
+            |streams| PeerMessage::OriginClaims { streams },
+        );
+    }
+
+    /// Sends what is known of some streams to the hosts that are responsible for them.
+    fn publish_to_replicas<T: Clone>(
+        &self,
+        streams: Vec<(Fingerprint, T)>,
+        understands: impl Fn(&Peer) -> bool,
+        message: impl Fn(Vec<(Fingerprint, T)>) -> PeerMessage,
+    ) {
+        let mut by_host: HashMap<SocketAddr, Vec<(Fingerprint, T)>> = HashMap::new();
+        for stream in streams {
+            for addr in self.responsible_hosts(stream.0, replica_hosts, &understands) {
+                by_host.entry(addr).or_default().push(stream.clone());
             }
         }
         for (addr, streams) in by_host {
             for streams in streams.chunks(MAX_STREAMS_PER_DATAGRAM) {
-                let streams = streams.to_vec();
-                self.send_peer(addr, &PeerMessage::Origins { streams });
+                self.send_peer(addr, &message(streams.to_vec()));
             }
         }
     }
 
     /// Addresses of hosts that a function of `core::stream_origin` selects.
-    fn responsible_hosts(&self, stream: Fingerprint, select: SelectHosts) -> Vec<SocketAddr> {
+    fn responsible_hosts(
+        &self,
+        stream: Fingerprint,
+        select: SelectHosts,
+        understands: impl Fn(&Peer) -> bool,
+    ) -> Vec<SocketAddr> {
         let settings = self.settings();
         let now_ms = self.now_ms();
         let peers = self.peers.borrow();
-        let recipients = peers.recipients(now_ms);
+        let recipients = peers.recipients(now_ms).filter(|(_, p)| understands(p));
         let hosts: Vec<(&HostId, &str)> = recipients
             .map(|(host, peer)| (host, peer.zone().unwrap_or_default()))
             .collect();
@@ -157,6 +277,7 @@
     pub fn handle_origin_message(&self, message: PeerMessage) {
         match message {
             PeerMessage::Origins { streams } => self.apply_origins(streams),
+            PeerMessage::OriginClaims { streams } => self.apply_claims(streams),
             PeerMessage::AskOrigin {
                 host,
                 stream,
@@ -166,7 +287,7 @@
                 ticket,
                 stream,
                 known,
-            } => self.apply_origin(ticket, stream, known),
+            } => self.apply_origin(ticket, stream, known.read(self.now_ms())),
             _ => {}
         }
     }
@@ -180,30 +301,54 @@
         }
     }
 
+    /// Records what another host claims of its streams.
+    fn apply_claims(&self, streams: Vec<(Fingerprint, StatedClaim)>) {
+        let now_ms = self.now_ms();
+        let mut origins = self.origins.origins.borrow_mut();
+        for (stream, claim) in streams {
+            origins.record_claim(now_ms, stream, claim.read(now_ms));
+        }
+    }
+
+    /// What this host knows of a stream by now.
     fn known_origin(&self, stream: Fingerprint) -> OriginKnowledge {
-        let origins = self.origins.origins.borrow();
-        origins.get(self.now_ms(), stream).clone()
+        let mut origins = self.origins.origins.borrow_mut();
+        let now_ms = self.now_ms();
+        if let OriginKnowledge::Claimed(claim) = origins.get(now_ms, stream)
+            && self.is_certain(claim)
+        {
+            let origin = claim.origin.clone();
+            origins.record(now_ms, stream, origin);
+        }
+        origins.get(now_ms, stream).clone()
     }
 
     /// Answers a host that has to take up a stream.
     fn answer_origin(&self, host: &HostId, stream: Fingerprint, ticket: u64) {
         let known = self.known_origin(stream);
-        let addr = {
+        let now_ms = self.now_ms();
+        let recipient = {
             let peers = self.peers.borrow();
-            peers.get_recipient(self.now_ms(), host).map(|p| p.addr)
+            let peer = peers.get_recipient(now_ms, host);
+            peer.map(|p| (p.addr, p.has(Feature::OriginClaims)))
         };
-        if let Some(addr) = addr {
-            let answer = PeerMessage::Origin {
-                ticket,
-                stream,
-                known,
-            };
-            self.send_peer(addr, &answer);
-        }
+        let Some((addr, understands_claims)) = recipient else {
+            return;
+        };
+        let known = match known {
+            OriginKnowledge::Claimed(_) if !understands_claims => StatedOrigin::Unknown,
+            known => StatedOrigin::of(&known, now_ms),
+        };
+        let answer = PeerMessage::Origin {
+            ticket,
+            stream,
+            known,
+        };
+        self.send_peer(addr, &answer);
     }
 
-    /// Passes an answer to the task that asked; an answer of a host that does not know the
-    /// stream counts once all hosts have answered so.
+    /// Passes an answer to the task that asked. Unless it settles the question, it counts
+    /// once all hosts have answered.
     fn apply_origin(&self, ticket: u64, stream: Fingerprint, known: OriginKnowledge) {
         let mut awaited = self.origins.awaited.borrow_mut();
         // Tickets start anew with the process, so that an answer may be to another question.
@@ -211,7 +356,16 @@
             return;
         };
         awaited.left = awaited.left.saturating_sub(1);
-        if known != OriginKnowledge::Unknown || awaited.left == 0 {
+        match known {
+            OriginKnowledge::Unknown => {}
+            OriginKnowledge::Claimed(claim) => awaited.known = awaited.known.with_claim(claim),
+            OriginKnowledge::Contradictory | OriginKnowledge::Known(_) => {
+                self.origins.questions.answer(ticket, known);
+                return;
+            }
+        }
+        if awaited.left == 0 {
+            let known = awaited.known.clone();
             self.origins.questions.answer(ticket, known);
         }
     }
@@ -219,19 +373,26 @@
     /// Service and version at which the stream that a request takes up goes on.
     pub async fn resume_place(&self, request: &RoutedRequest) -> Option<ResumePlace> {
         let known = match &request.resumes {
-            Some(id) => self.find_origin(key_of(request, id)).await,
+            Some(id) => {
+                let by_ms = request.evidence_by_ms(request.arrived_ms);
+                self.find_settled_origin(key_of(request, id), by_ms).await
+            }
             None => OriginKnowledge::Unknown,
         };
         let (source, place) = match &known {
             OriginKnowledge::Known(origin) => ("origin", Some(ResumePlace::from(origin))),
             OriginKnowledge::Contradictory => ("contradictory", None),
-            OriginKnowledge::Unknown => match self.only_place(request) {
-                Some(place) => ("only_version", Some(place)),
-                None => ("unknown", None),
-            },
+            OriginKnowledge::Claimed(_) | OriginKnowledge::Unknown => {
+                match self.only_place(request) {
+                    Some(place) => ("only_version", Some(place)),
+                    None if known == OriginKnowledge::Unknown => ("unknown", None),
+                    None => ("uncertain", None),
+                }
+            }
         };
         let began_at = match &known {
             OriginKnowledge::Known(origin) => origin.upstream.as_str(),
+            OriginKnowledge::Claimed(claim) => claim.origin.upstream.as_str(),
             OriginKnowledge::Contradictory | OriginKnowledge::Unknown => "",
         };
         tracing::info!(
@@ -248,18 +409,38 @@
         place
     }
 
+    /// What any host knows of a stream. Waits for evidence until `by_ms` if its origin is not
+    /// certain.
+    async fn find_settled_origin(&self, stream: Fingerprint, by_ms: u64) -> OriginKnowledge {
+        let mut known = self.find_origin(stream).await;
+        if let OriginKnowledge::Claimed(claim) = &known
+            && self.settle_claim(claim, by_ms).await
+        {
+            known = OriginKnowledge::Known(claim.origin.clone());
+        }
+        if let OriginKnowledge::Known(origin) = &known {
+            // The stream may break off again after the host that knew it has ended.
+            let mut origins = self.origins.origins.borrow_mut();
+            origins.record(self.now_ms(), stream, origin.clone());
+        }
+        known
+    }
+
     async fn find_origin(&self, stream: Fingerprint) -> OriginKnowledge {
-        let known = self.known_origin(stream);
-        if known != OriginKnowledge::Unknown {
+        let mut known = self.known_origin(stream);
+        if matches!(
+            known,
+            OriginKnowledge::Known(_) | OriginKnowledge::Contradictory
+        ) {
             return known;
         }
         let addrs = if self.is_large_fleet() {
-            self.responsible_hosts(stream, lookup_hosts)
+            self.responsible_hosts(stream, lookup_hosts, |_| true)
         } else {
             self.other_hosts(|_| true)
         };
         if addrs.is_empty() {
-            return OriginKnowledge::Unknown;
+            return known;
         }
         for timeout in ASK_TIMEOUTS {
             let guard = AwaitedGuard {
@@ -268,10 +449,12 @@
             };
             let ask = |ticket| {
                 guard.ticket.set(ticket);
-                let left = addrs.len();
-                let mut awaited = self.origins.awaited.borrow_mut();
-                awaited.insert(ticket, Awaited { stream, left });
-                drop(awaited);
+                let question = Awaited {
+                    stream,
+                    left: addrs.len(),
+                    known: known.clone(),
+                };
+                self.origins.awaited.borrow_mut().insert(ticket, question);
                 let host = self.settings().host.clone();
                 let question = PeerMessage::AskOrigin {
                     host,
@@ -285,12 +468,21 @@
                 return known;
             }
             self.metrics.unanswered_asks.inc();
+            // What some have answered counts although others have not.
+            let awaited = self.origins.awaited.borrow();
+            if let Some(awaited) = awaited.get(&guard.ticket.get()) {
+                known = awaited.known.clone();
+            }
+            if known != OriginKnowledge::Unknown {
+                break;
+            }
         }
-        OriginKnowledge::Unknown
+        known
     }
 
     /// The only version that the request's service has had for as long as a stream can last,
-    /// if its route has led nowhere else meanwhile.
+    /// if its route has led nowhere else meanwhile. Only of engines: other upstreams may have
+    /// begun the stream at a version that they never announced.
     fn only_place(&self, request: &RoutedRequest) -> Option<ResumePlace> {
         let now_ms = self.now_ms();
         let window_ms = request.route_timeout.as_millis() as u64 + STREAM_AGE_MARGIN_MS;
@@ -300,10 +492,11 @@
             return None;
         };
         let service = backend.service.clone();
+        let is_engine = catalog.services.get(&service)?.engine.is_some();
         let registry = self.registry.borrow();
         let software = self.software.borrow();
         let only = software.only_version(now_ms, window_ms, &registry, &service);
-        let software = only.filter(|_| is_unchanged)?;
+        let software = only.filter(|_| is_unchanged && is_engine)?;
         Some(ResumePlace { service, software })
     }
 
--- a/tests/gateway_incarnation_evidence.rs
+++ b/tests/gateway_incarnation_evidence.rs
@@ -4,10 +4,13 @@
 use std::time::{Duration, Instant};
 
 use currantcove::core::attestation::Attestations;
-use currantcove::core::ids::UpstreamId;
+use currantcove::core::ids::{ServiceId, SoftwareVersion, UpstreamId};
 use currantcove::core::process_span::ProcessSpans;
 use currantcove::core::store_era::Era;
 use currantcove::core::store_relay::Position;
+use currantcove::core::stream_origin::{
+    OriginClaim, OriginKnowledge, StreamOrigin, StreamOrigins, stream_key,
+};
 use currantcove::core::write_times::WriteTimes;
 
 fn addr() -> SocketAddr {
@@ -25,6 +28,18 @@
     }
 }
 
+fn claim(started_ms: u64, running_since_ms: u64) -> OriginClaim {
+    OriginClaim {
+        origin: StreamOrigin {
+            service: ServiceId::new("bookings"),
+            software: SoftwareVersion::new("v1"),
+            upstream: upstream(),
+            started_ms,
+        },
+        running_since_ms,
+    }
+}
+
 #[test]
 fn connections_with_a_moment_in_common_belong_to_one_process() {
     let start = Instant::now();
@@ -115,3 +130,35 @@
     attestations.forget_old(61_100);
     assert!(!ran(&attestations, 8, 0));
 }
+
+#[test]
+fn claim_is_confirmed_by_the_origin_and_never_replaces_it() {
+    let stream = stream_key(b"h.example", None, "r1");
+    let mut origins = StreamOrigins::default();
+
+    origins.record_claim(0, stream, claim(1, 100));
+    origins.record_claim(1, stream, claim(1, 130));
+    let claimed = origins.get(2, stream).clone();
+    origins.record(2, stream, claim(1, 0).origin);
+    origins.record_claim(3, stream, claim(1, 100));
+    let known = origins.get(4, stream).clone();
+
+    assert_eq!(claimed, OriginKnowledge::Claimed(claim(1, 130)));
+    assert_eq!(known, OriginKnowledge::Known(claim(1, 0).origin));
+}
+
+#[test]
+fn claims_of_two_incarnations_and_refuted_ones_are_contradictory() {
+    let twice = stream_key(b"h.example", None, "r1");
+    let refuted = stream_key(b"h.example", None, "r2");
+    let mut origins = StreamOrigins::default();
+
+    origins.record_claim(0, twice, claim(1, 100));
+    origins.record_claim(1, twice, claim(2, 100));
+    origins.record_claim(0, refuted, claim(1, 100));
+    origins.record_refuted(1, refuted);
+    origins.record(2, refuted, claim(1, 0).origin);
+
+    assert_eq!(origins.get(3, twice), &OriginKnowledge::Contradictory);
+    assert_eq!(origins.get(3, refuted), &OriginKnowledge::Contradictory);
+}
--- a/tests/model_stream_resume.rs
+++ b/tests/model_stream_resume.rs
@@ -68,7 +68,9 @@
     }
     match known.get(1, stream) {
         OriginKnowledge::Known(origin) => Some(origin.software.clone()),
-        OriginKnowledge::Contradictory | OriginKnowledge::Unknown => None,
+        OriginKnowledge::Contradictory | OriginKnowledge::Claimed(_) | OriginKnowledge::Unknown => {
+            None
+        }
     }
 }
 
