--- a/src/edge/pool.rs
+++ b/src/edge/pool.rs
@@ -302,6 +302,9 @@
     }
 
     fn check_in(&self, addr: SocketAddr, connection: Connection, idle_timeout: Duration) {
+        if idle_timeout.is_zero() {
+            return;
+        }
         let hold = match &self.resources {
             Some(resources) => match resources.hold(Purpose::IdleConnection, IDLE_CONNECTION_BYTES)
             {
