Heed only later reports on the unload of an adapter in use

Cause: the unload of an adapter in use counted as ended once a report did not list the adapter, whatever report that was. An earlier one, from before the adapter was loaded, can stand in its place: a second copy on a kept connection. Reports on models were compared with the count of orders already.

The report must now show that the engine has accepted the unload.

--- a/src/gateway/order_adapters.rs
+++ b/src/gateway/order_adapters.rs
@@ -7,7 +7,7 @@
 use super::orders::{MAX_ORDER_POLLS, OrderResult};
 use super::platform::{Order, Platform};
 use crate::core::catalog::EngineSpec;
-use crate::core::engine_ledger::EngineLedger;
+use crate::core::engine_ledger::{EngineLedger, OrderBasis};
 use crate::core::ids::{AdapterId, ModelId, UpstreamId};
 
 /// Assumed load time of an adapter per MB of its size.
@@ -146,8 +146,9 @@
             OrderResult::Accepted => {
                 let acting = Rc::clone(self);
                 let upstream = upstream.clone();
+                let basis = decision.basis;
                 compio::runtime::spawn(async move {
-                    acting.await_adapter_unload(&upstream, &key).await;
+                    acting.await_adapter_unload(&upstream, &key, basis).await;
                 })
                 .detach();
             }
@@ -188,8 +189,8 @@
         self: &Rc<Self>,
         upstream: &UpstreamId,
         key: &(ModelId, AdapterId),
+        basis: OrderBasis,
     ) {
-        let started_ms = self.with_ledger(upstream, |l| l.started_ms);
         for _ in 0..MAX_ORDER_POLLS {
             compio::time::sleep(UNLOAD_POLL_INTERVAL).await;
             let Some(addr) = self.addr_of(upstream) else {
@@ -198,11 +199,13 @@
             let Some(report) = self.request_report(upstream, addr).await else {
                 continue;
             };
-            if Some(report.started_ms) != started_ms {
+            if report.started_ms != basis.started_ms {
                 return;
             }
+            // An earlier report may stand in place of this one.
+            let is_later = report.orders_accepted > basis.orders_accepted;
             let adapters = report.resident.get(&key.0);
-            if !adapters.is_some_and(|a| a.contains(&key.1)) {
+            if is_later && !adapters.is_some_and(|a| a.contains(&key.1)) {
                 return self.finish_adapter_unload(upstream, key, true);
             }
         }
