Read the store's revision by a short listing

The read by which a host learns the present revision asked for the changes of all upstreams since its position, which in a large fleet are hundreds of entries. A listing of the acting host's key states the revision of the whole store as well. Waits for evidence end with the request's deadline.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -170,7 +170,8 @@
     /// Time until which a stream that broke off, or is taken up, at `from_ms` waits for
     /// evidence of software versions.
     pub fn evidence_by_ms(&self, from_ms: u64) -> u64 {
-        from_ms + self.caller_timeout.mul_f64(EVIDENCE_TIME_SHARE).as_millis() as u64
+        let longest_ms = self.caller_timeout.mul_f64(EVIDENCE_TIME_SHARE).as_millis() as u64;
+        (from_ms + longest_ms).min(self.deadline_ms)
     }
 
     /// Time from `now_ms` to the deadline.
--- a/src/gateway/incarnations.rs
+++ b/src/gateway/incarnations.rs
@@ -10,8 +10,9 @@
 use super::call::RoutedRequest;
 use super::exchange::{AttemptFailure, OpenStream};
 use super::place::InFlightAttempt;
-use super::platform::{FleetStore, Platform, WatchResponse};
+use super::platform::{FleetStore, Platform};
 use super::state::Gateway;
+use super::store_facts::ACTING_KEY;
 use crate::core::ids::{SoftwareVersion, UpstreamId};
 use crate::core::registry::{AnnouncementOrder, Entry};
 use crate::core::store_relay::Position;
@@ -91,12 +92,16 @@
         }
         let requested_ms = self.now_ms();
         self.revision_requested_ms.set(requested_ms);
-        let Position { era, revision } = self.position.get();
         let store = self.platform.store();
-        let reading = store.poll_changes(P::UPSTREAM_PREFIX, revision, Duration::ZERO);
-        match reading.await {
-            Ok(WatchResponse::Changes { revision, .. }) if store.era() == era => {
-                let shown = Position { era, revision };
+        let era = store.era();
+        // Any listing states the revision of the whole store; this one is short.
+        let prefix = format!("{}{ACTING_KEY}", P::GATEWAY_PREFIX);
+        match store.list(&prefix).await {
+            Ok(snapshot) if store.era() == era => {
+                let shown = Position {
+                    era,
+                    revision: snapshot.revision,
+                };
                 let mut write_times = self.write_times.borrow_mut();
                 write_times.record_read(shown, requested_ms);
             }
