--- a/src/gateway/incarnations.rs
+++ b/src/gateway/incarnations.rs
@@ -29,6 +29,9 @@
 const ANNOUNCEMENT_POLL: Duration = Duration::from_millis(250);
 /// Time between two looks for evidence while a caller waits for it.
 const EVIDENCE_POLL: Duration = Duration::from_millis(50);
+/// Shortest time between two reads of the store's revision, in milliseconds; hundreds of hosts
+/// may wait for evidence at the same time.
+const MIN_READ_INTERVAL_MS: u64 = 200;
 /// Time after which an engine counts as unable to report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -84,13 +87,14 @@
         }
     }
 
-    /// Learns the store's present revision, unless that was requested after a time, so that
-    /// announcements from now on count as written after it.
+    /// Learns the store's present revision, unless that was requested after a time or a moment
+    /// ago, so that announcements from now on count as written after it.
     async fn read_revision_after(&self, time_ms: u64) {
-        if self.revision_requested_ms.get() > time_ms {
+        let requested_ms = self.now_ms();
+        let last_ms = self.revision_requested_ms.get();
+        if last_ms > time_ms || requested_ms < last_ms + MIN_READ_INTERVAL_MS {
             return;
         }
-        let requested_ms = self.now_ms();
         self.revision_requested_ms.set(requested_ms);
         let store = self.platform.store();
         let era = store.era();
