Split stated origins from the hosts' questions

What hosts state of origins to each other, with the conversion between ages and times, has a file of its own. No change of behaviour.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -62,6 +62,7 @@
 pub mod shared_places;
 mod speeds;
 pub mod state;
+pub mod stated_origins;
 pub mod store_era;
 pub mod store_facts;
 pub mod store_relay;
--- a/src/gateway/peer_messages.rs
+++ b/src/gateway/peer_messages.rs
@@ -5,8 +5,9 @@
 
 use super::demand::ModelCounts;
 use super::quotas::messages::{QuotaMessage, QuotaReply};
+use super::stated_origins::{StatedClaim, StatedOrigin};
 use super::store_relay::StoreChanges;
-use super::stream_origins::{KnownOrigin, StatedClaim, StatedOrigin};
+use super::stream_origins::KnownOrigin;
 use crate::core::brittle_notice::BrittleStatement;
 use crate::core::crash_ledger::LostRequest;
 use crate::core::ids::{AdapterId, HostId, ModelId, ServiceId, UpstreamId, ZoneId};
--- a/src/gateway/stream_origins.rs
+++ b/src/gateway/stream_origins.rs
@@ -11,8 +11,6 @@
 use std::time::Duration;
 
 use hyper::header::HOST;
-use serde::{Deserialize, Serialize};
-use serde_with::serde_as;
 
 use super::call::RoutedRequest;
 use super::metrics::ResumeLabels;
@@ -20,12 +18,12 @@
 use super::platform::Platform;
 use super::questions::Questions;
 use super::state::Gateway;
+use super::stated_origins::{StatedClaim, StatedOrigin};
 use crate::core::catalog::{Catalog, Route};
 use crate::core::features::Feature;
 use crate::core::ids::{HostId, ServiceId, SoftwareVersion};
 use crate::core::peer_list::Peer;
 use crate::core::request_traits::Fingerprint;
-use crate::core::stated::StatedMillis;
 use crate::core::stream_origin::{
     OriginClaim, OriginKnowledge, StreamOrigin, StreamOrigins, lookup_hosts, replica_hosts,
     stream_key,
@@ -47,75 +45,6 @@
 /// Stream with its origin, as sent to other hosts.
 pub type KnownOrigin = (Fingerprint, StreamOrigin);
 
-/// Claim on the origin of a stream, as sent to other hosts.
-#[serde_as]
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct StatedClaim {
-    /// Listed incarnation.
-    #[serde(rename = "o")]
-    pub origin: StreamOrigin,
-    /// Time for which the process that sent the stream is known to have run, in
-    /// milliseconds.
-    #[serde_as(as = "StatedMillis")]
-    #[serde(rename = "a")]
-    pub running_for_ms: u64,
-}
-
-impl StatedClaim {
-    fn of(claim: &OriginClaim, now_ms: u64) -> Self {
-        Self {
-            origin: claim.origin.clone(),
-            running_for_ms: now_ms.saturating_sub(claim.running_since_ms),
-        }
-    }
-
-    /// The claim by the clock of the host that reads it. What passes until it is read makes
-    /// the process seem to run for less long than it does.
-    fn read(self, now_ms: u64) -> OriginClaim {
-        OriginClaim {
-            origin: self.origin,
-            running_since_ms: now_ms.saturating_sub(self.running_for_ms),
-        }
-    }
-}
-
-/// What a host states of the origin of a stream.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum StatedOrigin {
-    /// Nothing.
-    #[serde(rename = "n")]
-    Unknown,
-    /// It began elsewhere than at the listed incarnation, or at more than one.
-    #[serde(rename = "c")]
-    Contradictory,
-    /// Where it began.
-    #[serde(rename = "k")]
-    Known(StreamOrigin),
-    /// Where it began if the listing was not out of date; only for hosts that understand it.
-    #[serde(rename = "u")]
-    Claimed(StatedClaim),
-}
-
-impl StatedOrigin {
-    fn of(known: &OriginKnowledge, now_ms: u64) -> Self {
-        match known {
-            OriginKnowledge::Unknown => Self::Unknown,
-            OriginKnowledge::Contradictory => Self::Contradictory,
-            OriginKnowledge::Known(origin) => Self::Known(origin.clone()),
-            OriginKnowledge::Claimed(claim) => Self::Claimed(StatedClaim::of(claim, now_ms)),
-        }
-    }
-
-    fn read(self, now_ms: u64) -> OriginKnowledge {
-        match self {
-            Self::Unknown => OriginKnowledge::Unknown,
-            Self::Contradictory => OriginKnowledge::Contradictory,
-            Self::Known(origin) => OriginKnowledge::Known(origin),
-            Self::Claimed(claim) => OriginKnowledge::Claimed(claim.read(now_ms)),
-        }
-    }
-}
-
 type SelectHosts =
     for<'a> fn(Fingerprint, &HostId, &str, &[(&'a HostId, &'a str)]) -> Vec<&'a HostId>;
 
--- a/tests/model_incarnation_evidence.rs
+++ b/tests/model_incarnation_evidence.rs
@@ -16,7 +16,7 @@
 use currantcove::core::store_relay::Position;
 use currantcove::core::write_times::WriteTimes;
 
-const WALKS: u64 = 20_000;
+const WALKS: u64 = 100_000;
 const STEPS: u64 = 60;
 const ACTIONS: usize = 12;
 const CONNECTIONS: usize = 2;
